--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/lib/src/message/mod.rs
@@ -0,0 +1,95 @@
+//! Messages between the hosts of the fleet.
+//!
+//! Times travel as what remains of a deadline, in microseconds, because the clocks of two hosts
+//! cannot be compared. Every message may be lost, repeated or late; receivers tolerate all three.
+
+mod scheduling;
+
+pub use scheduling::Announcement;
+pub use scheduling::BacklogEntry;
+pub use scheduling::Bid;
+pub use scheduling::EndOutcome;
+pub use scheduling::Finished;
+pub use scheduling::Grant;
+pub use scheduling::GrantReturn;
+pub use scheduling::Handover;
+pub use scheduling::PermitAnswer;
+pub use scheduling::PermitRelease;
+pub use scheduling::PermitRequest;
+pub use scheduling::Progress;
+pub use scheduling::Pull;
+pub use scheduling::Refusal;
+pub use scheduling::RefusalReason;
+pub use scheduling::Running;
+pub use scheduling::ServerPhase;
+pub use scheduling::ServerSight;
+pub use scheduling::Summary;
+pub use scheduling::TotalCell;
+pub use scheduling::Totals;
+pub use scheduling::Withdrawal;
+
+/// A message from one host of the fleet to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerMessage {
+    /// Sign of life.
+    Heartbeat(Heartbeat),
+    /// Gateway to scheduler: a request waits.
+    Bid(Bid),
+    /// Gateway to scheduler: a waiting request is gone.
+    Withdrawal(Withdrawal),
+    /// Scheduler to gateway: a request may be dispatched.
+    Grant(Grant),
+    /// Scheduler to gateway: a request will not be served.
+    Refusal(Refusal),
+    /// Gateway to scheduler: a grant was not used.
+    GrantReturn(GrantReturn),
+    /// Gateway to scheduler: a dispatched request has ended.
+    Finished(Finished),
+    /// Gateway to scheduler: cost so far of a running request.
+    Progress(Progress),
+    /// Gateway to new scheduler: everything that a scheduler must know of the gateway.
+    Announcement(Announcement),
+    /// Gateway to the home host of a cold slot: may a request use the slot?
+    PermitRequest(PermitRequest),
+    /// Home host to gateway: answer to a permit request.
+    PermitAnswer(PermitAnswer),
+    /// Gateway to home host: a slot is free again.
+    PermitRelease(PermitRelease),
+    /// Scheduler to scheduler of the same service: service given.
+    Totals(Totals),
+    /// Scheduler to scheduler of the same service: free capacity and backlog.
+    Summary(Summary),
+    /// Scheduler to scheduler of the same service: asks for waiting bids.
+    Pull(Pull),
+    /// Scheduler to scheduler of the same service: waiting bids handed over.
+    Handover(Handover),
+    /// Asks for a configuration newer than a revision.
+    ConfigurationRequest(ConfigurationRequest),
+    /// A whole configuration.
+    ConfigurationUpdate(ConfigurationUpdate),
+}
+
+/// Sign of life of a host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Revision of the configuration in force on the sender, zero for none.
+    pub revision: u64,
+    /// Whether the sender is stopping and gives up its roles.
+    pub stopping: bool,
+}
+
+/// Request for a configuration newer than `have`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfigurationRequest {
+    /// Revision in force on the sender, zero for none.
+    pub have: u64,
+}
+
+/// A configuration passed on to another host.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ConfigurationUpdate {
+    /// Revision of the document.
+    pub revision: u64,
+    /// The configuration object as stored by the platform, JSON text.
+    pub document: Vec<u8>,
+}
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
