peer: link hosts by Cap'n Proto RPC with mutual proof of the fleet key

Cause: bids, grants, heartbeats and configurations have to travel between the hosts of the fleet.

Each host keeps one outgoing connection to each peer. Both ends prove the key by HMAC-SHA256 over direction, version, both identities and both nonces before a `Peer` capability is given out. Messages wait in a bounded queue and leave as a batch when the former batch has been acknowledged; whatever is wrong, too large, expired or surplus is refused and counted by kind.

--- a/lib/src/message/mod.rs
+++ b/lib/src/message/mod.rs
@@ -3,8 +3,10 @@
 //! Times travel as what remains of a deadline, in microseconds, because the clocks of two hosts
 //! cannot be compared. Every message may be lost, repeated or late; receivers tolerate all three.
 
+mod finding;
 mod scheduling;
 
+pub use finding::Finding;
 pub use scheduling::Announcement;
 pub use scheduling::BacklogEntry;
 pub use scheduling::Bid;
@@ -67,6 +69,8 @@
     ConfigurationRequest(ConfigurationRequest),
     /// A whole configuration.
     ConfigurationUpdate(ConfigurationUpdate),
+    /// Host to host of the same failure domain: which hosts are dead or alive.
+    Findings(Vec<Finding>),
 }
 
 /// Sign of life of a host.
--- /dev/null
+++ b/lib/src/peer/dial.rs
@@ -0,0 +1,234 @@
+//! The calling end of a link.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp;
+use capnp_rpc::twoparty::VatNetwork;
+use log::info;
+use snafu::ResultExt;
+use snafu::Snafu;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::Socket;
+use socket2::Type;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::codec::encode;
+use super::counters::LinkRefusal;
+use super::counters::add;
+use super::gate::read_identity;
+use super::gate::read_nonce;
+use super::gate::write_identity;
+use super::links::LinkEvent;
+use super::links::Local;
+use super::links::reader_options;
+use super::peer_capnp;
+use super::proof::Identity;
+use super::proof::PROTOCOL_VERSION;
+use super::proof::Side;
+use super::proof::Transcript;
+use super::proof::draw_nonce;
+use super::queue::Queue;
+use super::socket;
+use crate::id::HostId;
+use crate::message::PeerMessage;
+
+/// Time within which a connection must be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time within which both ends must have proved the key.
+pub(crate) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time within which a batch must be acknowledged.
+const DELIVER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait after the first failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest wait after many failures.
+const LAST_BACKOFF: Duration = Duration::from_secs(3);
+
+/// Why an outgoing link ended.
+#[derive(Debug, Snafu)]
+enum DialError {
+    #[snafu(display("cannot connect: {source}"))]
+    Connect { source: std::io::Error },
+    #[snafu(display("call failed: {source}"))]
+    Call { source: capnp::Error },
+    #[snafu(display("no answer in time"))]
+    Timeout { source: tokio::time::error::Elapsed },
+    #[snafu(display("cannot draw a nonce: {source}"))]
+    Nonce { source: getrandom::Error },
+    #[snafu(display("another host answers"))]
+    WrongHost,
+    #[snafu(display("the host does not know the key of the fleet"))]
+    WrongKey,
+    #[snafu(display("the connection was closed"))]
+    Closed,
+}
+
+/// Keeps a link to one host and sends what waits in its queue. Ends only by being dropped.
+pub(crate) async fn keep_link(
+    local: Rc<Local>,
+    host: HostId,
+    address: SocketAddr,
+    queue: Rc<Queue>,
+) {
+    let mut backoff = FIRST_BACKOFF;
+    let mut failing = false;
+    loop {
+        let mut link = Link {
+            local: &local,
+            host,
+            established: false,
+        };
+        let err = match link.run(address, &queue).await {
+            Ok(()) => DialError::Closed,
+            Err(err) => err,
+        };
+        if link.established {
+            info!("link to host {host} at {address} lost: {err}");
+            local.emit(LinkEvent::Down { host });
+            backoff = FIRST_BACKOFF;
+        } else if !failing {
+            info!("no link to host {host} at {address}: {err}");
+        }
+        failing = !link.established;
+        tokio::time::sleep(jittered(backoff)).await;
+        backoff = (backoff * 2).min(LAST_BACKOFF);
+        add(&local.counters.reconnects, 1);
+    }
+}
+
+/// Between half of `longest` and all of it, so that hosts do not return in step.
+fn jittered(longest: Duration) -> Duration {
+    let half = longest / 2;
+    let share = f64::from(getrandom::u32().unwrap_or(u32::MAX)) / f64::from(u32::MAX);
+    half + half.mul_f64(share)
+}
+
+/// One connection to a host.
+struct Link<'a> {
+    local: &'a Rc<Local>,
+    host: HostId,
+    established: bool,
+}
+
+impl Link<'_> {
+    /// Connects, proves the key and sends batches until something fails.
+    async fn run(&mut self, address: SocketAddr, queue: &Queue) -> Result<(), DialError> {
+        let stream = timeout(CONNECT_TIMEOUT, self.connect(address))
+            .await
+            .context(TimeoutSnafu)?
+            .context(ConnectSnafu)?;
+        let (_guard, reader, writer) =
+            socket::wrap(stream, self.local.counters.clone()).context(ConnectSnafu)?;
+        let network = VatNetwork::new(
+            futures::io::BufReader::new(reader),
+            futures::io::BufWriter::new(writer),
+            rpc_twoparty_capnp::Side::Client,
+            reader_options(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let gate: peer_capnp::gate::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        tokio::select! {
+            result = system => result.context(CallSnafu),
+            result = self.talk(gate, queue) => result,
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let socket = Socket::new(
+            Domain::for_address(address),
+            Type::STREAM,
+            Some(Protocol::TCP),
+        )?;
+        socket.set_nonblocking(true)?;
+        if let Some(source) = self.local.options.source {
+            socket.bind(&SocketAddr::new(source, 0).into())?;
+        }
+        TcpSocket::from_std_stream(socket.into())
+            .connect(address)
+            .await
+    }
+
+    async fn talk(
+        &mut self,
+        gate: peer_capnp::gate::Client,
+        queue: &Queue,
+    ) -> Result<(), DialError> {
+        let (peer, identity) = timeout(HANDSHAKE_TIMEOUT, self.shake_hands(&gate))
+            .await
+            .context(TimeoutSnafu)??;
+        self.established = true;
+        add(&self.local.counters.connects, 1);
+        self.local.emit(LinkEvent::Up {
+            host: identity.host,
+            incarnation: identity.incarnation,
+        });
+        loop {
+            let batch = queue.next_batch().await;
+            self.deliver(&peer, &batch).await?;
+        }
+    }
+
+    async fn shake_hands(
+        &self,
+        gate: &peer_capnp::gate::Client,
+    ) -> Result<(peer_capnp::peer::Client, Identity), DialError> {
+        let key = &self.local.options.key;
+        let caller = self.local.identity();
+        let caller_nonce = draw_nonce().context(NonceSnafu)?;
+        let mut greeting = gate.greet_request();
+        let mut params = greeting.get();
+        params.set_version(PROTOCOL_VERSION);
+        write_identity(params.reborrow().init_identity(), caller);
+        params.set_nonce(&caller_nonce);
+        let answer = greeting.send().promise.await.context(CallSnafu)?;
+        let answer = answer.get().context(CallSnafu)?;
+        let transcript = Transcript {
+            caller,
+            listener: read_identity(answer.get_identity().context(CallSnafu)?),
+            caller_nonce,
+            listener_nonce: read_nonce(answer.get_nonce().context(CallSnafu)?)
+                .context(CallSnafu)?,
+        };
+        if transcript.listener.host != self.host {
+            self.local.counters.refuse(LinkRefusal::Identity);
+            return Err(DialError::WrongHost);
+        }
+        let mut proving = gate.prove_request();
+        proving
+            .get()
+            .set_proof(&transcript.prove(key, Side::Caller));
+        let answer = proving.send().promise.await.context(CallSnafu)?;
+        let answer = answer.get().context(CallSnafu)?;
+        let proof = answer.get_proof().context(CallSnafu)?;
+        if !transcript.verify(key, Side::Listener, proof) {
+            self.local.counters.refuse(LinkRefusal::Key);
+            return Err(DialError::WrongKey);
+        }
+        let peer = answer.get_peer().context(CallSnafu)?;
+        Ok((peer, transcript.listener))
+    }
+
+    async fn deliver(
+        &self,
+        peer: &peer_capnp::peer::Client,
+        batch: &[PeerMessage],
+    ) -> Result<(), DialError> {
+        let mut request = peer.deliver_request();
+        let mut messages = request.get().init_messages(batch.len() as u32);
+        for (i, message) in batch.iter().enumerate() {
+            encode(message, messages.reborrow().get(i as u32));
+        }
+        timeout(DELIVER_TIMEOUT, request.send().promise)
+            .await
+            .context(TimeoutSnafu)?
+            .context(CallSnafu)?;
+        add(&self.local.counters.messages_out, batch.len() as u64);
+        add(&self.local.counters.batches_out, 1);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lib/src/peer/links.rs
@@ -0,0 +1,304 @@
+//! All links of one host.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp;
+use capnp_rpc::twoparty::VatNetwork;
+use log::warn;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::counters::LinkCounters;
+use super::counters::LinkRefusal;
+use super::dial::HANDSHAKE_TIMEOUT;
+use super::dial::keep_link;
+use super::gate::Gate;
+use super::peer_capnp;
+use super::proof::Identity;
+use super::queue::MESSAGE_BYTES;
+use super::queue::Queue;
+use super::socket;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::message::PeerMessage;
+use crate::settings::Secret;
+
+/// Accepted connections at once at most.
+const CONNECTIONS: usize = 2048;
+/// Wait after the system has refused to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Bytes of a received frame at most: a message of the largest size with room for its framing.
+const FRAME_BYTES: usize = MESSAGE_BYTES * 2;
+/// Nested structures in a received frame at most.
+const FRAME_NESTING: i32 = 16;
+
+/// Settings of the links.
+#[derive(Clone, Debug)]
+pub struct PeerOptions {
+    /// This host.
+    pub own: HostId,
+    /// This life of the host.
+    pub incarnation: Incarnation,
+    /// Key that both ends of a link prove.
+    pub key: Secret,
+    /// Listener for links of other hosts.
+    pub listen: SocketAddr,
+    /// Address that outgoing connections are bound to; the system chooses if absent.
+    pub source: Option<IpAddr>,
+}
+
+/// Why the links cannot start.
+#[derive(Debug, Snafu)]
+pub enum PeerError {
+    /// The listener cannot be opened.
+    #[snafu(display("cannot listen for hosts on {address}: {source}"))]
+    Listen {
+        /// Address of the listener.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// What happens on the links.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LinkEvent {
+    /// A host that has proved the key sent a message.
+    Message {
+        /// The sender.
+        from: HostId,
+        /// Its life.
+        incarnation: Incarnation,
+        /// What it sent.
+        message: PeerMessage,
+    },
+    /// The outgoing link to a host is established.
+    Up {
+        /// The host.
+        host: HostId,
+        /// Its life.
+        incarnation: Incarnation,
+    },
+    /// The outgoing link to a host is lost.
+    Down {
+        /// The host.
+        host: HostId,
+    },
+}
+
+/// What every connection needs of its host.
+pub(crate) struct Local {
+    pub(crate) options: PeerOptions,
+    pub(crate) counters: Arc<LinkCounters>,
+    pub(crate) events: mpsc::UnboundedSender<LinkEvent>,
+}
+
+impl Local {
+    pub(crate) fn identity(&self) -> Identity {
+        Identity {
+            host: self.options.own,
+            incarnation: self.options.incarnation,
+        }
+    }
+
+    pub(crate) fn emit(&self, event: LinkEvent) {
+        // Without a receiver the host is stopping.
+        let _ = self.events.send(event);
+    }
+}
+
+/// Outgoing link to one host; dropping it ends the link.
+struct Outgoing {
+    address: SocketAddr,
+    queue: Rc<Queue>,
+    _open: oneshot::Sender<()>,
+}
+
+/// All links of one host. Dropping it closes the listener and every connection.
+pub struct Links {
+    local: Rc<Local>,
+    address: SocketAddr,
+    outgoing: RefCell<HashMap<HostId, Outgoing>>,
+    _open: watch::Sender<()>,
+}
+
+impl Links {
+    /// Opens the listener and accepts links. Must be called within a `LocalSet` of a tokio
+    /// runtime.
+    pub fn start(
+        options: PeerOptions,
+        events: mpsc::UnboundedSender<LinkEvent>,
+    ) -> Result<Self, PeerError> {
+        let address = options.listen;
+        let listener = bind(address).context(ListenSnafu { address })?;
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        let local = Rc::new(Local {
+            options,
+            counters: Arc::default(),
+            events,
+        });
+        let (open, closed) = watch::channel(());
+        spawn_local(accept(local.clone(), listener, closed));
+        Ok(Self {
+            local,
+            address,
+            outgoing: RefCell::default(),
+            _open: open,
+        })
+    }
+
+    /// Address of the listener.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Counters of all links.
+    pub fn counters(&self) -> Arc<LinkCounters> {
+        self.local.counters.clone()
+    }
+
+    /// Replaces the hosts that links are kept to. A host whose address stays keeps its link.
+    pub fn set_peers(&self, peers: Vec<(HostId, SocketAddr)>) {
+        let wanted: HashMap<_, _> = peers
+            .into_iter()
+            .filter(|(host, _)| *host != self.local.options.own)
+            .collect();
+        let mut outgoing = self.outgoing.borrow_mut();
+        outgoing.retain(|host, link| wanted.get(host) == Some(&link.address));
+        for (host, address) in wanted {
+            outgoing
+                .entry(host)
+                .or_insert_with(|| self.open_link(host, address));
+        }
+    }
+
+    /// Queues a message for a host. It may be lost.
+    pub fn send(&self, host: HostId, message: PeerMessage) {
+        match self.outgoing.borrow().get(&host) {
+            Some(link) => link.queue.push(message),
+            None => self.local.counters.refuse(LinkRefusal::UnknownHost),
+        }
+    }
+
+    fn open_link(&self, host: HostId, address: SocketAddr) -> Outgoing {
+        let queue = Rc::new(Queue::new(self.local.counters.clone()));
+        let link = keep_link(self.local.clone(), host, address, queue.clone());
+        let (open, closed) = oneshot::channel();
+        spawn_local(async move {
+            tokio::select! {
+                _ = closed => {}
+                () = link => {}
+            }
+        });
+        Outgoing {
+            address,
+            queue,
+            _open: open,
+        }
+    }
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+/// Limits on what is read from a connection.
+pub(crate) fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(FRAME_BYTES / 8));
+    options.nesting_limit(FRAME_NESTING);
+    options
+}
+
+/// The latest connection of each host that has proved the key.
+type Incoming = Rc<RefCell<HashMap<HostId, oneshot::Sender<()>>>>;
+
+async fn accept(local: Rc<Local>, listener: TcpListener, mut closed: watch::Receiver<()>) {
+    let incoming = Incoming::default();
+    let slots = Arc::new(Semaphore::new(CONNECTIONS));
+    loop {
+        let accepted = tokio::select! {
+            _ = closed.changed() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            local.counters.refuse(LinkRefusal::Connections);
+            continue;
+        };
+        let connection = serve(local.clone(), stream, incoming.clone());
+        let mut closed = closed.clone();
+        spawn_local(async move {
+            let _slot = slot;
+            tokio::select! {
+                _ = closed.changed() => {}
+                () = connection => {}
+            }
+        });
+    }
+}
+
+/// Serves one accepted connection to its end.
+async fn serve(local: Rc<Local>, stream: TcpStream, incoming: Incoming) {
+    let Ok((_guard, reader, writer)) = socket::wrap(stream, local.counters.clone()) else {
+        return;
+    };
+    let (proved_tx, proved_rx) = oneshot::channel();
+    let gate = Gate::new(local.clone(), proved_tx);
+    let gate: peer_capnp::gate::Client = capnp_rpc::new_client(gate);
+    let network = VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        rpc_twoparty_capnp::Side::Server,
+        reader_options(),
+    );
+    let system = RpcSystem::new(Box::new(network), Some(gate.client));
+    tokio::select! {
+        result = system => note_end(&local, result),
+        () = until_replaced(proved_rx, &incoming) => {}
+    }
+}
+
+/// Waits until the caller fails to prove the key in time, or opens a newer connection.
+async fn until_replaced(proved: oneshot::Receiver<HostId>, incoming: &Incoming) {
+    let Ok(Ok(host)) = timeout(HANDSHAKE_TIMEOUT, proved).await else {
+        return;
+    };
+    let (current, replaced) = oneshot::channel();
+    // Dropping the former entry ends the former connection.
+    incoming.borrow_mut().insert(host, current);
+    let _ = replaced.await;
+}
+
+fn note_end(local: &Local, result: Result<(), capnp::Error>) {
+    let Err(err) = result else {
+        return;
+    };
+    let kind = match err.kind {
+        capnp::ErrorKind::MessageTooLarge(_) => LinkRefusal::Size,
+        _ => LinkRefusal::Malformed,
+    };
+    local.counters.refuse(kind);
+    warn!("connection from a host closed: {err}");
+}
--- /dev/null
+++ b/lib/src/peer/socket.rs
@@ -0,0 +1,120 @@
+//! A TCP connection whose bytes are counted and which closes when its guard is dropped.
+//!
+//! The RPC system keeps its streams in reference-counted structures that may outlive it, so the
+//! socket is closed explicitly.
+
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use futures::io::AsyncRead;
+use futures::io::AsyncWrite;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+use super::counters::LinkCounters;
+use super::counters::add;
+
+/// Silence after which the system probes an idle connection.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(20);
+/// Time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// Unanswered probes after which the connection ends.
+const KEEPALIVE_RETRIES: u32 = 3;
+
+type Shared = Rc<RefCell<Option<TcpStream>>>;
+
+/// Closes the connection when it is dropped.
+pub(crate) struct Guard(Shared);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.borrow_mut().take();
+    }
+}
+
+/// One of the handles on a connection; all of them read and write the same socket.
+pub(crate) struct Stream {
+    shared: Shared,
+    counters: Arc<LinkCounters>,
+}
+
+/// Wraps a connection for reading and for writing.
+pub(crate) fn wrap(
+    stream: TcpStream,
+    counters: Arc<LinkCounters>,
+) -> io::Result<(Guard, Stream, Stream)> {
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+    let shared = Rc::new(RefCell::new(Some(stream)));
+    let reader = Stream {
+        shared: shared.clone(),
+        counters: counters.clone(),
+    };
+    let writer = Stream {
+        shared: shared.clone(),
+        counters,
+    };
+    Ok((Guard(shared), reader, writer))
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut shared = self.shared.borrow_mut();
+        let Some(stream) = shared.as_mut() else {
+            return Poll::Ready(Ok(0));
+        };
+        let mut buf = ReadBuf::new(buf);
+        match tokio::io::AsyncRead::poll_read(Pin::new(stream), cx, &mut buf) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Err(err)) => Poll::Ready(Err(err)),
+            Poll::Ready(Ok(())) => {
+                let count = buf.filled().len();
+                add(&self.counters.bytes_in, count as u64);
+                Poll::Ready(Ok(count))
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut shared = self.shared.borrow_mut();
+        let Some(stream) = shared.as_mut() else {
+            return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
+        };
+        let poll = tokio::io::AsyncWrite::poll_write(Pin::new(stream), cx, buf);
+        if let Poll::Ready(Ok(count)) = &poll {
+            add(&self.counters.bytes_out, *count as u64);
+        }
+        poll
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.shared.borrow_mut().take();
+        Poll::Ready(Ok(()))
+    }
+}
