--- /dev/null
+++ b/lib/tests/membership_fleet/mod.rs
@@ -0,0 +1,251 @@
+//! Several memberships on a fed clock, joined by messages that take one tick.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cardamomshift_lib::host::HostEntry;
+use cardamomshift_lib::host::HostList;
+use cardamomshift_lib::host::HostState;
+use cardamomshift_lib::host::Membership;
+use cardamomshift_lib::host::MembershipChange;
+use cardamomshift_lib::host::Role;
+use cardamomshift_lib::host::TICK_INTERVAL;
+use cardamomshift_lib::id::DomainId;
+use cardamomshift_lib::id::HostId;
+use cardamomshift_lib::id::Incarnation;
+use cardamomshift_lib::id::ServiceId;
+use cardamomshift_lib::message::Finding;
+use cardamomshift_lib::message::Heartbeat;
+use cardamomshift_lib::pool::PoolKey;
+use cardamomshift_lib::time::Timestamp;
+
+/// A message on its way.
+enum Payload {
+    Heartbeat(Heartbeat),
+    Findings(Vec<Finding>),
+}
+
+struct Packet {
+    from: usize,
+    to: HostId,
+    incarnation: Incarnation,
+    payload: Payload,
+}
+
+/// One host.
+pub(crate) struct Member {
+    pub(crate) id: HostId,
+    pub(crate) domain: DomainId,
+    pub(crate) running: bool,
+    pub(crate) stopping: bool,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) view: Membership,
+    /// Changes since the fleet started.
+    pub(crate) changes: Vec<(Timestamp, MembershipChange)>,
+}
+
+/// Several hosts.
+pub(crate) struct Fleet {
+    pub(crate) now: Timestamp,
+    pub(crate) members: Vec<Member>,
+    pub(crate) list: HostList,
+    /// Pairs of hosts, sender first, whose messages are lost.
+    pub(crate) cut: BTreeSet<(usize, usize)>,
+    /// Heartbeats and messages with findings sent so far.
+    pub(crate) heartbeats: u64,
+    pub(crate) findings: u64,
+    on_the_way: Vec<Packet>,
+}
+
+fn entry(i: usize, domains: usize) -> HostEntry {
+    HostEntry {
+        name: format!("host-{i}").into(),
+        domain: format!("domain-{}", i % domains).into(),
+        role: Role::Entry,
+        state: HostState::Live,
+        address: format!("127.0.0.1:{}", 1000 + i).parse().unwrap(),
+        services: Vec::new(),
+        checks_fencing: false,
+    }
+}
+
+impl Fleet {
+    /// Starts `hosts` hosts in turn over `domains` failure domains.
+    pub(crate) fn start(hosts: usize, domains: usize) -> Self {
+        let now = Timestamp::from_micros(1_000_000);
+        let list = HostList {
+            revision: 1,
+            hosts: (0..hosts).map(|i| entry(i, domains)).collect(),
+        };
+        let members = list.hosts.iter().map(|host| member(host, now)).collect();
+        let mut fleet = Self {
+            now,
+            members,
+            list,
+            cut: BTreeSet::new(),
+            heartbeats: 0,
+            findings: 0,
+            on_the_way: Vec::new(),
+        };
+        fleet.publish();
+        fleet
+    }
+
+    /// Has every running host read the list.
+    pub(crate) fn publish(&mut self) {
+        for member in self.members.iter_mut().filter(|m| m.running) {
+            let changes = member.view.list_read(self.now, self.list.clone());
+            note(member, self.now, changes);
+        }
+    }
+
+    /// Marks a host in the list and has the list read.
+    pub(crate) fn set_state(&mut self, i: usize, state: HostState) {
+        self.list.hosts[i].state = state;
+        self.list.revision += 1;
+        self.publish();
+    }
+
+    /// Ends a host without warning.
+    pub(crate) fn kill(&mut self, i: usize) {
+        self.members[i].running = false;
+    }
+
+    /// Starts a host anew, without memory.
+    pub(crate) fn restart(&mut self, i: usize) {
+        let incarnation = Incarnation(self.members[i].incarnation.0 + 1);
+        let mut member = member(&self.list.hosts[i], self.now);
+        member.incarnation = incarnation;
+        member.view = Membership::new(member.id, member.domain, incarnation, self.now);
+        member.view.list_read(self.now, self.list.clone());
+        self.members[i] = member;
+    }
+
+    /// Loses what `a` sends to `b`, or no longer.
+    pub(crate) fn set_cut(&mut self, a: usize, b: usize, cut: bool) {
+        if cut {
+            self.cut.insert((a, b));
+        } else {
+            self.cut.remove(&(a, b));
+        }
+    }
+
+    /// Loses everything between the hosts of `side` and the others, or no longer.
+    pub(crate) fn set_partition(&mut self, side: impl Fn(usize) -> bool, cut: bool) {
+        for a in 0..self.members.len() {
+            for b in 0..self.members.len() {
+                if side(a) != side(b) {
+                    self.set_cut(a, b, cut);
+                }
+            }
+        }
+    }
+
+    /// Lets time pass, a tick at a time.
+    pub(crate) fn run_for(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets one tick pass.
+    pub(crate) fn step(&mut self) {
+        self.now = self.now + TICK_INTERVAL;
+        self.deliver();
+        for i in 0..self.members.len() {
+            if self.members[i].running {
+                self.tick(i);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        for packet in std::mem::take(&mut self.on_the_way) {
+            let Some(to) = self.members.iter().position(|m| m.id == packet.to) else {
+                continue;
+            };
+            if self.cut.contains(&(packet.from, to)) || !self.members[to].running {
+                continue;
+            }
+            let from = self.members[packet.from].id;
+            let now = self.now;
+            let view = &mut self.members[to].view;
+            let changes = match packet.payload {
+                Payload::Heartbeat(beat) => view.heard(now, from, packet.incarnation, Some(beat)),
+                Payload::Findings(findings) => {
+                    let mut changes = view.heard(now, from, packet.incarnation, None);
+                    changes.extend(view.told(now, from, &findings));
+                    changes
+                }
+            };
+            note(&mut self.members[to], now, changes);
+        }
+    }
+
+    fn tick(&mut self, i: usize) {
+        let member = &mut self.members[i];
+        let tick = member.view.tick(self.now);
+        note(member, self.now, tick.changes);
+        self.heartbeats += tick.heartbeats.len() as u64;
+        self.findings += tick.findings.len() as u64;
+        let beat = Heartbeat {
+            revision: 1,
+            stopping: member.stopping,
+        };
+        let incarnation = member.incarnation;
+        let packet = |to, payload| Packet {
+            from: i,
+            to,
+            incarnation,
+            payload,
+        };
+        let beats = tick
+            .heartbeats
+            .into_iter()
+            .map(|to| packet(to, Payload::Heartbeat(beat)));
+        self.on_the_way.extend(beats);
+        let findings = tick
+            .findings
+            .into_iter()
+            .map(|(to, findings)| packet(to, Payload::Findings(findings)));
+        self.on_the_way.extend(findings);
+    }
+
+    /// Running hosts.
+    pub(crate) fn running(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|m| m.running)
+    }
+
+    /// Shards of every failure domain.
+    pub(crate) fn pools(&self) -> Vec<PoolKey> {
+        let domains: BTreeSet<_> = self.members.iter().map(|m| m.domain).collect();
+        let pool = |domain, service| PoolKey {
+            service: ServiceId(service),
+            domain,
+        };
+        domains
+            .into_iter()
+            .flat_map(|domain| (0..20).map(move |service| pool(domain, service)))
+            .collect()
+    }
+}
+
+fn member(entry: &HostEntry, now: Timestamp) -> Member {
+    let (id, domain, incarnation) = (entry.host_id(), entry.domain_id(), Incarnation(1));
+    Member {
+        id,
+        domain,
+        running: true,
+        stopping: false,
+        incarnation,
+        view: Membership::new(id, domain, incarnation, now),
+        changes: Vec::new(),
+    }
+}
+
+fn note(member: &mut Member, now: Timestamp, changes: Vec<MembershipChange>) {
+    member
+        .changes
+        .extend(changes.into_iter().map(|change| (now, change)));
+}
