request: add the gateway's table of open requests

A gateway must know at any moment which of its requests waits where, which one holds a grant or a slot, and whom to tell when that ends. The table is deterministic and has no input or output. A grant carries the time at which it lapses on the gateway's own clock, because a message that is held up on its way to a paused gateway would otherwise look fresh.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod id;
 pub mod message;
 pub mod pool;
+pub mod request;
 pub mod settings;
 pub mod status;
 pub mod time;
--- a/lib/src/message/mod.rs
+++ b/lib/src/message/mod.rs
@@ -14,6 +14,7 @@
 pub use scheduling::GrantReturn;
 pub use scheduling::Handover;
 pub use scheduling::PermitAnswer;
+pub use scheduling::PermitHoldings;
 pub use scheduling::PermitRelease;
 pub use scheduling::PermitRequest;
 pub use scheduling::Progress;
@@ -55,6 +56,8 @@
     PermitAnswer(PermitAnswer),
     /// Gateway to home host: a slot is free again.
     PermitRelease(PermitRelease),
+    /// Gateway to home host: every slot that the gateway holds there.
+    PermitHoldings(PermitHoldings),
     /// Scheduler to scheduler of the same service: service given.
     Totals(Totals),
     /// Scheduler to scheduler of the same service: free capacity and backlog.
@@ -76,6 +79,8 @@
     pub revision: u64,
     /// Whether the sender is stopping and gives up its roles.
     pub stopping: bool,
+    /// Clock of the sender, microseconds.
+    pub clock_us: u64,
 }
 
 /// Request for a configuration newer than `have`.
--- a/lib/src/message/scheduling.rs
+++ b/lib/src/message/scheduling.rs
@@ -69,8 +69,11 @@
     pub limit: u32,
     /// Slot to obtain from its home host before the dispatch, unless the server is warm.
     pub slot: u32,
-    /// Time until the grant lapses, microseconds.
+    /// Time until the grant lapses, microseconds, counted from the scheduler's decision.
     pub remaining_us: u64,
+    /// When the grant lapses on the clock of the gateway, microseconds. The node sets it from the
+    /// clock in the gateway's heartbeats, so that a message held up on its way lapses in time.
+    pub lapses_at_us: u64,
 }
 
 /// Why a request is not served.
@@ -252,6 +255,14 @@
     pub slot: u32,
 }
 
+/// The slots that a gateway holds on a home host. It replaces all that the home host knew of the
+/// gateway's slots.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PermitHoldings {
+    /// Slots in use, as they were asked for.
+    pub held: Vec<PermitRequest>,
+}
+
 /// Cumulative cost that one life of a gateway has charged to a workspace on a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TotalCell {
--- /dev/null
+++ b/lib/src/request/accounts.rs
@@ -0,0 +1,87 @@
+//! What a gateway has learnt from its ended requests.
+
+use std::collections::BTreeMap;
+
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::ServerId;
+use crate::id::ServiceId;
+use crate::id::WorkspaceId;
+use crate::message::EndOutcome;
+use crate::message::Grant;
+use crate::message::ServerPhase;
+use crate::message::ServerSight;
+use crate::message::TotalCell;
+
+/// Cumulative costs and the latest sight of each backend server.
+#[derive(Clone, Debug, Default)]
+pub struct Accounts {
+    totals: BTreeMap<(ServiceId, WorkspaceId), u64>,
+    sights: BTreeMap<(ServiceId, ServerId), ServerSight>,
+}
+
+impl Accounts {
+    /// Adds the cost of an ended request and returns the new total.
+    pub fn charge(&mut self, service: ServiceId, workspace: WorkspaceId, cost: u64) -> u64 {
+        let total = self.totals.entry((service, workspace)).or_default();
+        *total = total.saturating_add(cost);
+        *total
+    }
+
+    /// Remembers what a grant says of its server.
+    pub fn granted(&mut self, grant: &Grant) {
+        let sight = ServerSight {
+            server: grant.server,
+            instance: grant.instance,
+            phase: grant.phase,
+            limit: grant.limit,
+        };
+        self.sights.insert((grant.service, grant.server), sight);
+    }
+
+    /// Corrects the sight of a server by the end of a request on it.
+    pub fn ended(
+        &mut self,
+        service: ServiceId,
+        server: ServerId,
+        outcome: EndOutcome,
+        instance: u64,
+    ) {
+        let Some(sight) = self.sights.get_mut(&(service, server)) else {
+            return;
+        };
+        let failed = matches!(outcome, EndOutcome::Failed | EndOutcome::Rejected);
+        let restarted = instance != 0 && sight.instance != 0 && sight.instance != instance;
+        if failed || restarted {
+            sight.phase = ServerPhase::Cold;
+            sight.limit = 1;
+        }
+        if instance != 0 {
+            sight.instance = instance;
+        }
+    }
+
+    /// Sights of the servers of a service.
+    pub fn sights(&self, service: ServiceId) -> impl Iterator<Item = ServerSight> + '_ {
+        self.sights
+            .range((service, ServerId(0))..=(service, ServerId(u64::MAX)))
+            .map(|(_, sight)| *sight)
+    }
+
+    /// Totals of a service as cells of one gateway's life.
+    pub fn cells(
+        &self,
+        service: ServiceId,
+        origin: HostId,
+        incarnation: Incarnation,
+    ) -> impl Iterator<Item = TotalCell> + '_ {
+        self.totals
+            .range((service, WorkspaceId(0))..=(service, WorkspaceId(u32::MAX)))
+            .map(move |((_, workspace), cost)| TotalCell {
+                origin,
+                incarnation,
+                workspace: *workspace,
+                cost: *cost,
+            })
+    }
+}
--- /dev/null
+++ b/lib/src/request/table.rs
@@ -0,0 +1,677 @@
+//! The open requests of a gateway and the rules by which their state changes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Accounts;
+use super::OpenRequest;
+use super::RequestState;
+use crate::control::EndReport;
+use crate::control::RequestSpec;
+use crate::control::TicketKey;
+use crate::id::DomainId;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::RequestId;
+use crate::id::ServerId;
+use crate::id::ServiceId;
+use crate::message::Announcement;
+use crate::message::Bid;
+use crate::message::EndOutcome;
+use crate::message::Finished;
+use crate::message::Grant;
+use crate::message::GrantReturn;
+use crate::message::PeerMessage;
+use crate::message::PermitAnswer;
+use crate::message::PermitRelease;
+use crate::message::PermitRequest;
+use crate::message::Progress;
+use crate::message::Refusal;
+use crate::message::RefusalReason;
+use crate::message::Running;
+use crate::message::ServerPhase;
+use crate::message::Withdrawal;
+use crate::pool::PoolKey;
+use crate::time::Timestamp;
+
+/// Time for which an unusable grant is held before it is given back.
+const REST: Duration = Duration::from_millis(50);
+
+/// When a caller may come back after a refusal that the gateway decides by itself.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Where bids, reports and permits go in the gateway's own view of the fleet.
+pub struct Routing<'a> {
+    /// Shard and scheduler for a new bid of a service, or why there is none. The second argument
+    /// spreads requests over shards where the own failure domain has none.
+    pub place: &'a dyn Fn(ServiceId, u64) -> Result<(PoolKey, HostId), RefusalReason>,
+    /// Scheduler of a shard.
+    pub scheduler: &'a dyn Fn(PoolKey) -> Option<HostId>,
+    /// Failure domain of a server that takes new work.
+    pub usable: &'a dyn Fn(ServerId) -> Option<DomainId>,
+    /// Failure domain of a listed server.
+    pub domain: &'a dyn Fn(ServerId) -> Option<DomainId>,
+    /// Home host of a server's slot.
+    pub slot_home: &'a dyn Fn(ServerId, u32) -> Option<HostId>,
+}
+
+/// An output of the request table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestAction {
+    /// Send a message to a host, which may be the own one.
+    Send {
+        /// Receiver.
+        to: HostId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Pass a request to the traffic threads for dispatch.
+    Dispatch {
+        /// Ticket of the request.
+        ticket: TicketKey,
+        /// Server to use.
+        server: ServerId,
+        /// When the grant lapses.
+        deadline: Timestamp,
+    },
+    /// Answer a request's caller that it was not run.
+    Refuse {
+        /// Ticket of the request.
+        ticket: TicketKey,
+        /// Why.
+        reason: RefusalReason,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+/// The open requests of a gateway.
+pub struct RequestTable {
+    own: HostId,
+    incarnation: Incarnation,
+    open: BTreeMap<TicketKey, OpenRequest>,
+    accounts: Accounts,
+}
+
+impl RequestTable {
+    /// Makes an empty table for one life of a host.
+    pub fn new(own: HostId, incarnation: Incarnation) -> Self {
+        Self {
+            own,
+            incarnation,
+            open: BTreeMap::new(),
+            accounts: Accounts::default(),
+        }
+    }
+
+    /// The request of a ticket.
+    pub fn request(&self, ticket: TicketKey) -> RequestId {
+        RequestId {
+            gateway: self.own,
+            sequence: self.incarnation.0.wrapping_add(ticket.0),
+        }
+    }
+
+    /// Numbers of waiting and of dispatched requests.
+    pub fn counts(&self) -> (u64, u64) {
+        let dispatched = self
+            .open
+            .values()
+            .filter(|open| matches!(open.state, RequestState::Dispatched { .. }))
+            .count() as u64;
+        (self.open.len() as u64 - dispatched, dispatched)
+    }
+
+    /// Accepts a request and bids for it.
+    pub fn submit(
+        &mut self,
+        now: Timestamp,
+        routing: &Routing<'_>,
+        ticket: TicketKey,
+        spec: RequestSpec,
+        out: &mut Vec<RequestAction>,
+    ) {
+        self.bid(now, routing, ticket, spec, out);
+    }
+
+    /// Takes an unused order back and bids again.
+    pub fn give_back(
+        &mut self,
+        now: Timestamp,
+        routing: &Routing<'_>,
+        ticket: TicketKey,
+        unreachable: bool,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let Some(open) = self.open.get(&ticket).copied() else {
+            return;
+        };
+        let RequestState::Dispatched { grant, home, .. } = open.state else {
+            return;
+        };
+        self.release(&grant, home, out);
+        if let Some(scheduler) = self.scheduler_of(routing, &grant) {
+            self.return_grant(&grant, scheduler, unreachable, out);
+        }
+        self.bid(now, routing, ticket, open.spec, out);
+    }
+
+    /// Notes the cost so far of a running request.
+    pub fn progress(
+        &mut self,
+        routing: &Routing<'_>,
+        ticket: TicketKey,
+        cost_so_far: u64,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let Some(open) = self.open.get_mut(&ticket) else {
+            return;
+        };
+        let RequestState::Dispatched { grant, cost, .. } = &mut open.state else {
+            return;
+        };
+        *cost = cost_so_far;
+        let grant = *grant;
+        if let Some(to) = self.scheduler_of(routing, &grant) {
+            let message = PeerMessage::Progress(Progress {
+                request: grant.request,
+                service: grant.service,
+                cost: cost_so_far,
+            });
+            out.push(RequestAction::Send { to, message });
+        }
+    }
+
+    /// Ends a dispatched request.
+    pub fn finish(
+        &mut self,
+        routing: &Routing<'_>,
+        ticket: TicketKey,
+        report: EndReport,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let Some(open) = self.open.remove(&ticket) else {
+            return;
+        };
+        let RequestState::Dispatched { grant, home, .. } = open.state else {
+            return;
+        };
+        self.release(&grant, home, out);
+        self.accounts
+            .ended(grant.service, grant.server, report.outcome, report.instance);
+        let total = self
+            .accounts
+            .charge(grant.service, open.spec.workspace, report.cost);
+        let Some(to) = self.scheduler_of(routing, &grant) else {
+            return;
+        };
+        let first_byte = report.first_byte.unwrap_or_default();
+        let message = PeerMessage::Finished(Finished {
+            request: grant.request,
+            service: grant.service,
+            workspace: open.spec.workspace,
+            server: grant.server,
+            instance: report.instance,
+            outcome: report.outcome,
+            cost: report.cost,
+            first_byte_us: u64::try_from(first_byte.as_micros()).unwrap_or(u64::MAX),
+            total,
+        });
+        out.push(RequestAction::Send { to, message });
+    }
+
+    /// Gives a request up whose caller has left.
+    pub fn abandon(
+        &mut self,
+        routing: &Routing<'_>,
+        ticket: TicketKey,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let Some(open) = self.open.get(&ticket).copied() else {
+            return;
+        };
+        if let RequestState::Dispatched { cost, .. } = open.state {
+            let report = EndReport {
+                outcome: EndOutcome::Cancelled,
+                cost,
+                first_byte: None,
+                instance: 0,
+            };
+            self.finish(routing, ticket, report, out);
+            return;
+        }
+        self.leave_queue(ticket, &open, out);
+        self.open.remove(&ticket);
+    }
+
+    /// Handles a grant from a host that claims to schedule the shard.
+    pub fn granted(
+        &mut self,
+        now: Timestamp,
+        routing: &Routing<'_>,
+        from: HostId,
+        grant: Grant,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let ticket = self.ticket(grant.request);
+        let state = self.open.get(&ticket).map(|open| open.state);
+        if state.is_some_and(|state| holds_same_grant(&state, &grant)) {
+            return;
+        }
+        let lapses = Timestamp::from_micros(grant.lapses_at_us);
+        let waiting = matches!(state, Some(RequestState::Waiting { .. }));
+        if !waiting || lapses.has_passed(now) || !self.is_valid(routing, from, &grant) {
+            self.return_grant(&grant, from, false, out);
+            return;
+        }
+        self.leave_other_queue(ticket, from, out);
+        self.accounts.granted(&grant);
+        if grant.phase == ServerPhase::Warm {
+            self.dispatch(ticket, grant, None, lapses, out);
+            return;
+        }
+        let Some(home) = (routing.slot_home)(grant.server, grant.slot) else {
+            self.rest(now, ticket, grant, from);
+            return;
+        };
+        self.set_state(
+            ticket,
+            RequestState::AskingPermit {
+                grant,
+                scheduler: from,
+                home,
+                lapses,
+            },
+        );
+        let message = PeerMessage::PermitRequest(PermitRequest {
+            request: grant.request,
+            server: grant.server,
+            slot: grant.slot,
+        });
+        out.push(RequestAction::Send { to: home, message });
+    }
+
+    /// Handles the answer of a slot's home host.
+    pub fn permit_answered(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        answer: PermitAnswer,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let ticket = self.ticket(answer.request);
+        let state = self.open.get(&ticket).map(|open| open.state);
+        if let Some(RequestState::AskingPermit {
+            grant,
+            scheduler,
+            home,
+            lapses,
+        }) = state
+            && home == from
+            && grant.server == answer.server
+            && grant.slot == answer.slot
+        {
+            if !answer.granted {
+                self.rest(now, ticket, grant, scheduler);
+            } else if lapses.has_passed(now) {
+                self.release(&grant, Some(home), out);
+                self.rest(now, ticket, grant, scheduler);
+            } else {
+                self.dispatch(ticket, grant, Some(home), lapses, out);
+            }
+            return;
+        }
+        if answer.granted && !state.is_some_and(|state| holds_permit(&state, from, &answer)) {
+            let message = PeerMessage::PermitRelease(PermitRelease {
+                request: answer.request,
+                server: answer.server,
+                slot: answer.slot,
+            });
+            out.push(RequestAction::Send { to: from, message });
+        }
+    }
+
+    /// Handles a refusal from a host that claims to schedule the shard.
+    pub fn refused(&mut self, from: HostId, refusal: Refusal, out: &mut Vec<RequestAction>) {
+        let ticket = self.ticket(refusal.request);
+        let Some(open) = self.open.get(&ticket) else {
+            return;
+        };
+        let RequestState::Waiting { scheduler, .. } = open.state else {
+            return;
+        };
+        if scheduler != from {
+            return;
+        }
+        self.refuse(
+            ticket,
+            refusal.reason,
+            Duration::from_millis(refusal.retry_after_ms),
+            out,
+        );
+    }
+
+    /// Moves waiting requests whose shard or scheduler is no longer the right one.
+    pub fn replace_bids(
+        &mut self,
+        now: Timestamp,
+        routing: &Routing<'_>,
+        out: &mut Vec<RequestAction>,
+    ) {
+        for ticket in self.tickets() {
+            let open = self.open[&ticket];
+            let RequestState::Waiting { pool, scheduler } = open.state else {
+                continue;
+            };
+            let sequence = self.request(ticket).sequence;
+            match (routing.place)(open.spec.service, sequence) {
+                Ok(placed) if placed == (pool, scheduler) => (),
+                Ok(_) | Err(_) => {
+                    self.leave_queue(ticket, &open, out);
+                    self.bid(now, routing, ticket, open.spec, out);
+                }
+            }
+        }
+    }
+
+    /// Acts on deadlines that have passed.
+    pub fn tick(&mut self, now: Timestamp, routing: &Routing<'_>, out: &mut Vec<RequestAction>) {
+        for ticket in self.tickets() {
+            let open = self.open[&ticket];
+            match open.state {
+                RequestState::Waiting { .. } if open.spec.deadline.has_passed(now) => {
+                    self.leave_queue(ticket, &open, out);
+                    self.refuse(ticket, RefusalReason::DeadlinePassed, RETRY_AFTER, out);
+                }
+                RequestState::AskingPermit { lapses, .. } if lapses.has_passed(now) => {
+                    self.leave_queue(ticket, &open, out);
+                    self.bid(now, routing, ticket, open.spec, out);
+                }
+                RequestState::Resting { until, .. } if until.has_passed(now) => {
+                    self.leave_queue(ticket, &open, out);
+                    self.bid(now, routing, ticket, open.spec, out);
+                }
+                _ => (),
+            }
+        }
+    }
+
+    /// Everything that the scheduler of a shard must know of this gateway.
+    pub fn announcement(
+        &self,
+        now: Timestamp,
+        routing: &Routing<'_>,
+        key: PoolKey,
+    ) -> Announcement {
+        let mut announcement = Announcement {
+            service: key.service,
+            domain: key.domain,
+            sights: self.accounts.sights(key.service).collect(),
+            totals: self
+                .accounts
+                .cells(key.service, self.own, self.incarnation)
+                .collect(),
+            ..Announcement::default()
+        };
+        announcement
+            .sights
+            .retain(|sight| (routing.domain)(sight.server) == Some(key.domain));
+        for (ticket, open) in &self.open {
+            match open.state {
+                RequestState::Waiting { pool, .. } if pool == key => {
+                    announcement
+                        .bids
+                        .push(self.bid_of(now, *ticket, &open.spec));
+                }
+                RequestState::Waiting { .. } => (),
+                RequestState::AskingPermit { grant, .. }
+                | RequestState::Resting { grant, .. }
+                | RequestState::Dispatched { grant, .. } => {
+                    if grant.service == key.service
+                        && (routing.domain)(grant.server) == Some(key.domain)
+                    {
+                        announcement.running.push(running_of(&grant, open));
+                    }
+                }
+            }
+        }
+        announcement
+    }
+
+    /// The slots that this gateway holds, or has asked for, on a home host.
+    pub fn holdings(&self, home_host: HostId) -> Vec<PermitRequest> {
+        self.open
+            .values()
+            .filter_map(|open| match open.state {
+                RequestState::AskingPermit { grant, home, .. }
+                | RequestState::Dispatched {
+                    grant,
+                    home: Some(home),
+                    ..
+                } if home == home_host => Some(PermitRequest {
+                    request: grant.request,
+                    server: grant.server,
+                    slot: grant.slot,
+                }),
+                _ => None,
+            })
+            .collect()
+    }
+
+    fn ticket(&self, request: RequestId) -> TicketKey {
+        TicketKey(request.sequence.wrapping_sub(self.incarnation.0))
+    }
+
+    fn tickets(&self) -> Vec<TicketKey> {
+        self.open.keys().copied().collect()
+    }
+
+    fn set_state(&mut self, ticket: TicketKey, state: RequestState) {
+        if let Some(open) = self.open.get_mut(&ticket) {
+            open.state = state;
+        }
+    }
+
+    fn bid(
+        &mut self,
+        now: Timestamp,
+        routing: &Routing<'_>,
+        ticket: TicketKey,
+        spec: RequestSpec,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let sequence = self.request(ticket).sequence;
+        match (routing.place)(spec.service, sequence) {
+            Ok((pool, scheduler)) => {
+                let state = RequestState::Waiting { pool, scheduler };
+                self.open.insert(ticket, OpenRequest { spec, state });
+                let message = PeerMessage::Bid(self.bid_of(now, ticket, &spec));
+                out.push(RequestAction::Send {
+                    to: scheduler,
+                    message,
+                });
+            }
+            Err(reason) => self.refuse(ticket, reason, RETRY_AFTER, out),
+        }
+    }
+
+    fn bid_of(&self, now: Timestamp, ticket: TicketKey, spec: &RequestSpec) -> Bid {
+        let remaining = spec.deadline.remaining(now);
+        Bid {
+            request: self.request(ticket),
+            service: spec.service,
+            workspace: spec.workspace,
+            estimate: spec.estimate,
+            remaining_us: u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX),
+            prefix: spec.prefix,
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        ticket: TicketKey,
+        reason: RefusalReason,
+        retry_after: Duration,
+        out: &mut Vec<RequestAction>,
+    ) {
+        self.open.remove(&ticket);
+        out.push(RequestAction::Refuse {
+            ticket,
+            reason,
+            retry_after,
+        });
+    }
+
+    /// Tells whoever holds a claim of the request that the claim is given up.
+    fn leave_queue(&self, ticket: TicketKey, open: &OpenRequest, out: &mut Vec<RequestAction>) {
+        match open.state {
+            RequestState::Waiting { scheduler, .. } => {
+                self.withdraw(ticket, open.spec.service, scheduler, out);
+            }
+            RequestState::AskingPermit {
+                grant,
+                scheduler,
+                home,
+                ..
+            } => {
+                self.release(&grant, Some(home), out);
+                self.return_grant(&grant, scheduler, false, out);
+            }
+            RequestState::Resting {
+                grant, scheduler, ..
+            } => self.return_grant(&grant, scheduler, false, out),
+            RequestState::Dispatched { .. } => (),
+        }
+    }
+
+    /// Withdraws the bid from its own scheduler if another one granted it.
+    fn leave_other_queue(
+        &self,
+        ticket: TicketKey,
+        granted_by: HostId,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let Some(open) = self.open.get(&ticket) else {
+            return;
+        };
+        if let RequestState::Waiting { scheduler, .. } = open.state
+            && scheduler != granted_by
+        {
+            self.withdraw(ticket, open.spec.service, scheduler, out);
+        }
+    }
+
+    fn withdraw(
+        &self,
+        ticket: TicketKey,
+        service: ServiceId,
+        to: HostId,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let message = PeerMessage::Withdrawal(Withdrawal {
+            request: self.request(ticket),
+            service,
+        });
+        out.push(RequestAction::Send { to, message });
+    }
+
+    fn return_grant(
+        &self,
+        grant: &Grant,
+        to: HostId,
+        unreachable: bool,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let message = PeerMessage::GrantReturn(GrantReturn {
+            request: grant.request,
+            service: grant.service,
+            server: grant.server,
+            unreachable,
+        });
+        out.push(RequestAction::Send { to, message });
+    }
+
+    fn release(&self, grant: &Grant, home: Option<HostId>, out: &mut Vec<RequestAction>) {
+        let Some(to) = home else {
+            return;
+        };
+        let message = PeerMessage::PermitRelease(PermitRelease {
+            request: grant.request,
+            server: grant.server,
+            slot: grant.slot,
+        });
+        out.push(RequestAction::Send { to, message });
+    }
+
+    fn rest(&mut self, now: Timestamp, ticket: TicketKey, grant: Grant, scheduler: HostId) {
+        self.set_state(
+            ticket,
+            RequestState::Resting {
+                grant,
+                scheduler,
+                until: now + REST,
+            },
+        );
+    }
+
+    fn dispatch(
+        &mut self,
+        ticket: TicketKey,
+        grant: Grant,
+        home: Option<HostId>,
+        deadline: Timestamp,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let cost = 0;
+        self.set_state(ticket, RequestState::Dispatched { grant, home, cost });
+        out.push(RequestAction::Dispatch {
+            ticket,
+            server: grant.server,
+            deadline,
+        });
+    }
+
+    /// Whether a grant comes from the scheduler of its server's shard, for a server in service.
+    fn is_valid(&self, routing: &Routing<'_>, from: HostId, grant: &Grant) -> bool {
+        (routing.usable)(grant.server).is_some() && self.scheduler_of(routing, grant) == Some(from)
+    }
+
+    fn scheduler_of(&self, routing: &Routing<'_>, grant: &Grant) -> Option<HostId> {
+        let domain = (routing.domain)(grant.server)?;
+        (routing.scheduler)(PoolKey {
+            service: grant.service,
+            domain,
+        })
+    }
+}
+
+fn holds_same_grant(state: &RequestState, grant: &Grant) -> bool {
+    match state {
+        RequestState::Waiting { .. } => false,
+        RequestState::AskingPermit { grant: held, .. }
+        | RequestState::Resting { grant: held, .. }
+        | RequestState::Dispatched { grant: held, .. } => held.server == grant.server,
+    }
+}
+
+fn holds_permit(state: &RequestState, from: HostId, answer: &PermitAnswer) -> bool {
+    matches!(
+        state,
+        RequestState::Dispatched { grant, home: Some(home), .. }
+            if *home == from && grant.server == answer.server && grant.slot == answer.slot
+    )
+}
+
+fn running_of(grant: &Grant, open: &OpenRequest) -> Running {
+    let cost = match open.state {
+        RequestState::Dispatched { cost, .. } => cost,
+        _ => 0,
+    };
+    Running {
+        request: grant.request,
+        workspace: open.spec.workspace,
+        server: grant.server,
+        estimate: open.spec.estimate,
+        cost,
+    }
+}
