settings: check every value and point at the key and line at fault

Settings could be deserialized but were not checked: a daemon would have started with a port 0, two listeners on one address or a one-letter key.

Load and parse now refuse unknown keys, wrong types and values out of range. Each refusal carries the dotted path of the key and its line, from the spans of the TOML parser. Checking inside the types, by one newtype a range, was ruled out: serde then reports the range without the relation between keys (distinct listeners, two keys that must differ).

The parser quotes values of a wrong type, so its text is dropped for keys named `key`; a test puts nine malformed keys in and looks for them in the error and its Debug text.

--- /dev/null
+++ b/lib/src/settings/check.rs
@@ -0,0 +1,201 @@
+//! Ranges of the settings and rules between them.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use super::LimitSettings;
+use super::ListenSettings;
+use super::Secret;
+use super::Settings;
+
+/// Shortest key, bytes.
+pub const MIN_SECRET_BYTES: usize = 24;
+/// Longest key, bytes.
+pub const MAX_SECRET_BYTES: usize = 512;
+/// Longest name of a host or failure domain, bytes.
+pub const MAX_NAME_BYTES: usize = 253;
+
+const LEVELS: [&str; 4] = ["error", "warn", "info", "debug"];
+
+/// A setting that a daemon cannot run with.
+pub(crate) struct Fault {
+    /// Dotted path of the key.
+    pub(crate) key: &'static str,
+    /// What is wrong and what would be right.
+    pub(crate) reason: String,
+}
+
+impl Fault {
+    fn new(key: &'static str, reason: impl Into<String>) -> Self {
+        Self {
+            key,
+            reason: reason.into(),
+        }
+    }
+}
+
+/// Checks every value that its type alone does not.
+pub(crate) fn check(settings: &Settings) -> Result<(), Fault> {
+    name("host.name", &settings.host.name)?;
+    name("host.domain", &settings.host.domain)?;
+    listeners(&settings.listen)?;
+    port("platform.object_api", settings.platform.object_api)?;
+    port("platform.host_list", settings.platform.host_list)?;
+    keys(settings)?;
+    source(settings)?;
+    limits(&settings.limits)?;
+    level(&settings.log.level)
+}
+
+fn name(key: &'static str, text: &str) -> Result<(), Fault> {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-._".contains(&b);
+    if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.bytes().all(allowed) {
+        return Err(Fault::new(
+            key,
+            format!(
+                "must be 1 to {MAX_NAME_BYTES} ASCII letters, digits, hyphens, dots or underscores"
+            ),
+        ));
+    }
+    Ok(())
+}
+
+fn port(key: &'static str, address: SocketAddr) -> Result<(), Fault> {
+    if address.port() == 0 {
+        return Err(Fault::new(key, "must name a port, not 0"));
+    }
+    Ok(())
+}
+
+fn listeners(listen: &ListenSettings) -> Result<(), Fault> {
+    let all = [
+        ("listen.callers", listen.callers),
+        ("listen.peers", listen.peers),
+        ("listen.operators", listen.operators),
+        ("listen.metrics", listen.metrics),
+    ];
+    for (i, (key, address)) in all.into_iter().enumerate() {
+        port(key, address)?;
+        if let Some((other, _)) = all[..i].iter().find(|(_, used)| clash(*used, address)) {
+            let reason = format!("must differ from {other}: both listen on {address}");
+            return Err(Fault::new(key, reason));
+        }
+    }
+    if listen.peers.ip().is_unspecified() {
+        // The host list gives one address to reach the host by, so a wildcard would mislead.
+        return Err(Fault::new("listen.peers", "must be the host's own IP"));
+    }
+    Ok(())
+}
+
+fn clash(a: SocketAddr, b: SocketAddr) -> bool {
+    let same_ip = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
+    same_ip && a.port() == b.port()
+}
+
+fn keys(settings: &Settings) -> Result<(), Fault> {
+    secret("fleet.key", &settings.fleet.key)?;
+    secret("operators.key", &settings.operators.key)?;
+    if settings.fleet.key == settings.operators.key {
+        return Err(Fault::new("operators.key", "must differ from fleet.key"));
+    }
+    Ok(())
+}
+
+fn secret(key: &'static str, secret: &Secret) -> Result<(), Fault> {
+    let bytes = secret.expose();
+    if !(MIN_SECRET_BYTES..=MAX_SECRET_BYTES).contains(&bytes.len()) {
+        let reason = format!("must have {MIN_SECRET_BYTES} to {MAX_SECRET_BYTES} characters");
+        return Err(Fault::new(key, reason));
+    }
+    if !bytes.iter().all(u8::is_ascii_graphic) {
+        return Err(Fault::new(
+            key,
+            "must consist of printable ASCII characters without spaces",
+        ));
+    }
+    Ok(())
+}
+
+fn source(settings: &Settings) -> Result<(), Fault> {
+    let Some(source) = settings.fleet.source else {
+        return Ok(());
+    };
+    if source.is_ipv4() != settings.listen.peers.is_ipv4() {
+        let reason = "must be of the same IP version as listen.peers";
+        return Err(Fault::new("fleet.source", reason));
+    }
+    Ok(())
+}
+
+fn limits(limits: &LimitSettings) -> Result<(), Fault> {
+    const MINUTE_MS: u64 = 60_000;
+    let LimitSettings {
+        body_bytes,
+        header_bytes,
+        connections,
+        header_timeout_ms,
+        body_timeout_ms,
+        waiting_per_workspace,
+        answer_timeout_ms,
+        idle_timeout_ms,
+        drain_timeout_ms,
+    } = *limits;
+    range("limits.body_bytes", body_bytes, 1 << 10..=64 << 20)?;
+    range("limits.header_bytes", header_bytes, 8 << 10..=1 << 20)?;
+    range("limits.connections", connections, 1..=100_000)?;
+    range(
+        "limits.header_timeout_ms",
+        header_timeout_ms,
+        100..=MINUTE_MS,
+    )?;
+    range(
+        "limits.body_timeout_ms",
+        body_timeout_ms,
+        100..=10 * MINUTE_MS,
+    )?;
+    range(
+        "limits.waiting_per_workspace",
+        waiting_per_workspace,
+        1..=100_000,
+    )?;
+    range(
+        "limits.answer_timeout_ms",
+        answer_timeout_ms,
+        100..=60 * MINUTE_MS,
+    )?;
+    range(
+        "limits.idle_timeout_ms",
+        idle_timeout_ms,
+        100..=60 * MINUTE_MS,
+    )?;
+    range(
+        "limits.drain_timeout_ms",
+        drain_timeout_ms,
+        100..=60 * MINUTE_MS,
+    )
+}
+
+fn range<T: PartialOrd + Display>(
+    key: &'static str,
+    value: T,
+    allowed: RangeInclusive<T>,
+) -> Result<(), Fault> {
+    if allowed.contains(&value) {
+        return Ok(());
+    }
+    let (low, high) = allowed.into_inner();
+    Err(Fault::new(
+        key,
+        format!("must be between {low} and {high}, is {value}"),
+    ))
+}
+
+fn level(level: &str) -> Result<(), Fault> {
+    if LEVELS.contains(&level) {
+        return Ok(());
+    }
+    let reason = format!("must be one of {}", LEVELS.join(", "));
+    Err(Fault::new("log.level", reason))
+}
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -1,5 +1,8 @@
 //! Settings of the daemon.
 
+mod check;
+mod load;
+mod locate;
 mod secret;
 
 use std::net::IpAddr;
@@ -8,6 +11,10 @@
 use compact_str::CompactString;
 use serde::Deserialize;
 
+pub use check::MAX_NAME_BYTES;
+pub use check::MAX_SECRET_BYTES;
+pub use check::MIN_SECRET_BYTES;
+pub use load::SettingsError;
 pub use secret::Secret;
 
 /// Settings of one daemon.
