platform: add clients of the object API and the host list

Both clients run over hyper-util with reused connections, a deadline on every call, and outcomes typed by what is known of the effect: an answer lost after a write was sent is Unknown, a failed connect and a 503 are Unavailable, and any other 5xx of a write is Unknown as well, since a status made up on the way says nothing of the store. Reads have no effect, so a lost answer of theirs is Unavailable.

Retrying inside the client was ruled out: only the caller can tell whether a repeated write is safe. Callers that loop get a jittered Backoff. 10 tests pass, against a TCP server that gives prepared answers, truncated ones and none.

--- /dev/null
+++ b/lib/src/platform/host_list.rs
@@ -0,0 +1,97 @@
+//! Client of the host list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use snafu::Snafu;
+
+use super::http::CallOptions;
+use super::http::HttpCaller;
+use crate::host::HostList;
+
+/// Why the host list could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum HostListError {
+    /// The platform does not serve the call.
+    #[snafu(display("the host list is unavailable: {reason}"))]
+    Unavailable {
+        /// What was seen.
+        reason: CompactString,
+    },
+    /// The answer is not a host list.
+    #[snafu(display("the host list cannot be read: {reason}"))]
+    Malformed {
+        /// What was seen.
+        reason: CompactString,
+    },
+}
+
+/// Client of the host list. Clones share their connections, and may be used from any thread with
+/// a `tokio` runtime.
+#[derive(Clone, Debug)]
+pub struct HostListClient {
+    http: HttpCaller,
+}
+
+impl HostListClient {
+    /// Makes a client of the host list at `address`. Connects on the first call.
+    pub fn new(address: SocketAddr, options: CallOptions) -> Self {
+        Self {
+            http: HttpCaller::new(address, options),
+        }
+    }
+
+    /// Reads the host list, or `None` if it has never been written.
+    ///
+    /// # Errors
+    ///
+    /// See [`HostListError`].
+    pub async fn read(&self) -> Result<Option<HostList>, HostListError> {
+        self.watch(0, Duration::ZERO).await
+    }
+
+    /// Waits until the list's revision is above `after`, and reads it then. `None` means that
+    /// `wait` has passed without.
+    ///
+    /// # Errors
+    ///
+    /// See [`HostListError`].
+    pub async fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<HostList>, HostListError> {
+        let millis = wait.as_millis();
+        let uri = self
+            .http
+            .uri(&format!("/hosts?after={after}&timeout_ms={millis}"));
+        let req = Request::get(uri)
+            .body(Full::new(Bytes::new()))
+            .expect("the URI consists of numbers");
+        let answer = self.http.call_waiting(req, wait).await;
+        let reply = answer.map_err(|err| unavailable(err.to_string()))?;
+        match reply.status {
+            StatusCode::OK => parse(&reply.body).map(Some),
+            StatusCode::NOT_MODIFIED => Ok(None),
+            status => Err(unavailable(format!("status {status}"))),
+        }
+    }
+}
+
+fn parse(body: &[u8]) -> Result<HostList, HostListError> {
+    serde_json::from_slice(body).map_err(|err| HostListError::Malformed {
+        reason: err.to_string().into(),
+    })
+}
+
+fn unavailable(reason: impl Into<CompactString>) -> HostListError {
+    HostListError::Unavailable {
+        reason: reason.into(),
+    }
+}
--- /dev/null
+++ b/lib/src/platform/http.rs
@@ -0,0 +1,175 @@
+//! HTTP calls with a deadline, over connections that are reused.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+use snafu::Snafu;
+use tokio::time::Instant;
+
+/// Largest answer that is read, bytes: an object of the largest size, or a long host list.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Header that carries the version of an object.
+pub(crate) const VERSION_HEADER: &str = "x-version";
+
+/// Limits on calls to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallOptions {
+    /// Longest time for connecting.
+    pub connect_timeout: Duration,
+    /// Longest time from the start of a call to the end of its answer.
+    pub call_timeout: Duration,
+    /// Longest time that an unused connection is kept.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            call_timeout: Duration::from_secs(2),
+            idle_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum CallError {
+    /// The server was not reached: the call has had no effect.
+    #[snafu(display("not sent: {reason}"))]
+    NotSent {
+        /// What was seen.
+        reason: String,
+    },
+    /// The call was sent, and its answer is lost.
+    #[snafu(display("answer lost: {reason}"))]
+    AnswerLost {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Reply {
+    /// Version of the object in the answer, if the answer carries one.
+    pub(crate) fn version(&self) -> Option<u64> {
+        let text = self.headers.get(VERSION_HEADER)?.to_str().ok()?;
+        text.parse().ok()
+    }
+}
+
+/// An HTTP client for one server. Clones share their connections.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    options: CallOptions,
+}
+
+impl HttpCaller {
+    pub(crate) fn new(address: SocketAddr, options: CallOptions) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(options.connect_timeout));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(options.idle_timeout)
+            .build(connector);
+        Self {
+            client,
+            address,
+            options,
+        }
+    }
+
+    /// The URI of a path and query on the server.
+    pub(crate) fn uri(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    /// Makes a call that the server answers at once.
+    pub(crate) async fn call(&self, req: Request<Full<Bytes>>) -> Result<Reply, CallError> {
+        self.call_by(req, Instant::now() + self.options.call_timeout)
+            .await
+    }
+
+    /// Makes a call that the server may hold for `wait` before it answers.
+    pub(crate) async fn call_waiting(
+        &self,
+        req: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Reply, CallError> {
+        self.call_by(req, Instant::now() + wait + self.options.call_timeout)
+            .await
+    }
+
+    async fn call_by(
+        &self,
+        req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Reply, CallError> {
+        let answer = tokio::time::timeout_at(deadline, self.exchange(req)).await;
+        answer.unwrap_or_else(|_| {
+            let reason = "no answer before the deadline".to_owned();
+            Err(CallError::AnswerLost { reason })
+        })
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Reply, CallError> {
+        let answer = self.client.request(req).await.map_err(|err| {
+            let reason = describe(&err);
+            if err.is_connect() {
+                CallError::NotSent { reason }
+            } else {
+                CallError::AnswerLost { reason }
+            }
+        })?;
+        let (parts, body) = answer.into_parts();
+        Ok(Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body: collect(body).await?,
+        })
+    }
+}
+
+async fn collect(body: Incoming) -> Result<Bytes, CallError> {
+    let limited = Limited::new(body, MAX_ANSWER_BYTES);
+    let collected = limited
+        .collect()
+        .await
+        .map_err(|err| CallError::AnswerLost {
+            reason: err.to_string(),
+        })?;
+    Ok(collected.to_bytes())
+}
+
+fn describe(err: &dyn std::error::Error) -> String {
+    let mut text = err.to_string();
+    let mut source = err.source();
+    while let Some(inner) = source {
+        text = format!("{text}: {inner}");
+        source = inner.source();
+    }
+    text
+}
--- /dev/null
+++ b/lib/src/platform/object.rs
@@ -0,0 +1,279 @@
+//! Client of the object API.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header::IF_MATCH;
+use hyper::header::IF_NONE_MATCH;
+use snafu::Snafu;
+
+use super::http::CallError;
+use super::http::CallOptions;
+use super::http::HttpCaller;
+use super::http::Reply;
+
+/// Kind of the configuration object.
+pub const CONFIGURATION_KIND: &str = "configuration";
+/// Name of the configuration object.
+pub const CONFIGURATION_NAME: &str = "fleet";
+/// Kind of the records of keyed operations.
+pub const OPERATION_KIND: &str = "operation";
+/// Largest object, bytes.
+pub const MAX_OBJECT_BYTES: usize = 1 << 20;
+
+/// A stored object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Version, rising with every update.
+    pub version: u64,
+    /// Stored bytes.
+    pub bytes: Bytes,
+}
+
+/// Why a call to the object API did not do what it was asked.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ObjectError {
+    /// There is no such object.
+    #[snafu(display("no such object"))]
+    NotFound,
+    /// The object is not of the expected version; nothing was changed.
+    #[snafu(display("the object was changed by someone else"))]
+    Conflict,
+    /// The object is larger than [`MAX_OBJECT_BYTES`]; nothing was changed.
+    #[snafu(display("the object is larger than {MAX_OBJECT_BYTES} bytes"))]
+    TooLarge,
+    /// The platform refuses calls at this rate; nothing was changed.
+    #[snafu(display("the object API refuses calls at this rate"))]
+    RateLimited,
+    /// The platform does not serve the call; nothing was changed.
+    #[snafu(display("the object API is unavailable: {reason}"))]
+    Unavailable {
+        /// What was seen.
+        reason: CompactString,
+    },
+    /// The answer to a write is lost: it may have taken effect, or may do so later.
+    #[snafu(display("the outcome of the write is unknown: {reason}"))]
+    Unknown {
+        /// What was seen.
+        reason: CompactString,
+    },
+}
+
+impl ObjectError {
+    /// Whether the same call may succeed later, and has had no effect so far.
+    pub fn is_transient(&self) -> bool {
+        matches!(self, Self::RateLimited | Self::Unavailable { .. })
+    }
+}
+
+/// Client of the object API. Clones share their connections, and may be used from any thread
+/// with a `tokio` runtime.
+#[derive(Clone, Debug)]
+pub struct ObjectClient {
+    http: HttpCaller,
+}
+
+impl ObjectClient {
+    /// Makes a client of the object API at `address`. Connects on the first call.
+    pub fn new(address: SocketAddr, options: CallOptions) -> Self {
+        Self {
+            http: HttpCaller::new(address, options),
+        }
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound`, or a transient error.
+    pub async fn read(&self, kind: &str, name: &str) -> Result<Object, ObjectError> {
+        let req = self.request(Method::GET, &path(kind, name), None, Bytes::new());
+        let reply = self.http.call(req).await.map_err(without_effect)?;
+        into_object(reply)
+    }
+
+    /// Waits until the object's version is above `after`, and reads it then. `None` means that
+    /// `wait` has passed without.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound`, or a transient error.
+    pub async fn watch(
+        &self,
+        kind: &str,
+        name: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<Object>, ObjectError> {
+        let millis = wait.as_millis();
+        let path = format!("{}?watch={after}&timeout_ms={millis}", path(kind, name));
+        let req = self.request(Method::GET, &path, None, Bytes::new());
+        let answer = self.http.call_waiting(req, wait).await;
+        let reply = answer.map_err(without_effect)?;
+        if reply.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        into_object(reply).map(Some)
+    }
+
+    /// Creates an object that must not exist, and returns its version.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` if it exists; `Unknown` if the answer is lost.
+    pub async fn create(&self, kind: &str, name: &str, bytes: Bytes) -> Result<u64, ObjectError> {
+        let condition = Some((IF_NONE_MATCH, "*".to_owned()));
+        self.put(kind, name, condition, bytes).await
+    }
+
+    /// Replaces an object of version `version`, and returns its new version.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` if it has another version; `Unknown` if the answer is lost.
+    pub async fn update(
+        &self,
+        kind: &str,
+        name: &str,
+        version: u64,
+        bytes: Bytes,
+    ) -> Result<u64, ObjectError> {
+        let condition = Some((IF_MATCH, version.to_string()));
+        self.put(kind, name, condition, bytes).await
+    }
+
+    /// Deletes an object of version `version`.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` if it has another version; `Unknown` if the answer is lost.
+    pub async fn delete(&self, kind: &str, name: &str, version: u64) -> Result<(), ObjectError> {
+        let condition = Some((IF_MATCH, version.to_string()));
+        let req = self.request(Method::DELETE, &path(kind, name), condition, Bytes::new());
+        let reply = self.http.call(req).await.map_err(lost_write)?;
+        written(&reply)
+    }
+
+    /// Names of the objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// A transient error.
+    pub async fn list(&self, kind: &str) -> Result<Vec<CompactString>, ObjectError> {
+        let path = format!("/objects/{kind}");
+        let req = self.request(Method::GET, &path, None, Bytes::new());
+        let reply = self.http.call(req).await.map_err(without_effect)?;
+        found(&reply)?;
+        serde_json::from_slice(&reply.body).map_err(|err| unavailable(err.to_string()))
+    }
+
+    async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        condition: Option<(hyper::header::HeaderName, String)>,
+        bytes: Bytes,
+    ) -> Result<u64, ObjectError> {
+        if bytes.len() > MAX_OBJECT_BYTES {
+            return Err(ObjectError::TooLarge);
+        }
+        let req = self.request(Method::PUT, &path(kind, name), condition, bytes);
+        let reply = self.http.call(req).await.map_err(lost_write)?;
+        written(&reply)?;
+        reply.version().ok_or_else(|| ObjectError::Unknown {
+            reason: CompactString::const_new("the answer carries no version"),
+        })
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        condition: Option<(hyper::header::HeaderName, String)>,
+        bytes: Bytes,
+    ) -> Request<Full<Bytes>> {
+        let mut builder = Request::builder().method(method).uri(self.http.uri(path));
+        if let Some((name, value)) = condition {
+            builder = builder.header(name, value);
+        }
+        builder
+            .body(Full::new(bytes))
+            .expect("kinds and names are escaped")
+    }
+}
+
+/// Path of an object. Bytes other than unreserved ones of RFC 3986 are escaped, since the names
+/// of operation records come from callers.
+fn path(kind: &str, name: &str) -> String {
+    let mut path = format!("/objects/{kind}/");
+    for b in name.bytes() {
+        if b.is_ascii_alphanumeric() || b"-._~".contains(&b) {
+            path.push(char::from(b));
+        } else {
+            path.push_str(&format!("%{b:02X}"));
+        }
+    }
+    path
+}
+
+fn into_object(reply: Reply) -> Result<Object, ObjectError> {
+    found(&reply)?;
+    let version = reply
+        .version()
+        .ok_or_else(|| unavailable("the answer carries no version"))?;
+    Ok(Object {
+        version,
+        bytes: reply.body,
+    })
+}
+
+/// Outcome of a read by its status.
+fn found(reply: &Reply) -> Result<(), ObjectError> {
+    match reply.status {
+        StatusCode::OK => Ok(()),
+        StatusCode::NOT_FOUND => Err(ObjectError::NotFound),
+        StatusCode::TOO_MANY_REQUESTS => Err(ObjectError::RateLimited),
+        status => Err(unavailable(format!("status {status}"))),
+    }
+}
+
+/// Outcome of a write by its status. An unexpected one says nothing of the effect.
+fn written(reply: &Reply) -> Result<(), ObjectError> {
+    match reply.status {
+        StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => Ok(()),
+        StatusCode::NOT_FOUND => Err(ObjectError::NotFound),
+        StatusCode::PRECONDITION_FAILED => Err(ObjectError::Conflict),
+        StatusCode::PAYLOAD_TOO_LARGE => Err(ObjectError::TooLarge),
+        StatusCode::TOO_MANY_REQUESTS => Err(ObjectError::RateLimited),
+        StatusCode::SERVICE_UNAVAILABLE => Err(unavailable("status 503")),
+        status => Err(ObjectError::Unknown {
+            reason: format!("status {status}").into(),
+        }),
+    }
+}
+
+fn without_effect(err: CallError) -> ObjectError {
+    unavailable(err.to_string())
+}
+
+fn lost_write(err: CallError) -> ObjectError {
+    match err {
+        CallError::NotSent { reason } => unavailable(reason),
+        CallError::AnswerLost { reason } => ObjectError::Unknown {
+            reason: reason.into(),
+        },
+    }
+}
+
+fn unavailable(reason: impl Into<CompactString>) -> ObjectError {
+    ObjectError::Unavailable {
+        reason: reason.into(),
+    }
+}
--- /dev/null
+++ b/lib/tests/test_platform.rs
@@ -0,0 +1,296 @@
+//! Clients of the platform against answers as the platform gives them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cardamomshift_lib::platform::Backoff;
+use cardamomshift_lib::platform::CallOptions;
+use cardamomshift_lib::platform::HostListClient;
+use cardamomshift_lib::platform::HostListError;
+use cardamomshift_lib::platform::MAX_OBJECT_BYTES;
+use cardamomshift_lib::platform::Object;
+use cardamomshift_lib::platform::ObjectClient;
+use cardamomshift_lib::platform::ObjectError;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// A call as the server saw it: its head in lower case but for the path, and its body.
+#[derive(Debug)]
+struct SeenCall {
+    head: String,
+    body: Vec<u8>,
+    /// Number of the connection.
+    connection: usize,
+}
+
+/// A server that gives one answer after another; an empty one closes the connection without.
+struct Server {
+    address: SocketAddr,
+    calls: mpsc::UnboundedReceiver<SeenCall>,
+}
+
+impl Server {
+    async fn start(answers: &[&str]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tx, calls) = mpsc::unbounded_channel();
+        let answers: Vec<String> = answers.iter().map(|&answer| answer.to_owned()).collect();
+        tokio::spawn(async move {
+            let mut answers = answers.into_iter();
+            for connection in 0.. {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                while let Some((head, body)) = read_call(&mut stream).await {
+                    let _ = tx.send(SeenCall {
+                        head,
+                        body,
+                        connection,
+                    });
+                    let answer = answers.next().unwrap_or_default();
+                    if answer.is_empty() {
+                        break;
+                    }
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            }
+        });
+        Self { address, calls }
+    }
+
+    fn objects(&self) -> ObjectClient {
+        ObjectClient::new(self.address, options())
+    }
+
+    fn hosts(&self) -> HostListClient {
+        HostListClient::new(self.address, options())
+    }
+
+    async fn call(&mut self) -> SeenCall {
+        self.calls.recv().await.unwrap()
+    }
+}
+
+async fn read_call(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut buf = Vec::new();
+    let end = loop {
+        if let Some(end) = buf.windows(4).position(|window| window == b"\r\n\r\n") {
+            break end;
+        }
+        if stream.read_buf(&mut buf).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8(buf[..end].to_vec()).unwrap();
+    let mut body = buf.split_off(end + 4);
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(": ")?;
+        let found = name.eq_ignore_ascii_case("content-length");
+        found.then(|| value.parse().unwrap())
+    });
+    while body.len() < length.unwrap_or(0) {
+        stream.read_buf(&mut body).await.ok()?;
+    }
+    Some((head, body))
+}
+
+fn options() -> CallOptions {
+    CallOptions {
+        call_timeout: Duration::from_millis(300),
+        ..CallOptions::default()
+    }
+}
+
+fn answer(status: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}")
+}
+
+#[tokio::test]
+async fn object_is_read_with_its_version() {
+    let ok = answer("200 OK", "x-version: 7\r\n", "text");
+    let mut server = Server::start(&[&ok]).await;
+    let object = server.objects().read("operation", "k/ 1").await.unwrap();
+    let bytes = Bytes::from_static(b"text");
+    assert_eq!(object, Object { version: 7, bytes });
+    assert!(
+        server
+            .call()
+            .await
+            .head
+            .starts_with("GET /objects/operation/k%2F%201 HTTP/1.1")
+    );
+}
+
+#[tokio::test]
+async fn writes_are_conditional_and_connections_reused() {
+    let stored = answer("200 OK", "x-version: 3\r\n", "");
+    let deleted = answer("200 OK", "", "");
+    let mut server = Server::start(&[&stored, &stored, &deleted]).await;
+    let objects = server.objects();
+    assert_eq!(
+        objects.create("k", "n", Bytes::from_static(b"one")).await,
+        Ok(3)
+    );
+    assert_eq!(
+        objects
+            .update("k", "n", 2, Bytes::from_static(b"two"))
+            .await,
+        Ok(3)
+    );
+    assert_eq!(objects.delete("k", "n", 3).await, Ok(()));
+    let created = server.call().await;
+    assert!(
+        created.head.contains("if-none-match: *"),
+        "{}",
+        created.head
+    );
+    assert_eq!(created.body, b"one");
+    let updated = server.call().await;
+    assert!(updated.head.contains("if-match: 2"), "{}", updated.head);
+    let deleted = server.call().await;
+    assert!(
+        deleted.head.starts_with("DELETE /objects/k/n"),
+        "{}",
+        deleted.head
+    );
+    assert!(deleted.head.contains("if-match: 3"), "{}", deleted.head);
+    assert_eq!(deleted.connection, 0);
+}
+
+#[tokio::test]
+async fn statuses_of_writes_are_told_apart() {
+    let unavailable = |err: &ObjectError| matches!(err, ObjectError::Unavailable { .. });
+    let unknown = |err: &ObjectError| matches!(err, ObjectError::Unknown { .. });
+    type Expected<'a> = (&'a str, &'a dyn Fn(&ObjectError) -> bool);
+    let cases: [Expected<'_>; 7] = [
+        ("412 Precondition Failed", &|err| {
+            *err == ObjectError::Conflict
+        }),
+        ("404 Not Found", &|err| *err == ObjectError::NotFound),
+        ("413 Payload Too Large", &|err| {
+            *err == ObjectError::TooLarge
+        }),
+        ("429 Too Many Requests", &|err| {
+            *err == ObjectError::RateLimited
+        }),
+        ("503 Service Unavailable", &unavailable),
+        ("500 Internal Server Error", &unknown),
+        ("200 OK", &unknown), // Without a version.
+    ];
+    for (status, expected) in cases {
+        let server = Server::start(&[&answer(status, "", "")]).await;
+        let err = server
+            .objects()
+            .update("k", "n", 1, Bytes::new())
+            .await
+            .unwrap_err();
+        assert!(expected(&err), "{status}: {err:?}");
+    }
+}
+
+#[tokio::test]
+async fn lost_answer_is_unknown_for_a_write_and_harmless_for_a_read() {
+    for lost in [
+        "",
+        "HTTP/1.1 200 OK\r\nx-version: 3\r\ncontent-length: 9\r\n\r\nte",
+    ] {
+        let server = Server::start(&[lost]).await;
+        let err = server
+            .objects()
+            .update("k", "n", 1, Bytes::new())
+            .await
+            .unwrap_err();
+        assert!(matches!(err, ObjectError::Unknown { .. }), "{err:?}");
+        let server = Server::start(&[lost]).await;
+        let err = server.objects().read("k", "n").await.unwrap_err();
+        assert!(err.is_transient(), "{err:?}");
+    }
+}
+
+#[tokio::test]
+async fn unreachable_platform_has_stored_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let objects = ObjectClient::new(address, options());
+    let err = objects.create("k", "n", Bytes::new()).await.unwrap_err();
+    assert!(matches!(err, ObjectError::Unavailable { .. }), "{err:?}");
+}
+
+#[tokio::test]
+async fn oversized_object_is_not_sent() {
+    let mut server = Server::start(&[]).await;
+    let bytes = vec![0; MAX_OBJECT_BYTES + 1].into();
+    assert_eq!(
+        server.objects().create("k", "n", bytes).await,
+        Err(ObjectError::TooLarge)
+    );
+    assert!(server.calls.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn watch_tells_a_change_from_none() {
+    let none = answer("304 Not Modified", "", "");
+    let changed = answer("200 OK", "x-version: 5\r\n", "new");
+    let mut server = Server::start(&[&none, &changed]).await;
+    let objects = server.objects();
+    let wait = Duration::from_millis(250);
+    assert_eq!(objects.watch("k", "n", 4, wait).await, Ok(None));
+    assert_eq!(
+        objects
+            .watch("k", "n", 4, wait)
+            .await
+            .unwrap()
+            .unwrap()
+            .version,
+        5
+    );
+    let head = server.call().await.head;
+    assert!(
+        head.starts_with("GET /objects/k/n?watch=4&timeout_ms=250 "),
+        "{head}"
+    );
+}
+
+#[tokio::test]
+async fn names_are_listed() {
+    let server = Server::start(&[&answer("200 OK", "", r#"["a","b"]"#)]).await;
+    assert_eq!(server.objects().list("k").await.unwrap(), ["a", "b"]);
+}
+
+#[tokio::test]
+async fn host_list_is_read_and_watched() {
+    let list = r#"{"revision":3,"hosts":[{"name":"w1","domain":"bern-a","role":"backend",
+        "state":"live","address":"10.0.0.1:80","services":[{"name":"m","kind":"model"}]}]}"#;
+    let ok = answer("200 OK", "", list);
+    let none = answer("304 Not Modified", "", "");
+    let bad = answer("200 OK", "", "{}");
+    let mut server = Server::start(&[&ok, &none, &bad]).await;
+    let hosts = server.hosts();
+    let read = hosts.read().await.unwrap().unwrap();
+    assert_eq!((read.revision, read.hosts[0].name.as_str()), (3, "w1"));
+    assert_eq!(hosts.watch(3, Duration::from_millis(20)).await, Ok(None));
+    let err = hosts.watch(3, Duration::from_millis(20)).await.unwrap_err();
+    assert!(matches!(err, HostListError::Malformed { .. }), "{err:?}");
+    server.call().await;
+    let head = server.call().await.head;
+    assert!(
+        head.starts_with("GET /hosts?after=3&timeout_ms=20 "),
+        "{head}"
+    );
+}
+
+#[test]
+fn backoff_doubles_up_to_its_bound_with_jitter() {
+    let mut backoff = Backoff::new(Duration::from_millis(10), Duration::from_millis(40));
+    for bound in [10, 20, 40, 40] {
+        let delay = backoff.next_delay();
+        let bound = Duration::from_millis(bound);
+        assert!(delay >= bound / 2 && delay <= bound, "{delay:?}");
+    }
+    backoff.reset();
+    assert!(backoff.next_delay() <= Duration::from_millis(10));
+}
