configuration: add typed changes, their rules, and the follower

Operators' changes become a typed enum that the aggregate applies as a pure function: names, key hashes and targets are checked, a change that was already made is recognised by its identifier, and one that would change nothing says so. The follower takes only rising revisions, so that a stale read or a lagging host cannot revert what is in force.

A document of 1,200 workspaces with the longest names, 256 change records and 32 classes is held under half of the megabyte by a test.

--- /dev/null
+++ b/lib/src/configuration/change.rs
@@ -0,0 +1,411 @@
+//! Changes that operators make, and the rules that the configuration holds them to.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+
+use super::ChangeRecord;
+use super::Class;
+use super::Configuration;
+use super::Workspace;
+use super::name::MAX_NAME_BYTES;
+use super::name::is_key_hash;
+use super::name::is_name;
+use super::name::is_platform_name;
+use crate::id::WorkspaceId;
+
+/// Changes that the configuration remembers, to recognise one that is sent again.
+pub const MAX_CHANGE_RECORDS: usize = 256;
+/// Most classes of work: they appear as labels of metrics.
+pub const MAX_CLASSES: usize = 32;
+/// Longest target of a class, milliseconds.
+pub const MAX_TARGET_MS: u64 = 3_600_000;
+/// Longest identifier of a change, bytes.
+pub const MAX_CHANGE_ID_BYTES: usize = 64;
+
+/// Hexadecimal digits of a key's hash that are shown.
+const FINGERPRINT_DIGITS: usize = 8;
+
+/// One change of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Change {
+    /// Creates an enabled workspace.
+    CreateWorkspace {
+        /// Name.
+        name: CompactString,
+        /// SHA-256 of its key, lower-case hexadecimal.
+        key_hash: CompactString,
+    },
+    /// Replaces the key of a workspace.
+    RotateKey {
+        /// Name.
+        name: CompactString,
+        /// SHA-256 of its new key, lower-case hexadecimal.
+        key_hash: CompactString,
+    },
+    /// Serves a workspace again.
+    EnableWorkspace {
+        /// Name.
+        name: CompactString,
+    },
+    /// Stops serving a workspace.
+    DisableWorkspace {
+        /// Name.
+        name: CompactString,
+    },
+    /// Creates a class of work or changes its target.
+    SetClass {
+        /// Name.
+        name: CompactString,
+        /// Time within which a request of the class must have started, milliseconds.
+        target_ms: u64,
+    },
+    /// Removes a class of work.
+    RemoveClass {
+        /// Name.
+        name: CompactString,
+    },
+    /// Takes a failure domain out of service.
+    TakeDomainOut {
+        /// Name.
+        name: CompactString,
+    },
+    /// Puts a failure domain back into service.
+    BringDomainBack {
+        /// Name.
+        name: CompactString,
+    },
+    /// Takes a backend server out of service.
+    TakeServerOut {
+        /// Name.
+        name: CompactString,
+    },
+    /// Puts a backend server back into service.
+    BringServerBack {
+        /// Name.
+        name: CompactString,
+    },
+}
+
+/// Why a change does not apply to a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ChangeError {
+    /// The identifier of the change is empty, too long or has other than printable characters.
+    #[snafu(display(
+        "the identifier of a change must be 1 to {MAX_CHANGE_ID_BYTES} printable ASCII characters"
+    ))]
+    InvalidId,
+    /// The identifier belongs to another change.
+    #[snafu(display("the identifier {id} was used for another change: {summary}"))]
+    IdReused {
+        /// The identifier.
+        id: CompactString,
+        /// The change that it was used for.
+        summary: CompactString,
+    },
+    /// A name has a wrong form.
+    #[snafu(display(
+        "{name:?} is no valid name for a {what}: use 1 to {MAX_NAME_BYTES} lower-case letters, \
+         digits, hyphens, dots or underscores, starting with a letter or digit"
+    ))]
+    InvalidName {
+        /// What the name is for.
+        what: &'static str,
+        /// The name.
+        name: CompactString,
+    },
+    /// A key's hash has a wrong form.
+    #[snafu(display("the hash of a key must be 64 lower-case hexadecimal digits"))]
+    InvalidKeyHash,
+    /// A target is out of its range.
+    #[snafu(display("a target must be between 1 and {MAX_TARGET_MS} ms, is {target_ms} ms"))]
+    InvalidTarget {
+        /// The target, milliseconds.
+        target_ms: u64,
+    },
+    /// The name is taken.
+    #[snafu(display("there is already a {what} {name}"))]
+    Duplicate {
+        /// What has the name.
+        what: &'static str,
+        /// The name.
+        name: CompactString,
+    },
+    /// The key is another workspace's.
+    #[snafu(display("the key is in use by another workspace"))]
+    DuplicateKey,
+    /// Nothing has the name.
+    #[snafu(display("there is no {what} {name}"))]
+    NoSuch {
+        /// What was looked for.
+        what: &'static str,
+        /// The name.
+        name: CompactString,
+    },
+    /// The configuration is already as the change would make it.
+    #[snafu(display("nothing to do: {state}"))]
+    NoEffect {
+        /// The state that is already there.
+        state: CompactString,
+    },
+    /// There are as many as there may be.
+    #[snafu(display("there may be no more than {limit} of these: {what}"))]
+    TooMany {
+        /// What there are too many of.
+        what: &'static str,
+        /// The limit.
+        limit: usize,
+    },
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::CreateWorkspace { name, key_hash } => {
+                write!(f, "create workspace {name} (key {})", fingerprint(key_hash))
+            }
+            Self::RotateKey { name, key_hash } => {
+                write!(
+                    f,
+                    "rotate key of workspace {name} (key {})",
+                    fingerprint(key_hash)
+                )
+            }
+            Self::EnableWorkspace { name } => write!(f, "enable workspace {name}"),
+            Self::DisableWorkspace { name } => write!(f, "disable workspace {name}"),
+            Self::SetClass { name, target_ms } => {
+                write!(f, "set target of class {name} to {target_ms} ms")
+            }
+            Self::RemoveClass { name } => write!(f, "remove class {name}"),
+            Self::TakeDomainOut { name } => write!(f, "take failure domain {name} out of service"),
+            Self::BringDomainBack { name } => write!(f, "bring failure domain {name} back"),
+            Self::TakeServerOut { name } => write!(f, "take backend server {name} out of service"),
+            Self::BringServerBack { name } => write!(f, "bring backend server {name} back"),
+        }
+    }
+}
+
+/// The digits of a key's hash by which operators tell keys apart.
+pub fn fingerprint(key_hash: &str) -> &str {
+    key_hash.get(..FINGERPRINT_DIGITS).unwrap_or(key_hash)
+}
+
+impl Configuration {
+    /// The configuration after a change. It keeps its revision until it is stored.
+    ///
+    /// A change whose identifier is among the latest [`MAX_CHANGE_RECORDS`] is not made again.
+    ///
+    /// # Errors
+    ///
+    /// See [`ChangeError`]; then the change must not be stored.
+    pub fn apply(&self, change_id: &str, at: u64, change: &Change) -> Result<Self, ChangeError> {
+        if self.has_change(change_id, change)? {
+            return Ok(self.clone());
+        }
+        let mut next = self.clone();
+        next.make(change)?;
+        next.record(ChangeRecord {
+            id: change_id.into(),
+            summary: format_compact!("{change}"),
+            at,
+        });
+        Ok(next)
+    }
+
+    /// Whether a change is among the latest ones.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidId`; `IdReused` if another change has the identifier.
+    pub fn has_change(&self, change_id: &str, change: &Change) -> Result<bool, ChangeError> {
+        let printable = change_id.bytes().all(|b| b.is_ascii_graphic());
+        if change_id.is_empty() || change_id.len() > MAX_CHANGE_ID_BYTES || !printable {
+            return Err(ChangeError::InvalidId);
+        }
+        let Some(record) = self.changes.iter().find(|record| record.id == change_id) else {
+            return Ok(false);
+        };
+        if record.summary != format_compact!("{change}") {
+            return Err(ChangeError::IdReused {
+                id: record.id.clone(),
+                summary: record.summary.clone(),
+            });
+        }
+        Ok(true)
+    }
+
+    fn make(&mut self, change: &Change) -> Result<(), ChangeError> {
+        match change {
+            Change::CreateWorkspace { name, key_hash } => self.create_workspace(name, key_hash),
+            Change::RotateKey { name, key_hash } => self.rotate_key(name, key_hash),
+            Change::EnableWorkspace { name } => self.set_enabled(name, true),
+            Change::DisableWorkspace { name } => self.set_enabled(name, false),
+            Change::SetClass { name, target_ms } => self.set_class(name, *target_ms),
+            Change::RemoveClass { name } => self.remove_class(name),
+            Change::TakeDomainOut { name } => take_out(DOMAIN, &mut self.domains_out, name),
+            Change::BringDomainBack { name } => bring_back(DOMAIN, &mut self.domains_out, name),
+            Change::TakeServerOut { name } => take_out(SERVER, &mut self.servers_out, name),
+            Change::BringServerBack { name } => bring_back(SERVER, &mut self.servers_out, name),
+        }
+    }
+
+    fn record(&mut self, record: ChangeRecord) {
+        self.changes.push(record);
+        let surplus = self.changes.len().saturating_sub(MAX_CHANGE_RECORDS);
+        self.changes.drain(..surplus);
+    }
+
+    fn create_workspace(
+        &mut self,
+        name: &CompactString,
+        key_hash: &str,
+    ) -> Result<(), ChangeError> {
+        check_name(WORKSPACE, name)?;
+        if self.workspace(name).is_some() {
+            return Err(ChangeError::Duplicate {
+                what: WORKSPACE,
+                name: name.clone(),
+            });
+        }
+        self.check_new_key(key_hash)?;
+        let id = WorkspaceId(self.next_workspace);
+        self.next_workspace += 1;
+        self.workspaces.push(Workspace {
+            id,
+            name: name.clone(),
+            key_hash: key_hash.into(),
+            enabled: true,
+        });
+        Ok(())
+    }
+
+    fn rotate_key(&mut self, name: &CompactString, key_hash: &str) -> Result<(), ChangeError> {
+        if self.workspace_mut(name)?.key_hash == key_hash {
+            return no_effect(format_compact!("workspace {name} has this key"));
+        }
+        self.check_new_key(key_hash)?;
+        self.workspace_mut(name)?.key_hash = key_hash.into();
+        Ok(())
+    }
+
+    fn check_new_key(&self, key_hash: &str) -> Result<(), ChangeError> {
+        if !is_key_hash(key_hash) {
+            return Err(ChangeError::InvalidKeyHash);
+        }
+        if self.workspace_by_key_hash(key_hash).is_some() {
+            return Err(ChangeError::DuplicateKey);
+        }
+        Ok(())
+    }
+
+    fn set_enabled(&mut self, name: &CompactString, enabled: bool) -> Result<(), ChangeError> {
+        let workspace = self.workspace_mut(name)?;
+        if workspace.enabled == enabled {
+            let state = if enabled { "enabled" } else { "disabled" };
+            return no_effect(format_compact!("workspace {name} is {state}"));
+        }
+        workspace.enabled = enabled;
+        Ok(())
+    }
+
+    fn workspace_mut(&mut self, name: &CompactString) -> Result<&mut Workspace, ChangeError> {
+        let mut workspaces = self.workspaces.iter_mut();
+        let found = workspaces.find(|workspace| workspace.name == *name);
+        found.ok_or_else(|| no_such(WORKSPACE, name))
+    }
+
+    fn set_class(&mut self, name: &CompactString, target_ms: u64) -> Result<(), ChangeError> {
+        check_name(CLASS, name)?;
+        if !(1..=MAX_TARGET_MS).contains(&target_ms) {
+            return Err(ChangeError::InvalidTarget { target_ms });
+        }
+        if let Some(class) = self.classes.iter_mut().find(|class| class.name == *name) {
+            if class.target_ms == target_ms {
+                return no_effect(format_compact!(
+                    "class {name} has a target of {target_ms} ms"
+                ));
+            }
+            class.target_ms = target_ms;
+            return Ok(());
+        }
+        if self.classes.len() >= MAX_CLASSES {
+            return Err(ChangeError::TooMany {
+                what: "classes",
+                limit: MAX_CLASSES,
+            });
+        }
+        self.classes.push(Class {
+            name: name.clone(),
+            target_ms,
+        });
+        Ok(())
+    }
+
+    fn remove_class(&mut self, name: &CompactString) -> Result<(), ChangeError> {
+        let position = self.classes.iter().position(|class| class.name == *name);
+        let position = position.ok_or_else(|| no_such(CLASS, name))?;
+        self.classes.remove(position);
+        Ok(())
+    }
+}
+
+const WORKSPACE: &str = "workspace";
+const CLASS: &str = "class";
+const DOMAIN: &str = "failure domain";
+const SERVER: &str = "backend server";
+
+fn check_name(what: &'static str, name: &CompactString) -> Result<(), ChangeError> {
+    if is_name(name) {
+        return Ok(());
+    }
+    Err(ChangeError::InvalidName {
+        what,
+        name: name.clone(),
+    })
+}
+
+fn take_out(
+    what: &'static str,
+    out: &mut BTreeSet<CompactString>,
+    name: &CompactString,
+) -> Result<(), ChangeError> {
+    if !is_platform_name(name) {
+        return Err(ChangeError::InvalidName {
+            what,
+            name: name.clone(),
+        });
+    }
+    if !out.insert(name.clone()) {
+        return no_effect(format_compact!("{what} {name} is out of service"));
+    }
+    Ok(())
+}
+
+fn bring_back(
+    what: &'static str,
+    out: &mut BTreeSet<CompactString>,
+    name: &CompactString,
+) -> Result<(), ChangeError> {
+    if !out.remove(name) {
+        return no_effect(format_compact!("{what} {name} is not out of service"));
+    }
+    Ok(())
+}
+
+fn no_effect(state: CompactString) -> Result<(), ChangeError> {
+    Err(ChangeError::NoEffect { state })
+}
+
+fn no_such(what: &'static str, name: &CompactString) -> ChangeError {
+    ChangeError::NoSuch {
+        what,
+        name: name.clone(),
+    }
+}
--- a/lib/src/configuration/mod.rs
+++ b/lib/src/configuration/mod.rs
@@ -1,8 +1,25 @@
 //! The configuration: workspaces, classes of work, and what operators have taken out of service.
 
+mod change;
 mod document;
+mod follower;
+mod lookup;
+mod name;
+mod stored;
 
+pub use change::Change;
+pub use change::ChangeError;
+pub use change::MAX_CHANGE_ID_BYTES;
+pub use change::MAX_CHANGE_RECORDS;
+pub use change::MAX_CLASSES;
+pub use change::MAX_TARGET_MS;
+pub use change::fingerprint;
 pub use document::ChangeRecord;
 pub use document::Class;
 pub use document::Configuration;
 pub use document::Workspace;
+pub use follower::Follower;
+pub use lookup::hash_key;
+pub use name::MAX_NAME_BYTES;
+pub use stored::DocumentError;
+pub use stored::MAX_DOCUMENT_BYTES;
--- /dev/null
+++ b/lib/src/configuration/stored.rs
@@ -0,0 +1,130 @@
+//! The text of the configuration object, and what must be true of one.
+
+use std::collections::HashSet;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use snafu::Snafu;
+
+use super::Configuration;
+use super::change::MAX_CHANGE_RECORDS;
+use super::change::MAX_CLASSES;
+use super::name::is_key_hash;
+use super::name::is_name;
+use super::name::is_platform_name;
+
+/// Largest document, bytes: what the object API stores in one object.
+pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+
+/// Why a document is no configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum DocumentError {
+    /// The document is too large.
+    #[snafu(display("the configuration takes {bytes} bytes of at most {MAX_DOCUMENT_BYTES}"))]
+    TooLarge {
+        /// Size, bytes.
+        bytes: usize,
+    },
+    /// The document is not JSON of the expected shape.
+    #[snafu(display("the configuration cannot be read: {reason}"))]
+    Malformed {
+        /// What was seen.
+        reason: CompactString,
+    },
+    /// The document breaks a rule of the configuration.
+    #[snafu(display("the configuration is inconsistent: {reason}"))]
+    Inconsistent {
+        /// The rule.
+        reason: CompactString,
+    },
+}
+
+impl Configuration {
+    /// Reads a stored document.
+    ///
+    /// # Errors
+    ///
+    /// See [`DocumentError`].
+    pub fn parse(revision: u64, document: &[u8]) -> Result<Self, DocumentError> {
+        if document.len() > MAX_DOCUMENT_BYTES {
+            let bytes = document.len();
+            return Err(DocumentError::TooLarge { bytes });
+        }
+        let parsed: Self = serde_json::from_slice(document).map_err(malformed)?;
+        parsed.check()?;
+        Ok(Self { revision, ..parsed })
+    }
+
+    /// The document to store, JSON text without the revision.
+    ///
+    /// # Errors
+    ///
+    /// `TooLarge`.
+    pub fn to_document(&self) -> Result<Vec<u8>, DocumentError> {
+        let document = serde_json::to_vec(self).map_err(malformed)?;
+        if document.len() > MAX_DOCUMENT_BYTES {
+            let bytes = document.len();
+            return Err(DocumentError::TooLarge { bytes });
+        }
+        Ok(document)
+    }
+
+    fn check(&self) -> Result<(), DocumentError> {
+        self.check_workspaces()?;
+        self.check_classes()?;
+        let mut out = self.domains_out.iter().chain(&self.servers_out);
+        if let Some(name) = out.find(|name| !is_platform_name(name)) {
+            return inconsistent(format_compact!("{name:?} is no name of the platform"));
+        }
+        if self.changes.len() > MAX_CHANGE_RECORDS {
+            return inconsistent("too many change records");
+        }
+        Ok(())
+    }
+
+    fn check_workspaces(&self) -> Result<(), DocumentError> {
+        let mut names = HashSet::new();
+        let mut hashes = HashSet::new();
+        let mut least = 0;
+        for workspace in &self.workspaces {
+            let name = &workspace.name;
+            if !is_name(name) || !names.insert(name) {
+                return inconsistent(format_compact!("workspace name {name:?}"));
+            }
+            if !is_key_hash(&workspace.key_hash) || !hashes.insert(&workspace.key_hash) {
+                return inconsistent(format_compact!("key hash of workspace {name}"));
+            }
+            if workspace.id.0 < least || workspace.id.0 >= self.next_workspace {
+                return inconsistent(format_compact!("number of workspace {name}"));
+            }
+            least = workspace.id.0 + 1;
+        }
+        Ok(())
+    }
+
+    fn check_classes(&self) -> Result<(), DocumentError> {
+        let mut names = HashSet::new();
+        for class in &self.classes {
+            if !is_name(&class.name) || !names.insert(&class.name) || class.target_ms == 0 {
+                return inconsistent(format_compact!("class {:?}", class.name));
+            }
+        }
+        if self.classes.len() > MAX_CLASSES {
+            return inconsistent("too many classes");
+        }
+        Ok(())
+    }
+}
+
+fn malformed(err: serde_json::Error) -> DocumentError {
+    DocumentError::Malformed {
+        reason: err.to_string().into(),
+    }
+}
+
+fn inconsistent(reason: impl Into<CompactString>) -> Result<(), DocumentError> {
+    Err(DocumentError::Inconsistent {
+        reason: reason.into(),
+    })
+}
--- /dev/null
+++ b/lib/tests/test_configuration.rs
@@ -0,0 +1,343 @@
+//! Rules of the configuration, and the follower that keeps it from reverting.
+
+use std::sync::Arc;
+
+use cardamomshift_lib::configuration::Change;
+use cardamomshift_lib::configuration::ChangeError;
+use cardamomshift_lib::configuration::Configuration;
+use cardamomshift_lib::configuration::DocumentError;
+use cardamomshift_lib::configuration::Follower;
+use cardamomshift_lib::configuration::MAX_CHANGE_RECORDS;
+use cardamomshift_lib::configuration::MAX_CLASSES;
+use cardamomshift_lib::configuration::MAX_DOCUMENT_BYTES;
+use cardamomshift_lib::configuration::hash_key;
+use cardamomshift_lib::id::DomainId;
+use cardamomshift_lib::id::WorkspaceId;
+use proptest::prelude::*;
+
+const AT: u64 = 1_700_000_000;
+
+fn create(name: &str) -> Change {
+    Change::CreateWorkspace {
+        name: name.into(),
+        key_hash: hash_key(name.as_bytes()),
+    }
+}
+
+fn set_class(name: &str, target_ms: u64) -> Change {
+    let name = name.into();
+    Change::SetClass { name, target_ms }
+}
+
+fn take_domain_out(name: &str) -> Change {
+    Change::TakeDomainOut { name: name.into() }
+}
+
+fn bring_domain_back(name: &str) -> Change {
+    Change::BringDomainBack { name: name.into() }
+}
+
+/// Applies changes one after another under the identifiers `c0`, `c1`, ...
+fn applied(changes: &[Change]) -> Configuration {
+    let start = Configuration::default();
+    changes.iter().enumerate().fold(start, |cfg, (i, change)| {
+        cfg.apply(&format!("c{i}"), AT, change).unwrap()
+    })
+}
+
+#[test]
+fn workspace_numbers_and_keys() {
+    let cfg = applied(&[create("arcade-a"), create("arcade-b")]);
+    let found = cfg.workspace_by_key_hash(&hash_key(b"arcade-b")).unwrap();
+    assert_eq!(
+        (found.id, found.name.as_str()),
+        (WorkspaceId(1), "arcade-b")
+    );
+    assert_eq!(cfg.workspace_by_key_hash(&hash_key(b"other")), None);
+    assert_eq!(cfg.workspace_by_key_hash(""), None);
+
+    let key_hash = hash_key(b"new");
+    let name = "arcade-b".into();
+    let rotated = cfg
+        .apply("r", AT, &Change::RotateKey { name, key_hash })
+        .unwrap();
+    assert_eq!(rotated.workspace_by_key_hash(&hash_key(b"arcade-b")), None);
+    assert_eq!(
+        rotated.workspace_by_key_hash(&hash_key(b"new")).unwrap().id,
+        WorkspaceId(1)
+    );
+}
+
+#[test]
+fn first_class_is_the_default() {
+    let cfg = applied(&[set_class("interactive", 2_000), set_class("batch", 60_000)]);
+    assert_eq!(cfg.default_class().unwrap().name, "interactive");
+    assert_eq!(cfg.class("batch").unwrap().target_ms, 60_000);
+    let cfg = cfg
+        .apply("again", AT, &set_class("interactive", 1_500))
+        .unwrap();
+    assert_eq!(cfg.default_class().unwrap().target_ms, 1_500);
+    assert_eq!(cfg.classes.len(), 2);
+}
+
+#[test]
+fn domain_goes_out_and_comes_back() {
+    let out = applied(&[take_domain_out("bern-a")]);
+    assert!(out.is_domain_out(DomainId::of("bern-a")));
+    let back = out.apply("back", AT, &bring_domain_back("bern-a")).unwrap();
+    assert!(!back.is_domain_out(DomainId::of("bern-a")));
+    assert_eq!(
+        back.changes.last().unwrap().summary,
+        "bring failure domain bern-a back"
+    );
+}
+
+#[test]
+fn faulty_changes_are_refused() {
+    let cfg = applied(&[
+        create("arcade-a"),
+        set_class("batch", 5),
+        take_domain_out("bern-a"),
+    ]);
+    let refuse = |change: Change| cfg.apply("id", AT, &change).unwrap_err();
+    let key_hash = hash_key(b"arcade-a");
+    let name = || "arcade-b".into();
+
+    assert!(matches!(
+        refuse(create("arcade-a")),
+        ChangeError::Duplicate { .. }
+    ));
+    assert!(matches!(
+        refuse(create("Arcade B")),
+        ChangeError::InvalidName { .. }
+    ));
+    assert!(matches!(
+        refuse(create(&"a".repeat(64))),
+        ChangeError::InvalidName { .. }
+    ));
+    assert!(matches!(
+        refuse(set_class("", 1)),
+        ChangeError::InvalidName { .. }
+    ));
+    let taken = Change::CreateWorkspace {
+        name: name(),
+        key_hash: key_hash.clone(),
+    };
+    assert_eq!(refuse(taken), ChangeError::DuplicateKey);
+    let plain = Change::CreateWorkspace {
+        name: name(),
+        key_hash: "secret".into(),
+    };
+    assert_eq!(refuse(plain), ChangeError::InvalidKeyHash);
+    let unknown = Change::DisableWorkspace { name: name() };
+    assert!(matches!(refuse(unknown), ChangeError::NoSuch { .. }));
+    let removed = Change::RemoveClass { name: name() };
+    assert!(matches!(refuse(removed), ChangeError::NoSuch { .. }));
+    assert_eq!(
+        refuse(set_class("batch", 0)),
+        ChangeError::InvalidTarget { target_ms: 0 }
+    );
+    for change in [
+        set_class("batch", 5),
+        take_domain_out("bern-a"),
+        bring_domain_back("zurich-b"),
+        Change::EnableWorkspace {
+            name: "arcade-a".into(),
+        },
+        Change::RotateKey {
+            name: "arcade-a".into(),
+            key_hash,
+        },
+    ] {
+        assert!(matches!(refuse(change), ChangeError::NoEffect { .. }));
+    }
+    for id in ["", "a b", &"i".repeat(65)] {
+        assert_eq!(cfg.apply(id, AT, &create("x")), Err(ChangeError::InvalidId));
+    }
+}
+
+#[test]
+fn classes_are_bounded() {
+    let changes: Vec<_> = (0..MAX_CLASSES)
+        .map(|i| set_class(&format!("c{i}"), 1))
+        .collect();
+    let err = applied(&changes)
+        .apply("id", AT, &set_class("more", 1))
+        .unwrap_err();
+    assert!(matches!(err, ChangeError::TooMany { .. }));
+}
+
+#[test]
+fn repeated_change_is_made_once() {
+    let cfg = applied(&[create("arcade-a")]);
+    assert_eq!(cfg.apply("c0", AT + 9, &create("arcade-a")).unwrap(), cfg);
+    let other = cfg.apply("c0", AT, &create("arcade-b")).unwrap_err();
+    assert!(matches!(other, ChangeError::IdReused { .. }));
+}
+
+#[test]
+fn change_records_are_bounded_and_keep_the_latest() {
+    let flips: Vec<_> = (0..MAX_CHANGE_RECORDS + 10)
+        .map(|i| set_class("batch", 1 + i as u64 % 2))
+        .collect();
+    let cfg = applied(&flips);
+    assert_eq!(cfg.changes.len(), MAX_CHANGE_RECORDS);
+    assert_eq!(
+        cfg.changes.last().unwrap().id,
+        format!("c{}", flips.len() - 1)
+    );
+}
+
+#[test]
+fn document_carries_1200_workspaces() {
+    let mut cfg = Configuration::default();
+    for i in 0..1_200 {
+        // The longest names, and as many records as there may be.
+        let name = format!("{i:0>63}");
+        cfg = cfg.apply(&format!("{i:0>64}"), AT, &create(&name)).unwrap();
+    }
+    for i in 0..MAX_CLASSES {
+        cfg = cfg
+            .apply(&format!("k{i}"), AT, &set_class(&format!("{i:0>63}"), 1))
+            .unwrap();
+    }
+    let document = cfg.to_document().unwrap();
+    assert!(
+        document.len() <= MAX_DOCUMENT_BYTES / 2,
+        "{}",
+        document.len()
+    );
+    let read = Configuration::parse(7, &document).unwrap();
+    assert_eq!(read.revision, 7);
+    assert_eq!(
+        Configuration {
+            revision: 0,
+            ..read
+        },
+        cfg
+    );
+}
+
+#[test]
+fn inconsistent_documents_are_refused() {
+    let cfg = applied(&[
+        create("arcade-a"),
+        create("arcade-b"),
+        set_class("batch", 5),
+    ]);
+    let text = String::from_utf8(cfg.to_document().unwrap()).unwrap();
+    for (from, to) in [
+        ("\"name\":\"arcade-b\"", "\"name\":\"arcade-a\""),
+        ("\"name\":\"arcade-b\"", "\"name\":\"\""),
+        ("\"next_workspace\":2", "\"next_workspace\":1"),
+        ("\"id\":1", "\"id\":0"),
+        ("\"target_ms\":5", "\"target_ms\":0"),
+        (
+            hash_key(b"arcade-b").as_str(),
+            hash_key(b"arcade-a").as_str(),
+        ),
+        (hash_key(b"arcade-b").as_str(), "00"),
+        ("\"domains_out\":[]", "\"domains_out\":[\"\"]"),
+    ] {
+        let spoilt = text.replacen(from, to, 1);
+        assert_ne!(spoilt, text);
+        let err = Configuration::parse(1, spoilt.as_bytes()).unwrap_err();
+        assert!(
+            matches!(err, DocumentError::Inconsistent { .. }),
+            "{to}: {err}"
+        );
+    }
+    let err = Configuration::parse(1, b"[1").unwrap_err();
+    assert!(matches!(err, DocumentError::Malformed { .. }));
+    let err = Configuration::parse(1, &vec![b' '; MAX_DOCUMENT_BYTES + 1]).unwrap_err();
+    assert!(matches!(err, DocumentError::TooLarge { .. }));
+}
+
+#[test]
+fn follower_never_reverts() {
+    let first = applied(&[take_domain_out("bern-a")]).to_document().unwrap();
+    let second = applied(&[take_domain_out("zurich-b")])
+        .to_document()
+        .unwrap();
+    let mut follower = Follower::new();
+    assert_eq!(follower.configuration(), None);
+    assert!(follower.offer_document(4, first.clone()).unwrap().is_some());
+    assert!(
+        follower
+            .offer_document(6, second.clone())
+            .unwrap()
+            .is_some()
+    );
+    for stale in 0..=6 {
+        assert_eq!(follower.offer_document(stale, first.clone()), Ok(None));
+    }
+    assert!(follower.offer_document(9, &b"{"[..]).is_err());
+    assert_eq!(follower.revision(), 6);
+    assert_eq!(follower.document().unwrap(), &second);
+
+    let stored = Configuration {
+        revision: 7,
+        ..applied(&[])
+    };
+    assert!(follower.offer(&Arc::new(stored.clone())).unwrap().is_some());
+    assert!(follower.offer(&Arc::new(stored)).unwrap().is_none());
+    assert_eq!(
+        follower.document().unwrap(),
+        &applied(&[]).to_document().unwrap()
+    );
+}
+
+fn any_change() -> impl Strategy<Value = Change> {
+    let name = prop_oneof![Just("a"), Just("b"), Just("c")];
+    (name, 1..4u64, 0..10u8).prop_map(|(name, n, kind)| {
+        let key_hash = hash_key(&n.to_le_bytes());
+        let name = name.into();
+        match kind {
+            0 => Change::CreateWorkspace { name, key_hash },
+            1 => Change::RotateKey { name, key_hash },
+            2 => Change::EnableWorkspace { name },
+            3 => Change::DisableWorkspace { name },
+            4 => Change::SetClass { name, target_ms: n },
+            5 => Change::RemoveClass { name },
+            6 => Change::TakeDomainOut { name },
+            7 => Change::BringDomainBack { name },
+            8 => Change::TakeServerOut { name },
+            _ => Change::BringServerBack { name },
+        }
+    })
+}
+
+proptest! {
+    /// Whatever operators do, what is accepted can be stored, read back, and sent again without
+    /// a further effect; a refused change leaves no trace.
+    #[test]
+    fn accepted_changes_keep_the_rules(changes in prop::collection::vec(any_change(), 1..60)) {
+        let mut cfg = Configuration::default();
+        for (i, change) in changes.iter().enumerate() {
+            let id = format!("c{i}");
+            let Ok(next) = cfg.apply(&id, AT, change) else {
+                prop_assert_eq!(cfg.has_change(&id, change), Ok(false));
+                continue;
+            };
+            prop_assert_ne!(&next, &cfg);
+            prop_assert_eq!(next.apply(&id, AT + 1, change), Ok(next.clone()));
+            let read = Configuration::parse(0, &next.to_document().unwrap());
+            prop_assert_eq!(read, Ok(next.clone()));
+            cfg = next;
+        }
+    }
+
+    /// In whatever order copies arrive, the revision in force only rises and ends at the highest.
+    #[test]
+    fn follower_rises_to_the_highest(revisions in prop::collection::vec(0..50u64, 1..40)) {
+        let document = applied(&[]).to_document().unwrap();
+        let mut follower = Follower::new();
+        for revision in &revisions {
+            let before = follower.revision();
+            let taken = follower.offer_document(*revision, document.clone()).unwrap();
+            prop_assert_eq!(taken.is_some(), *revision > before);
+            prop_assert!(follower.revision() >= before);
+        }
+        prop_assert_eq!(follower.revision(), *revisions.iter().max().unwrap());
+    }
+}
