testutils: stand-ins for the platform and the backend servers

The tests and measurements of the fleet need the systems around it on loopback: the object API with conditions, watches and faults, the host list with a lag, a model engine that batches, caches prefixes and falls over when it is cold, and a plain service that records every execution. Each runs on threads of its own, so that it neither waits for nor slows the runtime of the code under test, and all records of a process share one clock.

A server written by hand for the malformed and the surplus answer was ruled out: a wrapper below hyper's connection puts the extra bytes there.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,37 @@
-//! Stand-ins.
+//! Stand-ins for the systems around a cardamomshift fleet.
+//!
+//! Every stand-in listens on a loopback socket, runs on threads of its own, stops when it is
+//! dropped, and records what it saw with times of one clock ([`now_us`]). A cheap handle controls
+//! it while it runs.
+
+mod clock;
+mod fault;
+mod host_list;
+mod model_engine;
+mod object_api;
+mod plain_service;
+mod server;
+
+pub use clock::now_us;
+pub use fault::AnswerFault;
+pub use host_list::HostListApi;
+pub use host_list::HostListHandle;
+pub use model_engine::EngineHandle;
+pub use model_engine::EngineOutcome;
+pub use model_engine::EngineProfile;
+pub use model_engine::EngineRecord;
+pub use model_engine::ModelEngine;
+pub use model_engine::OverloadViolation;
+pub use model_engine::TokenSample;
+pub use model_engine::answer_nonce;
+pub use model_engine::token_text;
+pub use object_api::ObjectApi;
+pub use object_api::ObjectApiCounts;
+pub use object_api::ObjectApiHandle;
+pub use object_api::ObjectWrite;
+pub use object_api::Outage;
+pub use plain_service::Execution;
+pub use plain_service::ExecutionOutcome;
+pub use plain_service::PlainProfile;
+pub use plain_service::PlainService;
+pub use plain_service::PlainServiceHandle;
--- /dev/null
+++ b/testutils/src/model_engine/batch.rs
@@ -0,0 +1,374 @@
+//! The batch of an engine: admission, steps, warmth and records.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+
+use super::profile::EngineProfile;
+use super::record::EngineOutcome;
+use super::record::EngineRecord;
+use super::record::OverloadViolation;
+use super::record::TokenSample;
+use super::request::Completion;
+use crate::clock::now_us;
+use crate::server::new_instance;
+
+/// What a running request gets from the batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Part {
+    /// More tokens.
+    Tokens(u32),
+    /// All tokens were given.
+    End,
+}
+
+/// Whether a request joined the batch.
+pub(super) enum Admission {
+    Admitted(Sequence),
+    Down,
+}
+
+#[derive(Debug)]
+struct Slot {
+    record: usize,
+    /// When its prompt has been read.
+    ready_at: Instant,
+    tx: mpsc::UnboundedSender<Part>,
+}
+
+#[derive(Debug)]
+struct State {
+    instance: String,
+    warm: bool,
+    completions: u32,
+    down_until: Option<Instant>,
+    next_key: u64,
+    running: BTreeMap<u64, Slot>,
+    prefixes: VecDeque<u64>,
+    /// Batch sizes over the load lag, oldest first.
+    loads: VecDeque<(Instant, usize)>,
+    records: Vec<EngineRecord>,
+    violations: Vec<OverloadViolation>,
+    samples: Vec<TokenSample>,
+}
+
+/// The batch of an engine.
+#[derive(Debug)]
+pub(super) struct Batch {
+    profile: EngineProfile,
+    state: Mutex<State>,
+    arrived: Notify,
+}
+
+/// A running request; dropping it before its end cancels it.
+#[derive(Debug)]
+pub(super) struct Sequence {
+    batch: Arc<Batch>,
+    key: u64,
+    pub(super) instance: String,
+    rx: mpsc::UnboundedReceiver<Part>,
+}
+
+impl Sequence {
+    /// The next part; none if the engine fell over or was restarted.
+    pub(super) async fn next(&mut self) -> Option<Part> {
+        self.rx.recv().await
+    }
+
+    /// Whether the engine gives whole answers at once.
+    pub(super) fn is_unpaced(&self) -> bool {
+        self.batch.profile.step.is_zero()
+    }
+
+    /// Runs the request to its end without telling its client anything.
+    pub(super) async fn run_to_end(mut self) {
+        while let Some(Part::Tokens(_)) = self.next().await {}
+    }
+}
+
+impl Drop for Sequence {
+    fn drop(&mut self) {
+        self.batch.leave(self.key, EngineOutcome::Cancelled);
+    }
+}
+
+impl State {
+    /// Looks a prefix up in the cache and makes it the latest one there.
+    fn touch_prefix(&mut self, prefix: u64, capacity: usize) -> bool {
+        let cached = self.prefixes.contains(&prefix);
+        self.prefixes.retain(|known| *known != prefix);
+        self.prefixes.push_back(prefix);
+        while self.prefixes.len() > capacity {
+            self.prefixes.pop_front();
+        }
+        cached
+    }
+
+    fn note_load(&mut self, lag: Duration) {
+        let now = Instant::now();
+        self.loads.push_back((now, self.running.len()));
+        while self.loads.len() > 1 && now - self.loads[1].0 >= lag {
+            self.loads.pop_front();
+        }
+    }
+
+    fn end_record(&mut self, record: usize, outcome: EngineOutcome) {
+        let record = &mut self.records[record];
+        record.end = Some(now_us());
+        record.outcome = outcome;
+    }
+
+    fn lose_running(&mut self) {
+        for slot in std::mem::take(&mut self.running).into_values() {
+            self.end_record(slot.record, EngineOutcome::Lost);
+        }
+    }
+}
+
+impl Batch {
+    pub(super) fn new(profile: EngineProfile) -> Self {
+        let state = State {
+            instance: new_instance(),
+            warm: false,
+            completions: 0,
+            down_until: None,
+            next_key: 0,
+            running: BTreeMap::new(),
+            prefixes: VecDeque::new(),
+            loads: VecDeque::new(),
+            records: Vec::new(),
+            violations: Vec::new(),
+            samples: Vec::new(),
+        };
+        Self {
+            profile,
+            state: Mutex::new(state),
+            arrived: Notify::new(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("engine state")
+    }
+
+    /// Takes a request into the batch, whatever its size. A cold engine that gets more than it
+    /// bears falls over: it loses the whole batch and its progress towards warmth.
+    pub(super) fn admit(self: &Arc<Self>, completion: &Completion) -> Admission {
+        let mut state = self.lock();
+        let now = Instant::now();
+        if state.down_until.is_some_and(|until| now < until) {
+            return Admission::Down;
+        }
+        let running = state.running.len() + 1;
+        if !state.warm && running > self.profile.cold_limit {
+            self.fall_over(&mut state, completion, running);
+            return Admission::Down;
+        }
+        let cached = state.touch_prefix(completion.prefix, self.profile.cached_prefixes);
+        let prefill = if cached {
+            self.profile.cached_prefill
+        } else {
+            self.profile.prefill
+        };
+        let record = EngineRecord {
+            request_id: completion.request_id.clone().unwrap_or_default(),
+            tag: completion.tag.clone(),
+            nonce: completion.nonce,
+            instance: state.instance.clone(),
+            start: now_us(),
+            first_token: None,
+            end: None,
+            prompt_tokens: completion.prompt_tokens,
+            output_tokens: completion.output_tokens,
+            given: 0,
+            outcome: EngineOutcome::Running,
+            cold: !state.warm,
+            batch: running,
+            cached,
+        };
+        let (tx, rx) = mpsc::unbounded_channel();
+        let slot = Slot {
+            record: state.records.len(),
+            ready_at: now + prefill,
+            tx,
+        };
+        state.records.push(record);
+        let key = state.next_key;
+        state.next_key += 1;
+        state.running.insert(key, slot);
+        state.note_load(self.profile.load_lag);
+        let instance = state.instance.clone();
+        if self.profile.step.is_zero() {
+            self.step(&mut state, u32::MAX);
+        }
+        drop(state);
+        self.arrived.notify_one();
+        Admission::Admitted(Sequence {
+            batch: Arc::clone(self),
+            key,
+            instance,
+            rx,
+        })
+    }
+
+    fn fall_over(&self, state: &mut State, completion: &Completion, running: usize) {
+        state.violations.push(OverloadViolation {
+            at: now_us(),
+            request_id: completion.request_id.clone().unwrap_or_default(),
+            running,
+            limit: self.profile.cold_limit,
+        });
+        state.completions = 0;
+        state.down_until = Some(Instant::now() + self.profile.fall);
+        state.lose_running();
+        state.note_load(self.profile.load_lag);
+    }
+
+    /// Takes a request out of the batch if it is still there.
+    fn leave(&self, key: u64, outcome: EngineOutcome) {
+        let mut state = self.lock();
+        if let Some(slot) = state.running.remove(&key) {
+            state.end_record(slot.record, outcome);
+            state.note_load(self.profile.load_lag);
+        }
+    }
+
+    /// Gives every request whose prompt was read up to `tokens` tokens.
+    fn step(&self, state: &mut State, tokens: u32) {
+        let now = Instant::now();
+        let at = now_us();
+        let mut ended = Vec::new();
+        for (key, slot) in &state.running {
+            if slot.ready_at > now {
+                continue;
+            }
+            let record = &mut state.records[slot.record];
+            let given = tokens.min(record.output_tokens - record.given);
+            let of_prompt = match record.first_token {
+                Some(_) => 0,
+                None => record.prompt_tokens,
+            };
+            record.first_token.get_or_insert(at);
+            record.given += given;
+            if self.profile.record_samples {
+                state.samples.push(TokenSample {
+                    at,
+                    record: slot.record,
+                    tokens: given + of_prompt,
+                });
+            }
+            // A client that has left takes its request out of the batch by itself.
+            let _ = slot.tx.send(Part::Tokens(given));
+            if record.given == record.output_tokens {
+                let _ = slot.tx.send(Part::End);
+                ended.push(*key);
+            }
+        }
+        for key in ended {
+            self.complete(state, key);
+        }
+    }
+
+    fn complete(&self, state: &mut State, key: u64) {
+        let Some(slot) = state.running.remove(&key) else {
+            return;
+        };
+        state.end_record(slot.record, EngineOutcome::Complete);
+        state.completions += 1;
+        if state.completions >= self.profile.warm_after {
+            state.warm = true;
+        }
+        state.note_load(self.profile.load_lag);
+    }
+
+    pub(super) fn turn_cold(&self) {
+        let mut state = self.lock();
+        state.warm = false;
+        state.completions = 0;
+    }
+
+    pub(super) fn turn_warm(&self) {
+        self.lock().warm = true;
+    }
+
+    pub(super) fn restart(&self) {
+        let mut state = self.lock();
+        state.instance = new_instance();
+        state.warm = false;
+        state.completions = 0;
+        state.prefixes.clear();
+        state.lose_running();
+        state.note_load(self.profile.load_lag);
+    }
+
+    pub(super) fn is_warm(&self) -> bool {
+        self.lock().warm
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.lock().running.len()
+    }
+
+    pub(super) fn instance(&self) -> String {
+        self.lock().instance.clone()
+    }
+
+    pub(super) fn records(&self) -> Vec<EngineRecord> {
+        self.lock().records.clone()
+    }
+
+    pub(super) fn violations(&self) -> Vec<OverloadViolation> {
+        self.lock().violations.clone()
+    }
+
+    pub(super) fn samples(&self) -> Vec<TokenSample> {
+        self.lock().samples.clone()
+    }
+
+    pub(super) fn profile(&self) -> EngineProfile {
+        self.profile
+    }
+
+    /// Batch size as it was one load lag ago.
+    pub(super) fn reported_load(&self) -> usize {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let lag = self.profile.load_lag;
+        while state.loads.len() > 1 && now - state.loads[1].0 >= lag {
+            state.loads.pop_front();
+        }
+        match state.loads.front() {
+            Some((at, running)) if now - *at >= lag => *running,
+            _ => 0,
+        }
+    }
+
+    fn step_length(&self) -> Option<Duration> {
+        let state = self.lock();
+        (!state.running.is_empty()).then(|| self.profile.step_of(state.running.len(), state.warm))
+    }
+}
+
+/// Runs the steps of a batch until it is dropped.
+pub(super) async fn run_steps(batch: Arc<Batch>) {
+    let mut due = Instant::now();
+    loop {
+        let Some(length) = batch.step_length() else {
+            batch.arrived.notified().await;
+            due = Instant::now();
+            continue;
+        };
+        // An engine that has fallen behind its pace does not hurry to catch up.
+        due = (due + length).max(Instant::now());
+        tokio::time::sleep_until(due.into()).await;
+        let tokens = batch.profile.tokens_per_step;
+        batch.step(&mut batch.lock(), tokens);
+    }
+}
--- /dev/null
+++ b/testutils/src/model_engine/mod.rs
@@ -0,0 +1,237 @@
+//! Stand-in for a model engine.
+//!
+//! `POST /v1/chat/completions` and `/v1/completions` answer in the OpenAI style, streamed or not.
+//! Running requests share a batch: every step gives each of them some tokens, and a larger batch
+//! makes longer steps. The engine starts cold, admits whatever arrives, and falls over when it is
+//! cold and gets more than it bears. `GET /load` tells the batch size as it was a while ago.
+//!
+//! A request says the length of its answer in `x_output_tokens`, which the router does not know,
+//! or else in `max_tokens`. Its `user` field, or the header `x-test-tag`, tags the record.
+
+mod answer;
+mod batch;
+mod profile;
+mod record;
+mod request;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
+
+pub use answer::answer_nonce;
+pub use answer::token_text;
+use batch::Admission;
+use batch::Batch;
+pub use profile::EngineProfile;
+pub use record::EngineOutcome;
+pub use record::EngineRecord;
+pub use record::OverloadViolation;
+pub use record::TokenSample;
+use request::Completion;
+
+use crate::fault::AnswerFault;
+use crate::fault::FaultQueue;
+use crate::fault::MALFORMED_BYTES;
+use crate::fault::SURPLUS_BYTES;
+use crate::server::ConnectionBroken;
+use crate::server::Connections;
+use crate::server::Reply;
+use crate::server::Server;
+use crate::server::Wire;
+use crate::server::reply;
+use crate::server::runtime;
+
+/// A model engine, serving until it is dropped.
+#[derive(Debug)]
+pub struct ModelEngine {
+    server: Server,
+    handle: EngineHandle,
+    stop: CancellationToken,
+}
+
+impl ModelEngine {
+    /// Starts an engine with the default profile.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address cannot be had.
+    pub fn start(addr: SocketAddr) -> Self {
+        Self::start_with(addr, EngineProfile::default())
+    }
+
+    /// Starts an engine.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address cannot be had.
+    pub fn start_with(addr: SocketAddr, profile: EngineProfile) -> Self {
+        let batch = Arc::new(Batch::new(profile));
+        let faults = Arc::new(FaultQueue::default());
+        let of_handler = (Arc::clone(&batch), Arc::clone(&faults));
+        let server = Server::start(addr, move |req, wire| {
+            let (batch, faults) = of_handler.clone();
+            Box::pin(handle_request(batch, faults, req, wire)) as BoxFuture<'static, Reply>
+        });
+        let stop = CancellationToken::new();
+        let steps = batch::run_steps(Arc::clone(&batch));
+        let stopped = stop.clone();
+        runtime().spawn(async move {
+            tokio::select! {
+                () = stopped.cancelled() => {}
+                () = steps => {}
+            }
+        });
+        let handle = EngineHandle {
+            batch,
+            faults,
+            connections: server.connections(),
+        };
+        Self {
+            server,
+            handle,
+            stop,
+        }
+    }
+
+    /// Address of the listener.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Handle that controls the engine.
+    pub fn handle(&self) -> EngineHandle {
+        self.handle.clone()
+    }
+}
+
+impl Drop for ModelEngine {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// Handle of a [`ModelEngine`].
+#[derive(Clone, Debug)]
+pub struct EngineHandle {
+    batch: Arc<Batch>,
+    faults: Arc<FaultQueue>,
+    connections: Arc<Connections>,
+}
+
+impl EngineHandle {
+    /// Gives the next `count` answers a fault.
+    pub fn inject(&self, fault: AnswerFault, count: usize) {
+        self.faults.push(fault, count);
+    }
+
+    /// Turns the engine cold without any sign towards its clients. Running requests go on.
+    pub fn turn_cold(&self) {
+        self.batch.turn_cold();
+    }
+
+    /// Makes the engine warm, as if it had completed enough requests.
+    pub fn turn_warm(&self) {
+        self.batch.turn_warm();
+    }
+
+    /// Restarts the engine: a new instance, cold and with an empty cache. Connections break and
+    /// running requests are lost.
+    pub fn restart(&self) {
+        self.batch.restart();
+        self.connections.cut();
+    }
+
+    /// Whether the engine is warm.
+    pub fn is_warm(&self) -> bool {
+        self.batch.is_warm()
+    }
+
+    /// Requests in the batch.
+    pub fn running(&self) -> usize {
+        self.batch.running()
+    }
+
+    /// Name of the current instance.
+    pub fn instance(&self) -> String {
+        self.batch.instance()
+    }
+
+    /// Requests seen so far, in the order of their admission.
+    pub fn records(&self) -> Vec<EngineRecord> {
+        self.batch.records()
+    }
+
+    /// Admissions above what the cold engine bore.
+    pub fn violations(&self) -> Vec<OverloadViolation> {
+        self.batch.violations()
+    }
+
+    /// Tokens given, by time.
+    pub fn samples(&self) -> Vec<TokenSample> {
+        self.batch.samples()
+    }
+
+    /// What the engine bears and how fast it is.
+    pub fn profile(&self) -> EngineProfile {
+        self.batch.profile()
+    }
+}
+
+async fn handle_request(
+    batch: Arc<Batch>,
+    faults: Arc<FaultQueue>,
+    req: Request<Incoming>,
+    wire: Arc<Wire>,
+) -> Reply {
+    match (req.method(), req.uri().path()) {
+        (&Method::GET, "/load") => {
+            let text = format!("{{\"running\":{}}}", batch.reported_load());
+            Ok(reply(StatusCode::OK, text))
+        }
+        (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+            complete(batch, faults, req, wire).await
+        }
+        _ => Ok(reply(StatusCode::NOT_FOUND, "no such path")),
+    }
+}
+
+async fn complete(
+    batch: Arc<Batch>,
+    faults: Arc<FaultQueue>,
+    req: Request<Incoming>,
+    wire: Arc<Wire>,
+) -> Reply {
+    let completion = match Completion::read(req).await {
+        Ok(completion) => completion,
+        Err(text) => return Ok(reply(StatusCode::BAD_REQUEST, text)),
+    };
+    let fault = faults.pop();
+    if fault == Some(AnswerFault::Unavailable) {
+        return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, "not ready"));
+    }
+    let sequence = match batch.admit(&completion) {
+        Admission::Admitted(sequence) => sequence,
+        Admission::Down => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, "fell over")),
+    };
+    match fault {
+        Some(AnswerFault::Late(delay)) => tokio::time::sleep(delay).await,
+        Some(AnswerFault::Malformed) => wire.write_before(MALFORMED_BYTES),
+        Some(AnswerFault::Lost) => {
+            sequence.run_to_end().await;
+            return Err(ConnectionBroken);
+        }
+        Some(AnswerFault::ServerError) => {
+            sequence.run_to_end().await;
+            return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, "engine error"));
+        }
+        _ => {}
+    }
+    let after = (fault == Some(AnswerFault::Surplus)).then_some((wire, SURPLUS_BYTES));
+    answer::answer(completion, sequence, fault, after).await
+}
--- /dev/null
+++ b/testutils/src/object_api/mod.rs
@@ -0,0 +1,222 @@
+//! Stand-in for the platform's object API.
+//!
+//! `GET /objects/{kind}/{name}` answers the stored bytes with `x-version`, or 404. With
+//! `?watch=N&timeout_ms=T` it answers once the version exceeds N, or 304 after T. `PUT` with
+//! `If-Match: N` or `If-None-Match: *` stores; `DELETE` with `If-Match: N` removes; both answer
+//! 412 if the condition does not hold. `GET /objects/{kind}` answers the names as a JSON array.
+
+mod handle;
+mod state;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::IF_MATCH;
+use hyper::header::IF_NONE_MATCH;
+
+pub use handle::ObjectApiHandle;
+use state::Condition;
+pub use state::ObjectApiCounts;
+pub use state::ObjectWrite;
+pub use state::Outage;
+use state::Shared;
+use state::Stored;
+use state::WriteResult;
+
+use crate::server::ConnectionBroken;
+use crate::server::Reply;
+use crate::server::ReplyBody;
+use crate::server::Server;
+use crate::server::query_number;
+use crate::server::reply;
+
+/// Largest value, bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Longest wait of a watch, milliseconds.
+const MAX_WATCH_MS: u64 = 300_000;
+/// Header with the version of an object.
+const VERSION_HEADER: &str = "x-version";
+
+/// The object API, serving until it is dropped.
+#[derive(Debug)]
+pub struct ObjectApi {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl ObjectApi {
+    /// Starts the object API without any object.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address cannot be had.
+    pub fn start(addr: SocketAddr) -> Self {
+        let shared = Arc::new(Shared::default());
+        let of_handler = Arc::clone(&shared);
+        let server = Server::start(addr, move |req, _| {
+            let shared = Arc::clone(&of_handler);
+            Box::pin(async move { handle_request(&shared, req).await })
+        });
+        Self { server, shared }
+    }
+
+    /// Address of the listener.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Handle that controls the object API.
+    pub fn handle(&self) -> ObjectApiHandle {
+        ObjectApiHandle::new(Arc::clone(&self.shared), self.server.connections())
+    }
+}
+
+/// What a path names.
+enum Target {
+    Kind(String),
+    Object(String, String),
+}
+
+fn parse_target(path: &str) -> Option<Target> {
+    let rest = path.strip_prefix("/objects/")?;
+    match rest.split_once('/') {
+        None if !rest.is_empty() => Some(Target::Kind(rest.to_owned())),
+        Some((kind, name)) if !kind.is_empty() && !name.is_empty() => {
+            Some(Target::Object(kind.to_owned(), name.to_owned()))
+        }
+        _ => None,
+    }
+}
+
+async fn handle_request(shared: &Shared, req: Request<Incoming>) -> Reply {
+    if let Some(delay) = shared.delay() {
+        tokio::time::sleep(delay).await;
+    }
+    match shared.outage() {
+        Outage::None => {}
+        Outage::Unavailable => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, "outage")),
+        Outage::Broken => return Err(ConnectionBroken),
+    }
+    if !shared.take_call() {
+        return Ok(reply(StatusCode::TOO_MANY_REQUESTS, "rate limit"));
+    }
+    let Some(target) = parse_target(req.uri().path()) else {
+        return Ok(reply(StatusCode::NOT_FOUND, "no such path"));
+    };
+    match (req.method().clone(), target) {
+        (Method::GET, Target::Kind(kind)) => Ok(names(shared, &kind)),
+        (Method::GET, Target::Object(kind, name)) => read(shared, &req, &kind, &name).await,
+        (Method::PUT, Target::Object(kind, name)) => put(shared, req, &kind, &name).await,
+        (Method::DELETE, Target::Object(kind, name)) => {
+            let Some(condition) = condition(&req) else {
+                return Ok(reply(StatusCode::PRECONDITION_REQUIRED, "no condition"));
+            };
+            write(shared, &kind, &name, condition, None)
+        }
+        _ => Ok(reply(StatusCode::METHOD_NOT_ALLOWED, "method")),
+    }
+}
+
+fn names(shared: &Shared, kind: &str) -> Response<ReplyBody> {
+    shared.count_read();
+    let text = serde_json::to_vec(&shared.names(kind)).expect("names as JSON");
+    reply(StatusCode::OK, text)
+}
+
+fn found(stored: &Stored) -> Response<ReplyBody> {
+    let mut response = reply(StatusCode::OK, stored.bytes.clone());
+    response
+        .headers_mut()
+        .insert(VERSION_HEADER, stored.version.into());
+    response
+}
+
+async fn read(shared: &Shared, req: &Request<Incoming>, kind: &str, name: &str) -> Reply {
+    shared.count_read();
+    let Some(after) = query_number(req, "watch") else {
+        return Ok(match shared.get(kind, name) {
+            Some(stored) => found(&stored),
+            None => reply(StatusCode::NOT_FOUND, "no such object"),
+        });
+    };
+    let timeout_ms = query_number(req, "timeout_ms").unwrap_or(MAX_WATCH_MS);
+    let deadline = Instant::now() + Duration::from_millis(timeout_ms.min(MAX_WATCH_MS));
+    watch(shared, kind, name, after, deadline).await
+}
+
+/// Waits until the object is newer than `after`. An object that had a version and has none now
+/// was deleted, which ends the wait.
+async fn watch(shared: &Shared, kind: &str, name: &str, after: u64, deadline: Instant) -> Reply {
+    let _waiting = shared.waiting_watch();
+    let mut changes = shared.subscribe();
+    loop {
+        changes.borrow_and_update();
+        match shared.outage() {
+            Outage::None => {}
+            Outage::Unavailable => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, "outage")),
+            Outage::Broken => return Err(ConnectionBroken),
+        }
+        match shared.get(kind, name) {
+            Some(stored) if stored.version > after => return Ok(found(&stored)),
+            None if after > 0 => return Ok(reply(StatusCode::NOT_FOUND, "no such object")),
+            _ => {}
+        }
+        let changed = tokio::time::timeout_at(deadline.into(), changes.changed());
+        if changed.await.is_err() {
+            return Ok(reply(StatusCode::NOT_MODIFIED, Bytes::new()));
+        }
+    }
+}
+
+fn condition(req: &Request<Incoming>) -> Option<Condition> {
+    let headers = req.headers();
+    if headers.get(IF_NONE_MATCH).is_some_and(|value| value == "*") {
+        return Some(Condition::Absent);
+    }
+    let text = headers.get(IF_MATCH)?.to_str().ok()?;
+    text.trim_matches('"').parse().ok().map(Condition::Version)
+}
+
+async fn put(shared: &Shared, req: Request<Incoming>, kind: &str, name: &str) -> Reply {
+    let Some(condition) = condition(&req) else {
+        return Ok(reply(StatusCode::PRECONDITION_REQUIRED, "no condition"));
+    };
+    let body = Limited::new(req.into_body(), MAX_VALUE_BYTES);
+    match body.collect().await {
+        Ok(body) => write(shared, kind, name, condition, Some(body.to_bytes())),
+        Err(_) => Ok(reply(StatusCode::PAYLOAD_TOO_LARGE, "value too large")),
+    }
+}
+
+fn write(
+    shared: &Shared,
+    kind: &str,
+    name: &str,
+    condition: Condition,
+    bytes: Option<Bytes>,
+) -> Reply {
+    let result = shared.write(kind, name, condition, bytes);
+    if shared.take_lost_answer() {
+        return Err(ConnectionBroken);
+    }
+    Ok(match result {
+        WriteResult::Stored(version) => {
+            let mut response = reply(StatusCode::OK, Bytes::new());
+            response
+                .headers_mut()
+                .insert(VERSION_HEADER, version.into());
+            response
+        }
+        WriteResult::Conflict => reply(StatusCode::PRECONDITION_FAILED, "conflict"),
+    })
+}
--- /dev/null
+++ b/testutils/src/plain_service/state.rs
@@ -0,0 +1,190 @@
+//! Executions, limits and records of a plain service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use crate::clock::now_us;
+use crate::server::new_instance;
+
+/// What a plain service bears and how fast it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlainProfile {
+    /// Time that an operation takes.
+    pub latency: Duration,
+    /// Operations at once.
+    pub limit: usize,
+}
+
+impl Default for PlainProfile {
+    fn default() -> Self {
+        Self {
+            latency: Duration::from_millis(5),
+            limit: 16,
+        }
+    }
+}
+
+/// How an operation ended on the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExecutionOutcome {
+    /// It runs.
+    Running,
+    /// It has run; whether its answer arrived is not known here.
+    Complete,
+    /// Its client left while it ran. It counts as run.
+    ClientLeft,
+}
+
+/// An operation that has begun to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Execution {
+    /// Name in `x-operation`, empty if there was none.
+    pub operation: String,
+    /// Identifier in `x-request-id`, empty if there was none.
+    pub request_id: String,
+    /// Method of the request.
+    pub method: String,
+    /// Path of the request.
+    pub path: String,
+    /// Start, microseconds of [`crate::now_us`].
+    pub start: u64,
+    /// End, microseconds of [`crate::now_us`].
+    pub end: Option<u64>,
+    /// How it ended.
+    pub outcome: ExecutionOutcome,
+}
+
+#[derive(Debug)]
+struct State {
+    instance: String,
+    running: usize,
+    refused: u64,
+    times: HashMap<String, u32>,
+    executions: Vec<Execution>,
+}
+
+/// State of a plain service, shared by its connections and handles.
+#[derive(Debug)]
+pub(super) struct Shared {
+    profile: PlainProfile,
+    state: Mutex<State>,
+}
+
+/// An operation that runs; dropped before its end if its client left.
+#[derive(Debug)]
+pub(super) struct Running {
+    shared: Arc<Shared>,
+    index: usize,
+    times: u32,
+    instance: String,
+}
+
+impl Running {
+    pub(super) fn times(&self) -> u32 {
+        self.times
+    }
+
+    pub(super) fn instance(&self) -> &str {
+        &self.instance
+    }
+
+    pub(super) fn end(self) {
+        self.shared.end(self.index, ExecutionOutcome::Complete);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.shared.end(self.index, ExecutionOutcome::ClientLeft);
+    }
+}
+
+impl Shared {
+    pub(super) fn new(profile: PlainProfile) -> Self {
+        let state = State {
+            instance: new_instance(),
+            running: 0,
+            refused: 0,
+            times: HashMap::new(),
+            executions: Vec::new(),
+        };
+        Self {
+            profile,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("plain service state")
+    }
+
+    /// Begins an operation; none if the service is full.
+    pub(super) fn begin(
+        self: &Arc<Self>,
+        operation: &str,
+        request_id: Option<&str>,
+        method: &str,
+        path: &str,
+    ) -> Option<Running> {
+        let mut state = self.lock();
+        if state.running >= self.profile.limit {
+            state.refused += 1;
+            return None;
+        }
+        state.running += 1;
+        let times = state.times.entry(operation.to_owned()).or_default();
+        *times += 1;
+        let times = *times;
+        let index = state.executions.len();
+        state.executions.push(Execution {
+            operation: operation.to_owned(),
+            request_id: request_id.unwrap_or_default().to_owned(),
+            method: method.to_owned(),
+            path: path.to_owned(),
+            start: now_us(),
+            end: None,
+            outcome: ExecutionOutcome::Running,
+        });
+        Some(Running {
+            shared: Arc::clone(self),
+            index,
+            times,
+            instance: state.instance.clone(),
+        })
+    }
+
+    /// Ends an operation unless it has ended already.
+    fn end(&self, index: usize, outcome: ExecutionOutcome) {
+        let mut state = self.lock();
+        let execution = &mut state.executions[index];
+        if execution.outcome != ExecutionOutcome::Running {
+            return;
+        }
+        execution.end = Some(now_us());
+        execution.outcome = outcome;
+        state.running -= 1;
+    }
+
+    pub(super) fn restart(&self) {
+        self.lock().instance = new_instance();
+    }
+
+    pub(super) fn latency(&self) -> Duration {
+        self.profile.latency
+    }
+
+    pub(super) fn executions(&self) -> Vec<Execution> {
+        self.lock().executions.clone()
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.lock().running
+    }
+
+    pub(super) fn refused(&self) -> u64 {
+        self.lock().refused
+    }
+}
--- /dev/null
+++ b/testutils/src/server/mod.rs
@@ -0,0 +1,262 @@
+//! HTTP listener of a stand-in.
+
+mod wire;
+
+use std::convert::Infallible;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use futures::stream;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::runtime::Handle;
+use tokio::runtime::Runtime;
+use tokio_util::sync::CancellationToken;
+
+pub(crate) use wire::Wire;
+use wire::WireStream;
+
+/// Threads that serve all stand-ins of a process.
+const WORKER_THREADS: usize = 4;
+/// Time that a listener tries to get its address while an earlier one still holds it.
+const BIND_PATIENCE: Duration = Duration::from_secs(3);
+/// Pause between two attempts to bind.
+const BIND_PAUSE: Duration = Duration::from_millis(10);
+
+/// Body of an answer.
+pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, io::Error>;
+/// Answer, or the decision to break the connection without one.
+pub(crate) type Reply = Result<Response<ReplyBody>, ConnectionBroken>;
+type Handler = dyn Fn(Request<Incoming>, Arc<Wire>) -> BoxFuture<'static, Reply> + Send + Sync;
+
+/// The stand-in breaks the connection instead of answering.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionBroken;
+
+impl fmt::Display for ConnectionBroken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("connection broken on purpose")
+    }
+}
+
+impl std::error::Error for ConnectionBroken {}
+
+/// Runtime of all stand-ins, apart from the runtimes of the code under test.
+pub(crate) fn runtime() -> &'static Handle {
+    static RUNTIME: OnceLock<Runtime> = OnceLock::new();
+    RUNTIME
+        .get_or_init(|| {
+            tokio::runtime::Builder::new_multi_thread()
+                .worker_threads(WORKER_THREADS)
+                .thread_name("stand-in")
+                .enable_all()
+                .build()
+                .expect("runtime of the stand-ins")
+        })
+        .handle()
+}
+
+/// Binds a listener, waiting a while for an address that an earlier listener still holds.
+///
+/// # Panics
+///
+/// Panics if the address cannot be had.
+pub(crate) fn bind(addr: SocketAddr) -> (tokio::net::TcpListener, SocketAddr) {
+    let give_up = Instant::now() + BIND_PATIENCE;
+    let listener = loop {
+        match TcpListener::bind(addr) {
+            Ok(listener) => break listener,
+            Err(err) if Instant::now() >= give_up => panic!("cannot bind {addr}: {err}"),
+            Err(_) => std::thread::sleep(BIND_PAUSE),
+        }
+    };
+    let address = listener.local_addr().expect("address of a bound listener");
+    listener
+        .set_nonblocking(true)
+        .expect("listener without blocking");
+    let _guard = runtime().enter();
+    let listener = tokio::net::TcpListener::from_std(listener).expect("listener");
+    (listener, address)
+}
+
+/// A listener that serves until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Server {
+    address: SocketAddr,
+    stop: CancellationToken,
+    connections: Arc<Connections>,
+}
+
+/// Token that breaks every open connection; replaced by each break.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    token: Mutex<CancellationToken>,
+}
+
+impl Connections {
+    /// Breaks all open connections. New ones are accepted.
+    pub(crate) fn cut(&self) {
+        let mut token = self.token.lock().expect("connections");
+        std::mem::take(&mut *token).cancel();
+    }
+
+    fn current(&self) -> CancellationToken {
+        self.token.lock().expect("connections").clone()
+    }
+}
+
+impl Server {
+    /// Starts a listener that answers every request through `handler`.
+    pub(crate) fn start<F>(addr: SocketAddr, handler: F) -> Self
+    where
+        F: Fn(Request<Incoming>, Arc<Wire>) -> BoxFuture<'static, Reply> + Send + Sync + 'static,
+    {
+        let (listener, address) = bind(addr);
+        let stop = CancellationToken::new();
+        let connections = Arc::new(Connections::default());
+        let accept = accept_loop(
+            listener,
+            stop.clone(),
+            Arc::clone(&connections),
+            Arc::new(handler),
+        );
+        runtime().spawn(accept);
+        Self {
+            address,
+            stop,
+            connections,
+        }
+    }
+
+    /// Address of the listener.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Handle that breaks connections.
+    pub(crate) fn connections(&self) -> Arc<Connections> {
+        Arc::clone(&self.connections)
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        self.connections.cut();
+    }
+}
+
+async fn accept_loop(
+    listener: tokio::net::TcpListener,
+    stop: CancellationToken,
+    connections: Arc<Connections>,
+    handler: Arc<Handler>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(BIND_PAUSE).await;
+            continue;
+        };
+        let cut = connections.current();
+        let stop = stop.clone();
+        let handler = Arc::clone(&handler);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = cut.cancelled() => {}
+                () = serve(stream, handler) => {}
+            }
+        });
+    }
+}
+
+async fn serve(stream: tokio::net::TcpStream, handler: Arc<Handler>) {
+    // Small chunks of a stream must not wait for the acknowledgement of earlier ones.
+    let _ = stream.set_nodelay(true);
+    let wire = Arc::new(Wire::default());
+    let io = TokioIo::new(WireStream::new(stream, Arc::clone(&wire)));
+    let service = service_fn(move |req| handler(req, Arc::clone(&wire)));
+    // A connection that ends in an error is one that the test or its peer broke.
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(io, service)
+        .await;
+}
+
+/// Makes a body of known length.
+pub(crate) fn full(bytes: impl Into<Bytes>) -> ReplyBody {
+    Full::new(bytes.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
+/// Makes an answer with a status and a body.
+pub(crate) fn reply(status: StatusCode, body: impl Into<Bytes>) -> Response<ReplyBody> {
+    let mut response = Response::new(full(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Names a new instance of a backend server, unlike any other of the process.
+pub(crate) fn new_instance() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("instance-{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Announces the whole length and breaks the connection after half of the body.
+pub(crate) fn truncated(body: &str) -> Response<ReplyBody> {
+    let half = Bytes::copy_from_slice(&body.as_bytes()[..body.len() / 2]);
+    let frames = [
+        Ok(Frame::data(half)),
+        Err(io::Error::other("truncated on purpose")),
+    ];
+    let body_length = body.len();
+    let mut response = Response::new(StreamBody::new(stream::iter(frames)).boxed_unsync());
+    response
+        .headers_mut()
+        .insert(CONTENT_LENGTH, body_length.into());
+    response
+}
+
+/// Reads a parameter of the query as a number.
+pub(crate) fn query_number(req: &Request<Incoming>, name: &str) -> Option<u64> {
+    req.uri()
+        .query()?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
+
+/// Reads a header as text.
+pub(crate) fn header(req: &Request<Incoming>, name: &str) -> Option<String> {
+    let value = req.headers().get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
--- /dev/null
+++ b/testutils/tests/test_model_engine.rs
@@ -0,0 +1,209 @@
+//! The model engine stand-in: answers, batch, warmth and faults.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cardamomshift_testutils::AnswerFault;
+use cardamomshift_testutils::EngineOutcome;
+use cardamomshift_testutils::EngineProfile;
+use cardamomshift_testutils::ModelEngine;
+use cardamomshift_testutils::answer_nonce;
+use cardamomshift_testutils::token_text;
+use common::Answer;
+use common::any_port;
+use common::call;
+use common::get;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use hyper::StatusCode;
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn body(prompt: &str, tokens: u32, stream: bool) -> String {
+    serde_json::json!({
+        "model": "ruling-7b",
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": stream,
+        "max_tokens": tokens * 4,
+        "x_output_tokens": tokens,
+        "user": "house-1",
+    })
+    .to_string()
+}
+
+async fn chat(at: SocketAddr, prompt: &str, stream: bool) -> Result<Answer, String> {
+    let headers = [("x-request-id", prompt)];
+    call(at, "POST", CHAT, &headers, body(prompt, 10, stream)).await
+}
+
+fn whole_text(prompt: &str) -> String {
+    (0..10)
+        .map(|index| token_text(answer_nonce(prompt), index))
+        .collect()
+}
+
+fn streamed_text(answer: &str) -> String {
+    answer
+        .split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: {"))
+        .map(|rest| serde_json::from_str(&format!("{{{rest}")).expect("event"))
+        .map(|event: serde_json::Value| {
+            let content = &event["choices"][0]["delta"]["content"];
+            content.as_str().unwrap_or_default().to_owned()
+        })
+        .collect()
+}
+
+#[tokio::test]
+async fn whole_and_streamed_answers_carry_their_own_tokens() {
+    let engine = ModelEngine::start(any_port());
+    let whole = chat(engine.address(), "a", false).await.expect("answer");
+    assert_eq!(whole.header("x-request-id"), "a");
+    assert_eq!(whole.header("x-instance"), engine.handle().instance());
+    let choice = &whole.json()["choices"][0];
+    assert_eq!(choice["message"]["content"], whole_text("a"));
+    assert_eq!(whole.json()["usage"]["completion_tokens"], 10);
+    let streamed = chat(engine.address(), "b", true).await.expect("answer");
+    let text = streamed.text();
+    assert_eq!(streamed_text(&text), whole_text("b"));
+    assert!(text.ends_with("data: [DONE]\n\n"));
+    assert!(text.contains("\"completion_tokens\":10"));
+    let records = engine.handle().records();
+    assert_eq!(records.len(), 2);
+    assert_eq!(records[0].tag, "house-1");
+    assert!(records.iter().all(|r| r.outcome == EngineOutcome::Complete));
+    let given: u32 = engine.handle().samples().iter().map(|s| s.tokens).sum();
+    let expected: u32 = records.iter().map(|r| r.prompt_tokens + r.given).sum();
+    assert_eq!(given, expected);
+}
+
+#[tokio::test]
+async fn unpaced_engine_streams_every_token() {
+    let engine = ModelEngine::start_with(any_port(), EngineProfile::unpaced());
+    let streamed = chat(engine.address(), "b", true).await.expect("answer");
+    assert_eq!(streamed_text(&streamed.text()), whole_text("b"));
+}
+
+#[tokio::test]
+async fn cold_engine_falls_over_above_its_limit() {
+    let profile = EngineProfile {
+        prefill: Duration::from_secs(60),
+        cached_prefill: Duration::from_secs(60),
+        fall: Duration::from_secs(60),
+        ..EngineProfile::default()
+    };
+    let engine = ModelEngine::start_with(any_port(), profile);
+    let at = engine.address();
+    let limit = engine.handle().profile().cold_limit;
+    let mut answers: FuturesUnordered<_> = (0..=limit).map(|_| chat(at, "x", false)).collect();
+    while let Some(answer) = answers.next().await {
+        assert_ne!(answer.expect("answer").status, StatusCode::OK);
+    }
+    let violations = engine.handle().violations();
+    assert_eq!(violations.len(), 1);
+    assert_eq!(violations[0].running, limit + 1);
+    assert!(!engine.handle().is_warm());
+    let down = chat(at, "y", false).await.expect("answer");
+    assert_eq!(down.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+#[tokio::test]
+async fn completions_warm_the_engine_until_it_turns_cold() {
+    let engine = ModelEngine::start(any_port());
+    let handle = engine.handle();
+    for _ in 0..handle.profile().warm_after {
+        assert!(!handle.is_warm());
+        chat(engine.address(), "x", false).await.expect("answer");
+    }
+    assert!(handle.is_warm());
+    let at = engine.address();
+    let count = handle.profile().warm_limit;
+    let mut answers: FuturesUnordered<_> = (0..count).map(|_| chat(at, "x", false)).collect();
+    while let Some(answer) = answers.next().await {
+        assert_eq!(answer.expect("answer").status, StatusCode::OK);
+    }
+    assert!(handle.violations().is_empty());
+    let before = handle.instance();
+    handle.turn_cold();
+    assert!(!handle.is_warm());
+    assert_eq!(handle.instance(), before);
+    handle.restart();
+    assert_ne!(handle.instance(), before);
+}
+
+#[tokio::test]
+async fn client_that_leaves_frees_its_slot() {
+    let engine = ModelEngine::start(any_port());
+    let handle = engine.handle();
+    let at = engine.address();
+    let long = call(at, "POST", CHAT, &[], body("long", 100_000, true));
+    let client = tokio::spawn(long);
+    while handle.running() == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    client.abort();
+    while handle.running() > 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(handle.records()[0].outcome, EngineOutcome::Cancelled);
+}
+
+#[tokio::test]
+async fn cached_prefix_is_recorded_and_evicted() {
+    let profile = EngineProfile {
+        cached_prefixes: 1,
+        ..EngineProfile::default()
+    };
+    let engine = ModelEngine::start_with(any_port(), profile);
+    for prompt in ["a", "a", "b", "a"] {
+        chat(engine.address(), prompt, false).await.expect("answer");
+    }
+    let cached: Vec<_> = engine.handle().records().iter().map(|r| r.cached).collect();
+    assert_eq!(cached, [false, true, false, false]);
+}
+
+#[tokio::test]
+async fn faulty_answers() {
+    let engine = ModelEngine::start(any_port());
+    let handle = engine.handle();
+    let at = engine.address();
+    for stream in [false, true] {
+        handle.inject(AnswerFault::Truncated, 1);
+        assert!(chat(at, "x", stream).await.is_err());
+        handle.inject(AnswerFault::Crossed, 1);
+        let crossed = chat(at, "x", stream).await.expect("answer");
+        assert_eq!(crossed.header("x-request-id"), "crossed");
+        assert!(!crossed.text().contains(&whole_text("x")));
+        handle.inject(AnswerFault::Malformed, 1);
+        assert!(chat(at, "x", stream).await.is_err());
+        handle.inject(AnswerFault::Lost, 1);
+        assert!(chat(at, "x", stream).await.is_err());
+        handle.inject(AnswerFault::ServerError, 1);
+        let error = chat(at, "x", stream).await.expect("answer");
+        assert_eq!(error.status, StatusCode::INTERNAL_SERVER_ERROR);
+        handle.inject(AnswerFault::Late(Duration::from_millis(1)), 1);
+        let late = chat(at, "x", stream).await.expect("answer");
+        assert_eq!(late.status, StatusCode::OK);
+    }
+    handle.inject(AnswerFault::EndsEarly, 1);
+    let early = chat(at, "x", true).await.expect("answer");
+    assert!(!early.text().contains("[DONE]"));
+    let before = handle.records().len();
+    handle.inject(AnswerFault::Unavailable, 1);
+    let refused = chat(at, "x", true).await.expect("answer");
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(handle.records().len(), before);
+}
+
+#[tokio::test]
+async fn load_is_reported_late() {
+    let profile = EngineProfile {
+        load_lag: Duration::from_secs(60),
+        ..EngineProfile::default()
+    };
+    let engine = ModelEngine::start_with(any_port(), profile);
+    chat(engine.address(), "x", false).await.expect("answer");
+    assert_eq!(get(engine.address(), "/load").await.json()["running"], 0);
+}
