--- a/lib/src/request/table.rs
+++ b/lib/src/request/table.rs
@@ -438,24 +438,10 @@
         announcement
     }
 
-    /// The slots that this gateway holds, or has asked for, on a home host.
-    pub fn holdings(&self, home_host: HostId) -> Vec<PermitRequest> {
-        self.open
-            .values()
-            .filter_map(|open| match open.state {
-                RequestState::AskingPermit { grant, home, .. }
-                | RequestState::Dispatched {
-                    grant,
-                    home: Some(home),
-                    ..
-                } if home == home_host => Some(PermitRequest {
-                    request: grant.request,
-                    server: grant.server,
-                    slot: grant.slot,
-                }),
-                _ => None,
-            })
-            .collect()
+    /// The slots that this gateway holds or has asked for, on whatever home host: the home of a
+    /// slot may have moved since.
+    pub fn holdings(&self) -> Vec<PermitRequest> {
+        self.open.values().filter_map(held_slot).collect()
     }
 
     fn ticket(&self, request: RequestId) -> TicketKey {
@@ -662,6 +648,23 @@
     )
 }
 
+fn held_slot(open: &OpenRequest) -> Option<PermitRequest> {
+    let grant = match open.state {
+        RequestState::AskingPermit { grant, .. } => grant,
+        RequestState::Dispatched {
+            grant,
+            home: Some(_),
+            ..
+        } => grant,
+        _ => return None,
+    };
+    Some(PermitRequest {
+        request: grant.request,
+        server: grant.server,
+        slot: grant.slot,
+    })
+}
+
 fn running_of(grant: &Grant, open: &OpenRequest) -> Running {
     let cost = match open.state {
         RequestState::Dispatched { cost, .. } => cost,
