ledger: merge cumulative service per gateway life

A request's cost reaches several schedulers, more than once and in any order. Cells per origin gateway, life and workspace merge by maximum, so each unit counts once; a sum of increments was ruled out because a lost or repeated message would change it for good. Lifts travel as cells of a reserved origin and merge by maximum too: shards that lift a workspace at the same time lift it once.

Cells learnt from another shard are left out of the incremental exchange, or each of n shards would send them on n times; the full exchange carries them past a cut link.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod host;
 pub mod id;
+pub mod ledger;
 pub mod message;
 pub mod pool;
 pub mod settings;
