permit: give each slot of a cold server to one request

Two schedulers of one shard may be at work at once. A slot has one home among the listed hosts, which gives it to one request until its release, the loss of its holder, or an announcement without it. A slot given within the last three seconds outlives an announcement, since the permit may have crossed it. A home that is new refuses until its quarantine has passed and every gateway alive has announced.

Leases with a deadline were ruled out: a running request does not end with its lease.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod id;
 pub mod ledger;
 pub mod message;
+pub mod permit;
 pub mod pool;
 pub mod settings;
 pub mod status;
--- /dev/null
+++ b/lib/tests/test_permit.rs
@@ -0,0 +1,177 @@
+//! Slots of cold servers under two schedulers, lost messages and restarts.
+
+use std::time::Duration;
+
+use cardamomshift_lib::id::DomainId;
+use cardamomshift_lib::id::HostId;
+use cardamomshift_lib::id::Incarnation;
+use cardamomshift_lib::id::RequestId;
+use cardamomshift_lib::id::ServerId;
+use cardamomshift_lib::message::PermitRelease;
+use cardamomshift_lib::message::PermitRequest;
+use cardamomshift_lib::permit::SlotHome;
+use cardamomshift_lib::permit::slot_home;
+use cardamomshift_lib::time::Timestamp;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const QUARANTINE: Timestamp = Timestamp::from_micros(1_000);
+const LATER: Timestamp = Timestamp::from_micros(2_000);
+const LIFE: Incarnation = Incarnation(1);
+
+fn request(gateway: u64, sequence: u64) -> RequestId {
+    RequestId {
+        gateway: HostId(gateway),
+        sequence,
+    }
+}
+
+fn ask(gateway: u64, sequence: u64) -> PermitRequest {
+    PermitRequest {
+        request: request(gateway, sequence),
+        server: ServerId(7),
+        slot: 0,
+    }
+}
+
+fn release(gateway: u64, sequence: u64) -> PermitRelease {
+    PermitRelease {
+        request: request(gateway, sequence),
+        server: ServerId(7),
+        slot: 0,
+    }
+}
+
+fn home() -> SlotHome {
+    SlotHome::new(HostId(1), DomainId(1), QUARANTINE)
+}
+
+fn granted(home: &mut SlotHome, now: Timestamp, gateway: u64, sequence: u64) -> bool {
+    let req = ask(gateway, sequence);
+    home.request(now, HostId(gateway), LIFE, req, true).granted
+}
+
+#[test]
+fn slot_is_given_to_one_request_until_its_release() {
+    let mut home = home();
+    assert!(granted(&mut home, LATER, 1, 10));
+    assert!(
+        granted(&mut home, LATER, 1, 10),
+        "repeated request of the holder"
+    );
+    assert!(!granted(&mut home, LATER, 2, 20));
+    home.release(HostId(2), release(2, 20));
+    assert!(
+        !granted(&mut home, LATER, 2, 20),
+        "only the holder releases"
+    );
+    home.release(HostId(1), release(1, 10));
+    assert!(granted(&mut home, LATER, 2, 20));
+}
+
+#[test]
+fn new_home_refuses_until_quarantine_and_announcements() {
+    let mut home = home();
+    home.set_hosts([HostId(1), HostId(2)], QUARANTINE);
+    assert!(!granted(&mut home, LATER, 1, 10));
+    home.announced(LATER, HostId(1), LIFE, []);
+    assert!(!granted(&mut home, LATER, 1, 10));
+    home.announced(LATER, HostId(2), LIFE, [(request(2, 20), ServerId(7), 0)]);
+    assert!(!granted(&mut home, Timestamp::ZERO, 1, 10), "quarantine");
+    assert!(
+        !granted(&mut home, LATER, 1, 10),
+        "held by an announced request"
+    );
+    assert!(granted(&mut home, LATER, 2, 20));
+    home.release(HostId(2), release(2, 20));
+    assert!(granted(&mut home, LATER, 1, 10));
+}
+
+#[test]
+fn restart_of_the_holder_frees_its_slot_and_its_old_life_gets_none() {
+    let mut home = home();
+    assert!(granted(&mut home, LATER, 1, 10));
+    let new_life = Incarnation(2);
+    let answer = home.request(LATER, HostId(1), new_life, ask(1, 30), true);
+    assert!(answer.granted);
+    home.release(HostId(1), release(1, 30));
+    assert!(!granted(&mut home, LATER, 1, 11), "message of the old life");
+}
+
+#[test]
+fn announcement_that_crossed_the_permit_keeps_the_slot() {
+    let mut home = home();
+    assert!(granted(&mut home, LATER, 1, 10));
+    home.announced(LATER, HostId(1), LIFE, []);
+    assert!(!granted(&mut home, LATER, 2, 20));
+    let lost_release = LATER + Duration::from_secs(3);
+    home.announced(lost_release, HostId(1), LIFE, []);
+    assert!(granted(&mut home, lost_release, 2, 20));
+}
+
+#[test]
+fn host_that_is_not_the_home_gives_no_slot() {
+    let answer = home().request(LATER, HostId(1), LIFE, ask(1, 1), false);
+    assert!(!answer.granted);
+}
+
+#[test]
+fn home_depends_on_listed_hosts_only_and_spreads_slots() {
+    let hosts: Vec<_> = (1..=6).map(HostId).collect();
+    let homes: std::collections::BTreeSet<_> = (0..64)
+        .map(|slot| slot_home(hosts.iter().copied(), ServerId(7), slot))
+        .collect();
+    assert!(homes.len() > 3);
+    assert_eq!(slot_home([], ServerId(7), 0), None);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Ask(u64, u64),
+    Release(u64, u64),
+    Restart(u64),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (1..4u64, 0..4u64).prop_map(|(g, s)| Step::Ask(g, s)),
+        2 => (1..4u64, 0..4u64).prop_map(|(g, s)| Step::Release(g, s)),
+        1 => (1..4u64).prop_map(Step::Restart),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn no_two_requests_hold_a_slot(steps in vec(any_step(), 0..80)) {
+        let mut home = home();
+        let mut lives = [1u64; 4];
+        let mut holder: Option<(u64, u64)> = None;
+        for step in steps {
+            match step {
+                Step::Ask(g, s) => {
+                    let life = Incarnation(lives[g as usize]);
+                    let answer = home.request(LATER, HostId(g), life, ask(g, s), true);
+                    let may = holder.is_none_or(|held| held == (g, s));
+                    prop_assert_eq!(answer.granted, may);
+                    if may {
+                        holder = Some((g, s));
+                    }
+                }
+                Step::Release(g, s) => {
+                    home.release(HostId(g), release(g, s));
+                    if holder == Some((g, s)) {
+                        holder = None;
+                    }
+                }
+                Step::Restart(g) => {
+                    lives[g as usize] += 1;
+                    home.announced(LATER, HostId(g), Incarnation(lives[g as usize]), []);
+                    if holder.is_some_and(|held| held.0 == g) {
+                        holder = None;
+                    }
+                }
+            }
+        }
+        prop_assert!(home.is_ready(LATER));
+    }
+}
