backend_server: learn how much a server bears

A server starts at one request and grows by good completions while it is full; failures, a new instance and a jump of the time to the first byte bring it back to one at once.

A limit that led to a failure becomes a ceiling, raised by one for 64 good completions, so that the same failure is not provoked at each growth.

--- /dev/null
+++ b/lib/src/backend_server/admission.rs
@@ -0,0 +1,236 @@
+//! State machine of what a backend server bears.
+
+use statig::prelude::*;
+
+use crate::message::ServerPhase;
+
+/// Requests at once up to which a limit is probed.
+const PROBE_BOUND: u32 = 512;
+/// Limit from which on a server is warm.
+const WARM_LIMIT: u32 = 8;
+/// Good completions that raise a ceiling by one.
+const CEILING_COMPLETIONS: u32 = 64;
+
+/// What happened to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AdmissionEvent {
+    /// The server is listed and in service.
+    Listed,
+    /// The server takes no new work.
+    Leave,
+    /// The server is no longer listed.
+    Removed,
+    /// A request ended well. `saturated` says whether the server was at its limit.
+    Good {
+        /// Whether the server was at its limit.
+        saturated: bool,
+    },
+    /// Latency has risen: the server bears no more than it does.
+    Strained,
+    /// The server failed, refused work, or is new.
+    Damaged {
+        /// Whether it is a new instance, of which nothing is known.
+        replaced: bool,
+    },
+    /// Gateways have seen the server at work before this scheduler began.
+    Restored {
+        /// Phase in their latest grants.
+        phase: ServerPhase,
+        /// Limit in their latest grants.
+        limit: u32,
+    },
+}
+
+/// What a backend server bears: its learnt limit, and the state that bounds it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Admission {
+    limit: u32,
+    ceiling: u32,
+    credit: u32,
+    ceiling_credit: u32,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            limit: 1,
+            ceiling: PROBE_BOUND,
+            credit: 0,
+            ceiling_credit: 0,
+        }
+    }
+}
+
+#[state_machine(
+    initial = "State::unknown()",
+    visibility = "pub(crate)",
+    state(derive(Clone, Copy, Debug, PartialEq, Eq)),
+    superstate(derive(Clone, Copy, Debug, PartialEq, Eq))
+)]
+impl Admission {
+    #[state]
+    fn unknown(&mut self, event: &AdmissionEvent) -> Outcome<State> {
+        match event {
+            AdmissionEvent::Listed => Transition(State::cold()),
+            AdmissionEvent::Leave => Transition(State::leaving()),
+            AdmissionEvent::Removed => Transition(State::gone()),
+            _ => Handled,
+        }
+    }
+
+    #[state(superstate = "serving", entry_action = "enter_cold")]
+    fn cold(&mut self, event: &AdmissionEvent) -> Outcome<State> {
+        match event {
+            AdmissionEvent::Good { .. } => {
+                self.grow();
+                Transition(State::warming())
+            }
+            AdmissionEvent::Restored { phase, limit } => self.restore(*phase, *limit),
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "serving")]
+    fn warming(&mut self, event: &AdmissionEvent) -> Outcome<State> {
+        match event {
+            AdmissionEvent::Good { saturated } => {
+                self.earn_ceiling();
+                if *saturated {
+                    self.grow();
+                }
+                self.settle()
+            }
+            AdmissionEvent::Strained if self.limit > 1 => {
+                self.shrink();
+                Transition(State::warm())
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "serving")]
+    fn warm(&mut self, event: &AdmissionEvent) -> Outcome<State> {
+        match event {
+            AdmissionEvent::Good { saturated } => {
+                self.earn_ceiling();
+                if *saturated {
+                    self.probe();
+                }
+                Handled
+            }
+            AdmissionEvent::Strained => {
+                self.probe_down();
+                Handled
+            }
+            _ => Super,
+        }
+    }
+
+    #[state]
+    fn leaving(&mut self, event: &AdmissionEvent) -> Outcome<State> {
+        match event {
+            AdmissionEvent::Listed => Transition(State::cold()),
+            AdmissionEvent::Removed => Transition(State::gone()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn gone(&mut self, event: &AdmissionEvent) -> Outcome<State> {
+        match event {
+            AdmissionEvent::Listed => {
+                *self = Self::default();
+                Transition(State::cold())
+            }
+            _ => Handled,
+        }
+    }
+
+    #[superstate]
+    fn serving(&mut self, event: &AdmissionEvent) -> Outcome<State> {
+        match event {
+            AdmissionEvent::Leave => Transition(State::leaving()),
+            AdmissionEvent::Removed => Transition(State::gone()),
+            AdmissionEvent::Damaged { replaced } => {
+                self.learn_ceiling(*replaced);
+                Transition(State::cold())
+            }
+            _ => Handled,
+        }
+    }
+
+    #[action]
+    fn enter_cold(&mut self) {
+        self.limit = 1;
+        self.credit = 0;
+    }
+}
+
+impl Admission {
+    /// Requests that the server bears at once while it takes work.
+    pub(crate) fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    fn grow(&mut self) {
+        self.limit = (self.limit + 1).min(self.ceiling.max(1));
+    }
+
+    fn settle(&self) -> Outcome<State> {
+        if self.limit >= WARM_LIMIT.min(self.ceiling).max(2) {
+            Transition(State::warm())
+        } else {
+            Handled
+        }
+    }
+
+    /// One more request at once after as many good completions as the limit counts.
+    fn probe(&mut self) {
+        self.credit += 1;
+        if self.credit >= self.limit {
+            self.credit = 0;
+            self.grow();
+        }
+    }
+
+    /// Lowers the limit at most once for as many completions as it counts.
+    fn probe_down(&mut self) {
+        self.credit += 1;
+        if self.credit >= self.limit {
+            self.credit = 0;
+            self.shrink();
+        }
+    }
+
+    fn shrink(&mut self) {
+        let step = (self.limit / 8).max(1);
+        self.limit = self.limit.saturating_sub(step).max(1);
+    }
+
+    fn learn_ceiling(&mut self, replaced: bool) {
+        self.ceiling_credit = 0;
+        if replaced {
+            self.ceiling = PROBE_BOUND;
+        } else if self.limit > 1 {
+            self.ceiling = self.limit - 1;
+        }
+    }
+
+    fn earn_ceiling(&mut self) {
+        self.ceiling_credit += 1;
+        if self.ceiling_credit >= CEILING_COMPLETIONS {
+            self.ceiling_credit = 0;
+            self.ceiling = (self.ceiling + 1).min(PROBE_BOUND);
+        }
+    }
+
+    fn restore(&mut self, phase: ServerPhase, limit: u32) -> Outcome<State> {
+        let target = match phase {
+            ServerPhase::Cold => return Handled,
+            ServerPhase::Warming => State::warming(),
+            ServerPhase::Warm => State::warm(),
+        };
+        self.limit = limit.clamp(1, PROBE_BOUND);
+        Transition(target)
+    }
+}
--- /dev/null
+++ b/lib/src/backend_server/mod.rs
@@ -0,0 +1,9 @@
+//! Backend servers as aggregates: how much each one bears, learnt from what it does.
+
+mod admission;
+mod latency;
+mod server;
+
+pub use server::BackendServer;
+pub use server::Completion;
+pub use server::Sight;
--- /dev/null
+++ b/lib/src/backend_server/server.rs
@@ -0,0 +1,308 @@
+//! A backend server as its scheduler knows it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use statig::blocking::IntoStateMachineExt;
+use statig::blocking::StateMachine;
+
+use super::admission::Admission;
+use super::admission::AdmissionEvent;
+use super::admission::State;
+use super::latency::Latency;
+use super::latency::LatencySignal;
+use crate::id::RequestId;
+use crate::id::ServerId;
+use crate::message::EndOutcome;
+use crate::message::ServerPhase;
+use crate::status::ServerStatus;
+use crate::time::Timestamp;
+
+/// Pause after the first failure of a server; it doubles with each one that follows.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Time for which a slot that its home refused is not tried again.
+const SLOT_PAUSE: Duration = Duration::from_millis(250);
+
+/// End of a request on a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Completion {
+    /// How it ended.
+    pub outcome: EndOutcome,
+    /// Hash of the instance name in the answer, zero if none was seen.
+    pub instance: u64,
+    /// Time to the first byte, microseconds, zero if there was none.
+    pub first_byte_us: u64,
+}
+
+/// What gateways saw of a server before its scheduler began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sight {
+    /// Hash of the instance name, zero if unknown.
+    pub instance: u64,
+    /// Phase in the latest grant.
+    pub phase: ServerPhase,
+    /// Limit in the latest grant.
+    pub limit: u32,
+}
+
+/// A request that the server is known to run. `epoch` counts the damages before its admission.
+#[derive(Clone, Copy, Debug)]
+struct Admitted {
+    slot: Option<u32>,
+    epoch: u32,
+}
+
+/// A backend server: its admission state, and the requests that it is known to run.
+pub struct BackendServer {
+    id: ServerId,
+    usable: bool,
+    instance: u64,
+    admission: StateMachine<Admission>,
+    latency: Latency,
+    requests: BTreeMap<RequestId, Admitted>,
+    refused_slots: BTreeMap<u32, Timestamp>,
+    paused_until: Timestamp,
+    failures: u32,
+    held_cold: bool,
+    epoch: u32,
+}
+
+impl BackendServer {
+    /// Makes a server of which nothing is known. It is held cold until `release`.
+    pub fn new(id: ServerId) -> Self {
+        Self {
+            id,
+            usable: false,
+            instance: 0,
+            admission: Admission::default().state_machine(),
+            latency: Latency::default(),
+            requests: BTreeMap::new(),
+            refused_slots: BTreeMap::new(),
+            paused_until: Timestamp::ZERO,
+            failures: 0,
+            held_cold: true,
+            epoch: 0,
+        }
+    }
+
+    /// Key of the server.
+    pub fn id(&self) -> ServerId {
+        self.id
+    }
+
+    /// Sets whether the server takes new work.
+    pub fn set_usable(&mut self, usable: bool) {
+        self.usable = usable;
+        let event = if usable {
+            AdmissionEvent::Listed
+        } else {
+            AdmissionEvent::Leave
+        };
+        self.admission.handle(&event);
+    }
+
+    /// Marks the server as no longer listed.
+    pub fn remove(&mut self) {
+        self.usable = false;
+        self.admission.handle(&AdmissionEvent::Removed);
+    }
+
+    /// Whether the server takes new work.
+    pub fn is_usable(&self) -> bool {
+        self.usable
+    }
+
+    /// Phase that a grant carries.
+    pub fn phase(&self) -> ServerPhase {
+        if self.held_cold {
+            return ServerPhase::Cold;
+        }
+        match self.admission.state() {
+            State::Warm {} => ServerPhase::Warm,
+            State::Warming {} => ServerPhase::Warming,
+            _ => ServerPhase::Cold,
+        }
+    }
+
+    /// Requests that the server bears at once.
+    pub fn limit(&self) -> u32 {
+        match self.phase() {
+            ServerPhase::Cold => 1,
+            _ => self.admission.limit(),
+        }
+    }
+
+    /// Hash of the instance name, zero if unknown.
+    pub fn instance(&self) -> u64 {
+        self.instance
+    }
+
+    /// Requests admitted and not known to have ended.
+    pub fn running(&self) -> u32 {
+        u32::try_from(self.requests.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Requests that may be admitted at `now`.
+    pub fn free(&self, now: Timestamp) -> u32 {
+        if !self.usable || !self.paused_until.has_passed(now) {
+            return 0;
+        }
+        let free = self.limit().saturating_sub(self.running());
+        if self.phase() == ServerPhase::Warm {
+            return free;
+        }
+        free.min(u32::try_from(self.free_slots(now).count()).unwrap_or(u32::MAX))
+    }
+
+    /// Admits a request and returns the slot that it has to obtain, zero on a warm server.
+    pub fn admit(&mut self, now: Timestamp, request: RequestId) -> Option<u32> {
+        if self.free(now) == 0 {
+            return None;
+        }
+        if self.phase() == ServerPhase::Warm {
+            self.insert(request, None);
+            return Some(0);
+        }
+        let slot = self.free_slots(now).next()?;
+        self.refused_slots.remove(&slot);
+        self.insert(request, Some(slot));
+        Some(slot)
+    }
+
+    /// Takes in a request that runs already.
+    pub fn adopt(&mut self, request: RequestId) {
+        if !self.requests.contains_key(&request) {
+            self.insert(request, None);
+        }
+    }
+
+    /// Frees the place of a request whose end is known without a report of the server.
+    pub fn discharge(&mut self, request: RequestId) {
+        self.requests.remove(&request);
+    }
+
+    /// Takes in the end of a request.
+    pub fn complete(&mut self, now: Timestamp, request: RequestId, end: Completion) {
+        let saturated = self.running() >= self.limit();
+        let admitted = self.requests.remove(&request);
+        if self.is_replaced(end.instance) {
+            self.instance = end.instance;
+            self.latency = Latency::default();
+            self.damage(true);
+            return;
+        }
+        if end.instance != 0 {
+            self.instance = end.instance;
+        }
+        if admitted.is_none_or(|admitted| admitted.epoch != self.epoch) {
+            // It was admitted to the server as it was before a damage.
+            return;
+        }
+        match end.outcome {
+            EndOutcome::Complete => self.succeed(saturated, end.first_byte_us),
+            EndOutcome::Cancelled => {}
+            EndOutcome::Rejected | EndOutcome::Failed => self.fail(now),
+        }
+    }
+
+    /// Takes in the return of a grant: the slot was refused by its home, or the server could not
+    /// be reached.
+    pub fn returned(&mut self, now: Timestamp, request: RequestId, unreachable: bool) {
+        let slot = self
+            .requests
+            .remove(&request)
+            .and_then(|admitted| admitted.slot);
+        if unreachable {
+            self.fail(now);
+        } else if let Some(slot) = slot {
+            self.refused_slots.insert(slot, now + SLOT_PAUSE);
+        }
+    }
+
+    /// Ends the time in which the server is held cold, and restores what gateways saw of it.
+    pub fn release(&mut self, sight: Option<Sight>) {
+        self.held_cold = false;
+        let Some(sight) = sight else {
+            return;
+        };
+        if self.epoch > 0 || self.is_replaced(sight.instance) {
+            return;
+        }
+        if sight.instance != 0 {
+            self.instance = sight.instance;
+        }
+        let event = AdmissionEvent::Restored {
+            phase: sight.phase,
+            limit: sight.limit,
+        };
+        self.admission.handle(&event);
+    }
+
+    /// State for operators.
+    pub fn status(&self) -> ServerStatus {
+        ServerStatus {
+            server: self.id,
+            phase: self.phase(),
+            limit: self.limit(),
+            running: self.running(),
+            usable: self.usable,
+        }
+    }
+
+    fn is_replaced(&self, instance: u64) -> bool {
+        instance != 0 && self.instance != 0 && instance != self.instance
+    }
+
+    fn succeed(&mut self, saturated: bool, first_byte_us: u64) {
+        self.failures = 0;
+        match self.latency.record(first_byte_us) {
+            LatencySignal::Normal => {
+                let event = AdmissionEvent::Good { saturated };
+                self.admission.handle(&event);
+            }
+            LatencySignal::Damaged => self.admission.handle(&AdmissionEvent::Strained),
+            LatencySignal::Jump => self.damage(false),
+        }
+    }
+
+    fn fail(&mut self, now: Timestamp) {
+        let doublings = self.failures.min(5);
+        let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+        self.failures = self.failures.saturating_add(1);
+        self.paused_until = self.paused_until.max(now + pause);
+        self.damage(false);
+    }
+
+    fn damage(&mut self, replaced: bool) {
+        self.epoch = self.epoch.saturating_add(1);
+        self.admission.handle(&AdmissionEvent::Damaged { replaced });
+    }
+
+    fn insert(&mut self, request: RequestId, slot: Option<u32>) {
+        let epoch = self.epoch;
+        self.requests.insert(request, Admitted { slot, epoch });
+    }
+
+    fn free_slots(&self, now: Timestamp) -> impl Iterator<Item = u32> {
+        (0..self.limit()).filter(move |slot| {
+            let paused = self.refused_slots.get(slot);
+            paused.is_none_or(|until| until.has_passed(now))
+                && !self
+                    .requests
+                    .values()
+                    .any(|taken| taken.slot == Some(*slot))
+        })
+    }
+}
+
+impl std::fmt::Debug for BackendServer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("BackendServer")
+            .field("id", &self.id)
+            .field("phase", &self.phase())
+            .field("limit", &self.limit())
+            .field("running", &self.running())
+            .finish_non_exhaustive()
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 //! event and give actions, without input or output of their own. Adapters around them speak to
 //! callers, backend servers, the platform, operators and the other hosts.
 
+pub mod backend_server;
 pub mod configuration;
 pub mod control;
 pub mod host;
