testutils: link relay and history checker

Cuts between hosts, domains and the platform need a network that can be told to lose, hold back or slow the bytes of one pair of addresses. A relay in front of each listener does it without privileges; packet filters were ruled out because tests must run unprivileged and side by side.

The checkers read what stand-ins and callers recorded: runs against what callers were told, whole own answers, cold overload, starts after a take-out, busy share, fairness gap over any window, starvation, and configuration in force.

--- /dev/null
+++ b/testutils/src/history/capacity.rs
@@ -0,0 +1,85 @@
+//! Load of backend servers: overload, starts after a take-out, and idle capacity.
+
+use super::Interval;
+use super::Intervals;
+use super::Violation;
+use crate::model_engine::EngineRecord;
+use crate::model_engine::OverloadViolation;
+
+/// Finds admissions above what a cold engine bore, from what it admitted and what made it fall.
+pub fn check_cold(
+    records: &[EngineRecord],
+    falls: &[OverloadViolation],
+    limit: usize,
+) -> Vec<Violation> {
+    let admitted = records
+        .iter()
+        .filter(|record| record.cold && record.batch > limit)
+        .map(|record| (record.start, record.batch));
+    let refused = falls.iter().map(|fall| (fall.at, fall.running));
+    admitted
+        .chain(refused)
+        .map(|(at, running)| Violation::ColdOverload { at, running, limit })
+        .collect()
+}
+
+/// A start of a request on a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// When it started.
+    pub at: u64,
+    /// Name of the failure domain or backend server that it started in.
+    pub place: String,
+}
+
+/// Finds starts in `place` later than `grace` microseconds after its take-out was accepted and
+/// before its return was asked for.
+pub fn check_starts_while_out(
+    starts: &[Start],
+    place: &str,
+    out: Interval,
+    grace: u64,
+) -> Vec<Violation> {
+    starts
+        .iter()
+        .filter(|start| start.place == place)
+        .filter(|start| start.at > out.from + grace && start.at < out.to)
+        .map(|start| Violation::StartWhileOut {
+            at: start.at,
+            after: start.at - out.from,
+        })
+        .collect()
+}
+
+/// Share of `slots` that was busy over the time of `waiting`, from 0 to 1; none if nothing waited.
+///
+/// `busy` holds one span for each request of one server; more requests than slots count as all
+/// slots busy.
+pub fn busy_share(busy: &[Interval], slots: usize, waiting: &Intervals) -> Option<f64> {
+    let total = waiting.length() as f64 * slots as f64;
+    if total == 0.0 {
+        return None;
+    }
+    let mut edges: Vec<(u64, bool)> = Vec::with_capacity(busy.len() * 2);
+    for span in busy {
+        edges.push((span.from, true));
+        edges.push((span.to, false));
+    }
+    edges.sort_unstable();
+    let mut used = 0.0;
+    let mut running = 0_usize;
+    let mut since = 0;
+    for (at, starts) in edges {
+        let counted = running.min(slots);
+        if counted > 0 && at > since {
+            let part = waiting.within(Interval {
+                from: since,
+                to: at,
+            });
+            used += part.length() as f64 * counted as f64;
+        }
+        since = at;
+        running = if starts { running + 1 } else { running - 1 };
+    }
+    Some(used / total)
+}
--- /dev/null
+++ b/testutils/src/history/configuration.rs
@@ -0,0 +1,60 @@
+//! When accepted changes of the configuration were in force.
+
+use std::collections::BTreeMap;
+
+use super::Violation;
+
+/// What a caller saw of one change through one host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Effect {
+    /// Number of the change.
+    pub change: usize,
+    /// Name of the host.
+    pub host: String,
+    /// When the caller sent its question.
+    pub asked: u64,
+    /// When the answer arrived.
+    pub seen: u64,
+    /// Whether the answer showed the change in force.
+    pub in_force: bool,
+}
+
+/// Gives the time from the acceptance of each change until callers saw it in force on each host,
+/// and finds changes that were never in force or not any more.
+///
+/// `accepted` holds the time of acceptance by the number of the change; every host in `hosts` has
+/// to show every change.
+pub fn check_configuration(
+    accepted: &[u64],
+    hosts: &[&str],
+    effects: &[Effect],
+) -> (Vec<u64>, Vec<Violation>) {
+    let mut seen: BTreeMap<(usize, &str), Vec<&Effect>> = BTreeMap::new();
+    for effect in effects {
+        let key = (effect.change, effect.host.as_str());
+        seen.entry(key).or_default().push(effect);
+    }
+    let mut delays = Vec::new();
+    let mut violations = Vec::new();
+    for (change, accepted) in accepted.iter().enumerate() {
+        for host in hosts {
+            let effects = seen.remove(&(change, *host)).unwrap_or_default();
+            let Some(first) = effects.iter().filter(|e| e.in_force).map(|e| e.seen).min() else {
+                violations.push(Violation::NeverInForce {
+                    change,
+                    host: (*host).to_owned(),
+                });
+                continue;
+            };
+            delays.push(first.saturating_sub(*accepted));
+            // Only a question sent after the first sight can show a reversion.
+            let reverted = effects.iter().find(|e| !e.in_force && e.asked > first);
+            violations.extend(reverted.map(|effect| Violation::Reverted {
+                change,
+                host: (*host).to_owned(),
+                at: effect.seen,
+            }));
+        }
+    }
+    (delays, violations)
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,9 +4,12 @@
 //! dropped, and records what it saw with times of one clock ([`now_us`]). A cheap handle controls
 //! it while it runs.
 
+pub mod history;
+
 mod clock;
 mod fault;
 mod host_list;
+mod link_relay;
 mod model_engine;
 mod object_api;
 mod plain_service;
@@ -16,6 +19,11 @@
 pub use fault::AnswerFault;
 pub use host_list::HostListApi;
 pub use host_list::HostListHandle;
+pub use link_relay::Link;
+pub use link_relay::LinkRelay;
+pub use link_relay::LinkRoute;
+pub use link_relay::LinkState;
+pub use link_relay::Network;
 pub use model_engine::EngineHandle;
 pub use model_engine::EngineOutcome;
 pub use model_engine::EngineProfile;
--- /dev/null
+++ b/testutils/tests/test_link_relay.rs
@@ -0,0 +1,121 @@
+//! The link relay: cut, silent, slow and one-way links.
+
+mod common;
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cardamomshift_testutils::Link;
+use cardamomshift_testutils::LinkRelay;
+use cardamomshift_testutils::LinkRoute;
+use cardamomshift_testutils::LinkState;
+use cardamomshift_testutils::Network;
+use cardamomshift_testutils::PlainService;
+use common::any_port;
+use common::call;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+
+const DESTINATION: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 9));
+const FIRST: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2));
+const SECOND: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 3));
+
+fn relay_to(target: SocketAddr, network: &Network) -> LinkRelay {
+    let route = LinkRoute {
+        source: None,
+        destination: DESTINATION,
+        target,
+        network: network.clone(),
+    };
+    LinkRelay::start(SocketAddr::new(DESTINATION, 0), route)
+}
+
+async fn echo() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind(any_port())
+        .await
+        .expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut rx, mut tx) = stream.split();
+                tokio::io::copy(&mut rx, &mut tx).await
+            });
+        }
+    });
+    address
+}
+
+async fn connect_from(source: IpAddr, to: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket.bind(SocketAddr::new(source, 0)).expect("bind");
+    socket.connect(to).await.expect("connection")
+}
+
+async fn exchange(stream: &mut TcpStream) -> bool {
+    let mut buf = [0];
+    let sent = stream.write_all(b"x").await.is_ok();
+    sent && stream.read_exact(&mut buf).await.is_ok()
+}
+
+#[tokio::test]
+async fn cut_breaks_only_the_links_of_its_source() {
+    let network = Network::default();
+    let relay = relay_to(echo().await, &network);
+    let mut first = connect_from(FIRST, relay.address()).await;
+    let mut second = connect_from(SECOND, relay.address()).await;
+    assert!(exchange(&mut first).await);
+    assert!(exchange(&mut second).await);
+    network.set_between(&[FIRST], &[DESTINATION], LinkState::Cut);
+    let mut buf = [0];
+    assert!(matches!(first.read(&mut buf).await, Ok(0) | Err(_)));
+    assert!(exchange(&mut second).await);
+    let mut refused = connect_from(FIRST, relay.address()).await;
+    assert!(!exchange(&mut refused).await);
+    network.heal();
+    let mut again = connect_from(FIRST, relay.address()).await;
+    assert!(exchange(&mut again).await);
+    let link = Link {
+        source: SECOND,
+        destination: DESTINATION,
+    };
+    assert_eq!(network.bytes()[&link], 4);
+}
+
+#[tokio::test]
+async fn silent_link_keeps_its_bytes() {
+    let network = Network::default();
+    let relay = relay_to(echo().await, &network);
+    let mut stream = connect_from(FIRST, relay.address()).await;
+    assert!(exchange(&mut stream).await);
+    network.set(FIRST, DESTINATION, LinkState::Silent);
+    stream.write_all(b"y").await.expect("held bytes");
+    let mut buf = [0];
+    let read = tokio::time::timeout(Duration::from_millis(50), stream.read_exact(&mut buf));
+    assert!(read.await.is_err());
+    network.set(FIRST, DESTINATION, LinkState::Open);
+    stream.read_exact(&mut buf).await.expect("late bytes");
+    assert_eq!(&buf, b"y");
+}
+
+#[tokio::test]
+async fn relay_of_a_given_source_slows_http() {
+    let service = PlainService::start(any_port());
+    let network = Network::default();
+    network.set(SECOND, FIRST, LinkState::Slow(Duration::from_millis(20)));
+    let route = LinkRoute {
+        source: Some(SECOND),
+        destination: FIRST,
+        target: service.address(),
+        network: network.clone(),
+    };
+    let relay = LinkRelay::start(any_port(), route);
+    let before = tokio::time::Instant::now();
+    let answer = call(relay.address(), "GET", "/", &[], "").await;
+    assert_eq!(answer.expect("answer").json()["times"], 1);
+    assert!(before.elapsed() >= Duration::from_millis(40));
+}
