testutils: repeat the request's identifier on errors, too

A backend server's 503 and 500 named no request, so that a gateway had to take a refusal for a crossed answer. A gateway that trusts a 503 without the identifier was ruled out: such an answer may belong to another request.

Conclusion: only answers that are crossed on purpose name another request.

--- a/testutils/src/model_engine/answer.rs
+++ b/testutils/src/model_engine/answer.rs
@@ -65,7 +65,7 @@
     };
     let writer = Writer {
         nonce,
-        id: id.clone().unwrap_or_default(),
+        id: id.unwrap_or_default(),
         completion,
         sequence,
         fault,
@@ -79,7 +79,8 @@
         writer.whole().await
     };
     let headers = response.headers_mut();
-    if let Some(id) = id.and_then(|id| id.parse().ok()) {
+    if fault == Some(AnswerFault::Crossed) {
+        let id = CROSSED_ID.parse().expect("identifier as header");
         headers.insert("x-request-id", id);
     }
     let instance = instance.parse().expect("instance as header");
--- a/testutils/src/model_engine/mod.rs
+++ b/testutils/src/model_engine/mod.rs
@@ -44,6 +44,8 @@
 use crate::server::Reply;
 use crate::server::Server;
 use crate::server::Wire;
+use crate::server::echo_id;
+use crate::server::header;
 use crate::server::reply;
 use crate::server::runtime;
 
@@ -195,7 +197,8 @@
             Ok(reply(StatusCode::OK, text))
         }
         (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
-            complete(batch, faults, req, wire).await
+            let id = header(&req, "x-request-id");
+            echo_id(complete(batch, faults, req, wire).await, id.as_deref())
         }
         _ => Ok(reply(StatusCode::NOT_FOUND, "no such path")),
     }
--- a/testutils/src/plain_service/mod.rs
+++ b/testutils/src/plain_service/mod.rs
@@ -32,6 +32,7 @@
 use crate::server::ReplyBody;
 use crate::server::Server;
 use crate::server::Wire;
+use crate::server::echo_id;
 use crate::server::header;
 use crate::server::reply;
 use crate::server::truncated;
@@ -64,7 +65,12 @@
         let of_handler = (Arc::clone(&shared), Arc::clone(&faults));
         let server = Server::start(addr, move |req, wire| {
             let (shared, faults) = of_handler.clone();
-            Box::pin(handle_request(shared, faults, req, wire)) as BoxFuture<'static, Reply>
+            let id = header(&req, "x-request-id");
+            let reply = async move {
+                let reply = handle_request(shared, faults, req, wire).await;
+                echo_id(reply, id.as_deref())
+            };
+            Box::pin(reply) as BoxFuture<'static, Reply>
         });
         let handle = PlainServiceHandle {
             shared,
@@ -150,19 +156,12 @@
         "body_bytes": body.to_bytes().len(),
     })
     .to_string();
-    answer(running, request_id, text, fault, &wire).await
+    answer(running, text, fault, &wire).await
 }
 
-async fn answer(
-    running: Running,
-    request_id: Option<String>,
-    text: String,
-    fault: Option<AnswerFault>,
-    wire: &Wire,
-) -> Reply {
+async fn answer(running: Running, text: String, fault: Option<AnswerFault>, wire: &Wire) -> Reply {
     let instance = running.instance().to_owned();
     running.end();
-    let mut id = request_id;
     let mut response = match fault {
         Some(AnswerFault::Lost) => return Err(ConnectionBroken),
         Some(AnswerFault::ServerError) => reply(StatusCode::INTERNAL_SERVER_ERROR, "error"),
@@ -172,17 +171,15 @@
     match fault {
         Some(AnswerFault::Late(delay)) => tokio::time::sleep(delay).await,
         Some(AnswerFault::Crossed) => {
-            id = Some("crossed".to_owned());
             response = reply(StatusCode::OK, "{\"operation\":\"crossed\",\"times\":1}");
+            let id = "crossed".parse().expect("identifier as header");
+            response.headers_mut().insert("x-request-id", id);
         }
         Some(AnswerFault::Malformed) => wire.write_before(MALFORMED_BYTES),
         Some(AnswerFault::Surplus) => wire.write_after(SURPLUS_BYTES),
         _ => {}
     }
     let headers = response.headers_mut();
-    if let Some(id) = id.and_then(|id| id.parse().ok()) {
-        headers.insert("x-request-id", id);
-    }
     headers.insert("x-instance", instance.parse().expect("instance as header"));
     let kind = "application/json".parse().expect("content type");
     headers.insert(hyper::header::CONTENT_TYPE, kind);
--- a/testutils/src/server/mod.rs
+++ b/testutils/src/server/mod.rs
@@ -245,6 +245,18 @@
     response
 }
 
+/// Adds the identifier of the request to an answer that names none.
+pub(crate) fn echo_id(mut reply: Reply, id: Option<&str>) -> Reply {
+    let name = "x-request-id";
+    let value = id.and_then(|id| id.parse().ok());
+    if let (Ok(response), Some(value)) = (&mut reply, value)
+        && !response.headers().contains_key(name)
+    {
+        response.headers_mut().insert(name, value);
+    }
+    reply
+}
+
 /// Reads a parameter of the query as a number.
 pub(crate) fn query_number(req: &Request<Incoming>, name: &str) -> Option<u64> {
     req.uri()
--- a/testutils/tests/test_model_engine.rs
+++ b/testutils/tests/test_model_engine.rs
@@ -183,6 +183,7 @@
         handle.inject(AnswerFault::ServerError, 1);
         let error = chat(at, "x", stream).await.expect("answer");
         assert_eq!(error.status, StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(error.header("x-request-id"), "x");
         handle.inject(AnswerFault::Late(Duration::from_millis(1)), 1);
         let late = chat(at, "x", stream).await.expect("answer");
         assert_eq!(late.status, StatusCode::OK);
--- a/testutils/tests/test_plain_service.rs
+++ b/testutils/tests/test_plain_service.rs
@@ -51,6 +51,7 @@
     let refused = run(at, "b").await.expect("answer");
     assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(refused.header("x-not-run"), "true");
+    assert_eq!(refused.header("x-request-id"), "r1");
     first.abort();
     while handle.running() > 0 {
         tokio::time::sleep(Duration::from_millis(1)).await;
