--- a/lib/src/message/mod.rs
+++ b/lib/src/message/mod.rs
@@ -3,8 +3,10 @@
 //! Times travel as what remains of a deadline, in microseconds, because the clocks of two hosts
 //! cannot be compared. Every message may be lost, repeated or late; receivers tolerate all three.
 
+mod finding;
 mod scheduling;
 
+pub use finding::Finding;
 pub use scheduling::Announcement;
 pub use scheduling::BacklogEntry;
 pub use scheduling::Bid;
@@ -14,6 +16,7 @@
 pub use scheduling::GrantReturn;
 pub use scheduling::Handover;
 pub use scheduling::PermitAnswer;
+pub use scheduling::PermitHoldings;
 pub use scheduling::PermitRelease;
 pub use scheduling::PermitRequest;
 pub use scheduling::Progress;
@@ -55,6 +58,8 @@
     PermitAnswer(PermitAnswer),
     /// Gateway to home host: a slot is free again.
     PermitRelease(PermitRelease),
+    /// Gateway to home host: every slot that the gateway holds there.
+    PermitHoldings(PermitHoldings),
     /// Scheduler to scheduler of the same service: service given.
     Totals(Totals),
     /// Scheduler to scheduler of the same service: free capacity and backlog.
@@ -67,6 +72,8 @@
     ConfigurationRequest(ConfigurationRequest),
     /// A whole configuration.
     ConfigurationUpdate(ConfigurationUpdate),
+    /// Host to host of the same failure domain: which hosts are dead or alive.
+    Findings(Vec<Finding>),
 }
 
 /// Sign of life of a host.
@@ -76,6 +83,8 @@
     pub revision: u64,
     /// Whether the sender is stopping and gives up its roles.
     pub stopping: bool,
+    /// Clock of the sender, microseconds.
+    pub clock_us: u64,
 }
 
 /// Request for a configuration newer than `have`.
