--- a/lib/src/host/membership.rs
+++ b/lib/src/host/membership.rs
@@ -302,6 +302,11 @@
         self.records.get(&host).is_some_and(|record| record.alive)
     }
 
+    /// Whether a host is in the host list.
+    pub fn is_listed(&self, host: HostId) -> bool {
+        self.records.get(&host).is_some_and(|record| record.listed)
+    }
+
     /// Hosts of a failure domain that are held to be alive, listed or not.
     pub fn alive_hosts(&self, domain: DomainId) -> Vec<HostId> {
         self.select(|record| record.alive && record.domain() == Some(domain))
