--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod message;
 pub mod metrics;
+pub mod operation;
 pub mod peer;
 pub mod permit;
 pub mod platform;
