configuration: store changes against racing operators and lost answers

A change is read, applied and stored by a conditional update. After a lost answer the object is read back and searched for the change's identifier; the change is said to be stored, not stored or unknown, never guessed.

Ruled out: locking by a lease in the object API, which an outage would leave behind, and telling an operator "nothing to do" from a read alone, since a stale read can show a domain as out that was just brought back. A change to what is already so is therefore recorded by the same conditional update. A host reads nothing older than it knows to be stored, and does not write over members that a newer version added.

The history test runs six operators through three hosts for five seeds under four kinds of faults (conflicts, outages, stale reads, answers lost before, after and long before the effect), replays every stored version from the one before, and holds: every accepted change is stored at the revision that was told, none twice, none that was said not to be.

--- a/lib/src/configuration/change.rs
+++ b/lib/src/configuration/change.rs
@@ -149,12 +149,6 @@
         /// The name.
         name: CompactString,
     },
-    /// The configuration is already as the change would make it.
-    #[snafu(display("nothing to do: {state}"))]
-    NoEffect {
-        /// The state that is already there.
-        state: CompactString,
-    },
     /// There are as many as there may be.
     #[snafu(display("there may be no more than {limit} of these: {what}"))]
     TooMany {
@@ -200,7 +194,9 @@
 impl Configuration {
     /// The configuration after a change. It keeps its revision until it is stored.
     ///
-    /// A change whose identifier is among the latest [`MAX_CHANGE_RECORDS`] is not made again.
+    /// A change whose identifier is among the latest [`MAX_CHANGE_RECORDS`] is not made again. A
+    /// change to what is already so is recorded like any other: only a conditional update of the
+    /// stored object proves that it was still so.
     ///
     /// # Errors
     ///
@@ -250,9 +246,9 @@
             Change::SetClass { name, target_ms } => self.set_class(name, *target_ms),
             Change::RemoveClass { name } => self.remove_class(name),
             Change::TakeDomainOut { name } => take_out(DOMAIN, &mut self.domains_out, name),
-            Change::BringDomainBack { name } => bring_back(DOMAIN, &mut self.domains_out, name),
+            Change::BringDomainBack { name } => bring_back(&mut self.domains_out, name),
             Change::TakeServerOut { name } => take_out(SERVER, &mut self.servers_out, name),
-            Change::BringServerBack { name } => bring_back(SERVER, &mut self.servers_out, name),
+            Change::BringServerBack { name } => bring_back(&mut self.servers_out, name),
         }
     }
 
@@ -288,7 +284,7 @@
 
     fn rotate_key(&mut self, name: &CompactString, key_hash: &str) -> Result<(), ChangeError> {
         if self.workspace_mut(name)?.key_hash == key_hash {
-            return no_effect(format_compact!("workspace {name} has this key"));
+            return Ok(());
         }
         self.check_new_key(key_hash)?;
         self.workspace_mut(name)?.key_hash = key_hash.into();
@@ -306,12 +302,7 @@
     }
 
     fn set_enabled(&mut self, name: &CompactString, enabled: bool) -> Result<(), ChangeError> {
-        let workspace = self.workspace_mut(name)?;
-        if workspace.enabled == enabled {
-            let state = if enabled { "enabled" } else { "disabled" };
-            return no_effect(format_compact!("workspace {name} is {state}"));
-        }
-        workspace.enabled = enabled;
+        self.workspace_mut(name)?.enabled = enabled;
         Ok(())
     }
 
@@ -327,11 +318,6 @@
             return Err(ChangeError::InvalidTarget { target_ms });
         }
         if let Some(class) = self.classes.iter_mut().find(|class| class.name == *name) {
-            if class.target_ms == target_ms {
-                return no_effect(format_compact!(
-                    "class {name} has a target of {target_ms} ms"
-                ));
-            }
             class.target_ms = target_ms;
             return Ok(());
         }
@@ -382,27 +368,15 @@
             name: name.clone(),
         });
     }
-    if !out.insert(name.clone()) {
-        return no_effect(format_compact!("{what} {name} is out of service"));
-    }
+    out.insert(name.clone());
     Ok(())
 }
 
-fn bring_back(
-    what: &'static str,
-    out: &mut BTreeSet<CompactString>,
-    name: &CompactString,
-) -> Result<(), ChangeError> {
-    if !out.remove(name) {
-        return no_effect(format_compact!("{what} {name} is not out of service"));
-    }
+fn bring_back(out: &mut BTreeSet<CompactString>, name: &str) -> Result<(), ChangeError> {
+    out.remove(name);
     Ok(())
 }
 
-fn no_effect(state: CompactString) -> Result<(), ChangeError> {
-    Err(ChangeError::NoEffect { state })
-}
-
 fn no_such(what: &'static str, name: &CompactString) -> ChangeError {
     ChangeError::NoSuch {
         what,
--- a/lib/src/configuration/lookup.rs
+++ b/lib/src/configuration/lookup.rs
@@ -35,6 +35,15 @@
         self.workspaces.get(usize::try_from(position).ok()?)
     }
 
+    /// Whether another configuration says the same, whatever their revisions and change records.
+    pub fn is_same_state(&self, other: &Self) -> bool {
+        self.next_workspace == other.next_workspace
+            && self.workspaces == other.workspaces
+            && self.classes == other.classes
+            && self.domains_out == other.domains_out
+            && self.servers_out == other.servers_out
+    }
+
     /// The class of a name.
     pub fn class(&self, name: &str) -> Option<&Class> {
         self.classes.iter().find(|class| class.name == name)
--- a/lib/src/configuration/mod.rs
+++ b/lib/src/configuration/mod.rs
@@ -2,9 +2,11 @@
 
 mod change;
 mod document;
+mod editor;
 mod follower;
 mod lookup;
 mod name;
+mod store;
 mod stored;
 
 pub use change::Change;
@@ -18,8 +20,14 @@
 pub use document::Class;
 pub use document::Configuration;
 pub use document::Workspace;
+pub use editor::Accepted;
+pub use editor::ChangeRequest;
+pub use editor::EditError;
+pub use editor::Editor;
+pub use editor::Effect;
 pub use follower::Follower;
 pub use lookup::hash_key;
 pub use name::MAX_NAME_BYTES;
+pub use store::ConfigurationStore;
 pub use stored::DocumentError;
 pub use stored::MAX_DOCUMENT_BYTES;
--- a/lib/src/configuration/stored.rs
+++ b/lib/src/configuration/stored.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use compact_str::format_compact;
+use serde_json::Value;
 use snafu::Snafu;
 
 use super::Configuration;
@@ -70,6 +71,13 @@
         Ok(document)
     }
 
+    /// Whether a document has members that this version does not know and would drop on a write.
+    pub(crate) fn drops_members_of(&self, document: &[u8]) -> Result<bool, DocumentError> {
+        let stored = serde_json::from_slice(document).map_err(malformed)?;
+        let known = serde_json::to_value(self).map_err(malformed)?;
+        Ok(!has_members_of(&known, &stored))
+    }
+
     fn check(&self) -> Result<(), DocumentError> {
         self.check_workspaces()?;
         self.check_classes()?;
@@ -117,6 +125,20 @@
     }
 }
 
+fn has_members_of(known: &Value, stored: &Value) -> bool {
+    match (known, stored) {
+        (Value::Object(known), Value::Object(stored)) => stored.iter().all(|(name, value)| {
+            let member = known.get(name);
+            member.is_some_and(|member| has_members_of(member, value))
+        }),
+        (Value::Array(known), Value::Array(stored)) => {
+            let mut pairs = known.iter().zip(stored);
+            pairs.all(|(known, stored)| has_members_of(known, stored))
+        }
+        _ => true,
+    }
+}
+
 fn malformed(err: serde_json::Error) -> DocumentError {
     DocumentError::Malformed {
         reason: err.to_string().into(),
--- /dev/null
+++ b/lib/tests/test_configuration_editor.rs
@@ -0,0 +1,485 @@
+//! Operators that race one another over a store that conflicts, fails and loses answers.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cardamomshift_lib::configuration::Change;
+use cardamomshift_lib::configuration::ChangeError;
+use cardamomshift_lib::configuration::ChangeRequest;
+use cardamomshift_lib::configuration::Configuration;
+use cardamomshift_lib::configuration::ConfigurationStore;
+use cardamomshift_lib::configuration::EditError;
+use cardamomshift_lib::configuration::Editor;
+use cardamomshift_lib::configuration::Effect;
+use cardamomshift_lib::configuration::MAX_CHANGE_RECORDS;
+use cardamomshift_lib::configuration::hash_key;
+use cardamomshift_lib::platform::Object;
+use cardamomshift_lib::platform::ObjectError;
+use compact_str::CompactString;
+use futures::FutureExt;
+use futures::future::join_all;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// What the store does to calls, each in cases of a hundred.
+#[derive(Clone, Copy, Default)]
+struct Faults {
+    unavailable: u32,
+    stale_read: u32,
+    lost_before: u32,
+    lost_after: u32,
+    /// The answer is lost, and the write arrives later.
+    late: u32,
+}
+
+/// A store that keeps every version of the object. Version `n` is `versions[n - 1]`.
+struct FakeStore {
+    versions: Vec<Bytes>,
+    faults: Faults,
+    rng: StdRng,
+    /// The next write is lost on the way there.
+    lose_next: bool,
+    /// Each runs before one of the next writes.
+    before_writes: VecDeque<Hook>,
+}
+
+type Hook = Box<dyn FnOnce(&mut FakeStore) + Send>;
+type Shared = Arc<Mutex<FakeStore>>;
+
+impl FakeStore {
+    fn shared(seed: u64, faults: Faults) -> Shared {
+        Arc::new(Mutex::new(Self {
+            versions: Vec::new(),
+            faults,
+            rng: StdRng::seed_from_u64(seed),
+            lose_next: false,
+            before_writes: VecDeque::new(),
+        }))
+    }
+
+    fn happens(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn check_available(&mut self) -> Result<(), ObjectError> {
+        if self.happens(self.faults.unavailable) {
+            let reason = CompactString::const_new("outage");
+            return Err(ObjectError::Unavailable { reason });
+        }
+        Ok(())
+    }
+
+    fn read(&mut self) -> Result<Object, ObjectError> {
+        self.check_available()?;
+        let mut version = self.versions.len();
+        if self.happens(self.faults.stale_read) {
+            version -= version.min(self.rng.random_range(0..4));
+        }
+        let newest = version.checked_sub(1).ok_or(ObjectError::NotFound)?;
+        Ok(Object {
+            version: version as u64,
+            bytes: self.versions[newest].clone(),
+        })
+    }
+
+    fn store(&mut self, expected: Option<u64>, bytes: Bytes) -> Result<u64, ObjectError> {
+        if expected.unwrap_or(0) != self.versions.len() as u64 {
+            return Err(ObjectError::Conflict);
+        }
+        self.versions.push(bytes);
+        Ok(self.versions.len() as u64)
+    }
+}
+
+fn lost() -> Result<u64, ObjectError> {
+    let reason = CompactString::const_new("answer lost");
+    Err(ObjectError::Unknown { reason })
+}
+
+async fn write(store: Shared, expected: Option<u64>, bytes: Bytes) -> Result<u64, ObjectError> {
+    sleep(Duration::from_micros(200)).await;
+    let mut fake = store.lock().unwrap();
+    if let Some(interfere) = fake.before_writes.pop_front() {
+        interfere(&mut fake);
+    }
+    fake.check_available()?;
+    let faults = fake.faults;
+    if std::mem::take(&mut fake.lose_next) || fake.happens(faults.lost_before) {
+        return lost();
+    }
+    if fake.happens(faults.late) {
+        let delay = Duration::from_millis(fake.rng.random_range(0..30));
+        let store = store.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let _ = store.lock().unwrap().store(expected, bytes);
+        });
+        return lost();
+    }
+    let stored = fake.store(expected, bytes);
+    if fake.happens(faults.lost_after) {
+        return lost();
+    }
+    stored
+}
+
+fn editor(store: &Shared) -> Editor {
+    let (reader, writer) = (store.clone(), store.clone());
+    Editor::new(ConfigurationStore {
+        read: Box::new(move || {
+            let read = reader.lock().unwrap().read();
+            async move { read }.boxed()
+        }),
+        write: Box::new(move |expected, bytes| write(writer.clone(), expected, bytes).boxed()),
+    })
+}
+
+fn request(id: &str, change: Change) -> ChangeRequest {
+    ChangeRequest {
+        id: id.into(),
+        at: 1_700_000_000,
+        change,
+    }
+}
+
+fn take_out(name: &str) -> Change {
+    Change::TakeDomainOut { name: name.into() }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_millis(300)
+}
+
+/// How an operator's change ended.
+struct Ended {
+    req: ChangeRequest,
+    began: Instant,
+    ended: Instant,
+    result: Result<(u64, Effect), EditError>,
+}
+
+fn random_change(rng: &mut StdRng) -> Change {
+    let name: CompactString = ["a", "b", "c"][rng.random_range(0..3)].into();
+    let n = rng.random_range(1..4u64);
+    match rng.random_range(0..6) {
+        0 => Change::CreateWorkspace {
+            key_hash: hash_key(name.as_bytes()),
+            name,
+        },
+        1 => Change::SetClass { name, target_ms: n },
+        2 => Change::RemoveClass { name },
+        3 => Change::TakeDomainOut { name },
+        4 => Change::BringDomainBack { name },
+        _ => Change::TakeServerOut { name },
+    }
+}
+
+/// One operator: sends changes through any of the hosts, and sends one that is not known to be
+/// stored once more through another.
+async fn operate(hosts: Vec<Editor>, operator: usize, seed: u64) -> Vec<Ended> {
+    let mut rng = StdRng::seed_from_u64(seed ^ (operator as u64) << 32);
+    let mut ended = Vec::new();
+    for i in 0..12 {
+        let req = request(&format!("o{operator}-{i}"), random_change(&mut rng));
+        for _ in 0..2 {
+            let host = &hosts[rng.random_range(0..hosts.len())];
+            let began = Instant::now();
+            let result = host.submit(&req, soon()).await;
+            let result = result.map(|done| (done.configuration.revision, done.effect));
+            let open = matches!(
+                result,
+                Err(EditError::Unknown { .. } | EditError::NotStored { .. })
+            );
+            ended.push(Ended {
+                req: req.clone(),
+                began,
+                ended: Instant::now(),
+                result,
+            });
+            if !open {
+                break;
+            }
+        }
+    }
+    ended
+}
+
+/// Replays every stored version from the one before, and returns the revision of each change.
+fn replay(store: &Shared, ended: &[Ended]) -> HashMap<CompactString, u64> {
+    let requests: HashMap<_, _> = ended.iter().map(|end| (&end.req.id, &end.req)).collect();
+    let mut revisions = HashMap::new();
+    let mut before = Configuration::default();
+    for (revision, document) in (1..).zip(&store.lock().unwrap().versions) {
+        let after = Configuration::parse(0, document).unwrap();
+        let id = after.changes.last().unwrap().id.clone();
+        let req = requests[&id];
+        assert_eq!(before.apply(&id, req.at, &req.change), Ok(after.clone()));
+        assert_eq!(revisions.insert(id, revision), None, "applied twice");
+        before = after;
+    }
+    revisions
+}
+
+fn check_history(store: &Shared, ended: &[Ended]) {
+    let revisions = replay(store, ended);
+    // Identifiers with an attempt that may have stored the change.
+    let mut open = HashSet::new();
+    for end in ended {
+        let stored = revisions.get(&end.req.id);
+        match &end.result {
+            Ok((revision, Effect::StoredBefore)) => assert!(stored.unwrap() <= revision),
+            Ok((revision, _)) => assert_eq!(stored, Some(revision)),
+            Err(EditError::Unknown { .. }) => {}
+            Err(_) => continue,
+        }
+        open.insert(&end.req.id);
+    }
+    for id in revisions.keys() {
+        assert!(open.contains(id), "{id} is stored and was said not to be");
+    }
+    check_order(ended);
+}
+
+/// A change that was accepted before another was sent has the lower revision.
+fn check_order(ended: &[Ended]) {
+    let made = |end: &Ended| match end.result {
+        Ok((revision, effect)) if effect != Effect::StoredBefore => Some(revision),
+        _ => None,
+    };
+    for first in ended {
+        for second in ended.iter().filter(|second| first.ended < second.began) {
+            if let (Some(before), Some(after)) = (made(first), made(second)) {
+                assert!(before < after);
+            }
+        }
+    }
+}
+
+async fn run_history(seed: u64, faults: Faults) -> Vec<Ended> {
+    let store = FakeStore::shared(seed, faults);
+    let hosts: Vec<_> = (0..3).map(|_| editor(&store)).collect();
+    let operators = (0..6).map(|operator| operate(hosts.clone(), operator, seed));
+    let ended: Vec<_> = join_all(operators).await.into_iter().flatten().collect();
+    sleep(Duration::from_millis(50)).await; // Late writes have arrived or conflicted.
+    check_history(&store, &ended);
+    ended
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn racing_operators_lose_and_repeat_nothing() {
+    let faults = [
+        Faults::default(),
+        Faults {
+            lost_after: 30,
+            ..Faults::default()
+        },
+        Faults {
+            unavailable: 20,
+            stale_read: 20,
+            lost_before: 10,
+            lost_after: 10,
+            late: 10,
+        },
+        Faults {
+            unavailable: 60,
+            late: 30,
+            ..Faults::default()
+        },
+    ];
+    let seeds = (0..5).flat_map(|seed| faults.iter().map(move |faults| (seed, *faults)));
+    let runs = join_all(seeds.map(|(seed, faults)| run_history(seed, faults))).await;
+    let accepted = runs
+        .iter()
+        .flatten()
+        .filter(|end| end.result.is_ok())
+        .count();
+    assert!(accepted > 100, "{accepted}");
+}
+
+#[tokio::test]
+async fn conflict_merges_or_is_refused() {
+    let store = FakeStore::shared(1, Faults::default());
+    let edits = editor(&store);
+    let rival = |change: Change| {
+        move |fake: &mut FakeStore| {
+            let versions = &mut fake.versions;
+            let base = versions
+                .last()
+                .map_or(Configuration::default(), |document| {
+                    Configuration::parse(0, document).unwrap()
+                });
+            let id = format!("rival-{}", versions.len());
+            let next = base.apply(&id, 0, &change).unwrap();
+            versions.push(next.to_document().unwrap().into());
+        }
+    };
+    let interfere = |change| {
+        let hook = Box::new(rival(change));
+        store.lock().unwrap().before_writes.push_back(hook);
+    };
+
+    interfere(take_out("zurich-b"));
+    let done = edits
+        .submit(&request("one", take_out("bern-a")), soon())
+        .await
+        .unwrap();
+    let out: Vec<_> = done
+        .configuration
+        .domains_out
+        .iter()
+        .map(|name| name.as_str())
+        .collect();
+    assert_eq!(
+        (out, done.configuration.revision),
+        (vec!["bern-a", "zurich-b"], 2)
+    );
+
+    let key_hash = hash_key(b"key");
+    let create = |key_hash| Change::CreateWorkspace {
+        name: "arcade-a".into(),
+        key_hash,
+    };
+    interfere(create(hash_key(b"rival")));
+    let result = edits
+        .submit(&request("two", create(key_hash)), soon())
+        .await;
+    let refused = matches!(
+        result,
+        Err(EditError::Refused {
+            source: ChangeError::Duplicate { .. }
+        })
+    );
+    assert!(refused, "{result:?}");
+
+    interfere(take_out("basel-c"));
+    let done = edits
+        .submit(&request("three", take_out("basel-c")), soon())
+        .await;
+    assert_eq!(done.unwrap().effect, Effect::AlreadySo);
+}
+
+#[tokio::test]
+async fn lost_answer_is_resolved_by_reading_back() {
+    let faults = Faults {
+        lost_after: 100,
+        ..Faults::default()
+    };
+    let store = FakeStore::shared(1, faults);
+    let done = editor(&store)
+        .submit(&request("one", take_out("bern-a")), soon())
+        .await;
+    assert_eq!(done.unwrap().effect, Effect::StoredBefore);
+    assert_eq!(store.lock().unwrap().versions.len(), 1);
+}
+
+#[tokio::test]
+async fn outage_stores_nothing_and_says_so() {
+    let faults = Faults {
+        unavailable: 100,
+        ..Faults::default()
+    };
+    let store = FakeStore::shared(1, faults);
+    let result = editor(&store)
+        .submit(&request("one", take_out("bern-a")), soon())
+        .await;
+    assert!(
+        matches!(result, Err(EditError::NotStored { .. })),
+        "{result:?}"
+    );
+}
+
+#[tokio::test]
+async fn lost_write_without_sight_of_the_store_is_unknown() {
+    let faults = Faults {
+        lost_before: 100,
+        ..Faults::default()
+    };
+    let store = FakeStore::shared(1, faults);
+    let result = editor(&store)
+        .submit(&request("one", take_out("bern-a")), soon())
+        .await;
+    assert!(
+        matches!(result, Err(EditError::Unknown { .. })),
+        "{result:?}"
+    );
+}
+
+#[tokio::test]
+async fn lost_write_that_may_still_arrive_is_unknown() {
+    let store = FakeStore::shared(1, Faults::default());
+    let before_write = |hook: Hook| store.lock().unwrap().before_writes.push_back(hook);
+    before_write(Box::new(|fake| fake.lose_next = true));
+    // The object was read back as it was before; then the outage begins.
+    before_write(Box::new(|fake| fake.faults.unavailable = 100));
+    let result = editor(&store)
+        .submit(&request("one", take_out("bern-a")), soon())
+        .await;
+    assert!(
+        matches!(result, Err(EditError::Unknown { .. })),
+        "{result:?}"
+    );
+}
+
+#[tokio::test]
+async fn lost_write_behind_too_many_changes_is_unknown() {
+    let store = FakeStore::shared(1, Faults::default());
+    let edits = editor(&store);
+    edits
+        .submit(&request("first", take_out("basel-c")), soon())
+        .await
+        .unwrap();
+    store
+        .lock()
+        .unwrap()
+        .before_writes
+        .push_back(Box::new(|fake| {
+            fake.lose_next = true;
+            let mut cfg = Configuration::parse(0, fake.versions.last().unwrap()).unwrap();
+            for i in 0..MAX_CHANGE_RECORDS {
+                let id = format!("rival-{i}");
+                cfg = cfg.apply(&id, 0, &take_out("zurich-b")).unwrap();
+            }
+            fake.versions.push(cfg.to_document().unwrap().into());
+        }));
+    let result = edits
+        .submit(&request("one", take_out("bern-a")), soon())
+        .await;
+    assert!(
+        matches!(result, Err(EditError::Unknown { .. })),
+        "{result:?}"
+    );
+}
+
+#[tokio::test]
+async fn older_revision_than_known_is_not_built_on() {
+    let store = FakeStore::shared(1, Faults::default());
+    let edits = editor(&store);
+    edits.note_revision(5);
+    let result = edits
+        .submit(&request("one", take_out("bern-a")), soon())
+        .await;
+    assert!(
+        matches!(result, Err(EditError::NotStored { .. })),
+        "{result:?}"
+    );
+    assert!(store.lock().unwrap().versions.is_empty());
+}
+
+#[tokio::test]
+async fn members_of_a_newer_version_are_not_dropped() {
+    let store = FakeStore::shared(1, Faults::default());
+    let newer = Bytes::from_static(br#"{"next_workspace":0,"quotas":[]}"#);
+    store.lock().unwrap().versions.push(newer);
+    let result = editor(&store)
+        .submit(&request("one", take_out("bern-a")), soon())
+        .await;
+    assert_eq!(result.unwrap_err(), EditError::NewerFormat);
+}
