--- a/lib/tests/membership_fleet/mod.rs
+++ b/lib/tests/membership_fleet/mod.rs
@@ -192,6 +192,7 @@
         let beat = Heartbeat {
             revision: 1,
             stopping: member.stopping,
+            clock_us: self.now.as_micros(),
         };
         let incarnation = member.incarnation;
         let packet = |to, payload| Packet {
--- a/lib/tests/test_peer_link.rs
+++ b/lib/tests/test_peer_link.rs
@@ -168,6 +168,13 @@
             server: ServerId(2),
             slot: 3,
         }),
+        PeerMessage::PermitHoldings(PermitHoldings {
+            held: vec![PermitRequest {
+                request: request(1),
+                server: ServerId(2),
+                slot: 3,
+            }],
+        }),
     ]
 }
 
@@ -262,7 +269,7 @@
             assert_eq!(received, (HostId(1), Incarnation(100), message));
         }
         let counters = b.counters();
-        assert_eq!(counters.read().messages_in, 20);
+        assert_eq!(counters.read().messages_in, 21);
         assert!(counters.read().bytes_in > 1 << 20);
         for kind in LinkRefusal::ALL {
             assert_eq!(counters.refused(kind), 0, "{kind:?}");
