operator: serve status, configuration and changes to operators

The interface has its own listener and key. An accepted change is stored first and then offered to the host's own control thread, so that it is in force here before a watch tells of it.

A failure domain or server that neither the host list nor the configuration names is refused unless the operator insists: with a misspelt name the domain would stay in service and the operator believe otherwise. Ruled out: checking names in the aggregate, which cannot know the host list.

Errors have stable codes that tell "not stored" from "outcome unknown".

--- a/lib/src/configuration/mod.rs
+++ b/lib/src/configuration/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration: workspaces, classes of work, and what operators have taken out of service.
 
 mod change;
+mod difference;
 mod document;
 mod editor;
 mod follower;
@@ -16,6 +17,8 @@
 pub use change::MAX_CLASSES;
 pub use change::MAX_TARGET_MS;
 pub use change::fingerprint;
+pub use difference::Difference;
+pub use difference::differences;
 pub use document::ChangeRecord;
 pub use document::Class;
 pub use document::Configuration;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod host;
 pub mod id;
 pub mod message;
+pub mod operator;
 pub mod platform;
 pub mod pool;
 pub mod request;
--- /dev/null
+++ b/lib/src/operator/auth.rs
@@ -0,0 +1,39 @@
+//! Checks the key that an operator presents.
+
+use axum::extract::Request;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::header::AUTHORIZATION;
+use axum::middleware::Next;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+use super::failure::Failure;
+use super::wire::ErrorCode;
+use crate::settings::Secret;
+
+const SCHEME: &str = "Bearer ";
+
+/// Lets a request with the operators' key pass.
+pub(super) async fn require_key(State(key): State<Secret>, req: Request, next: Next) -> Response {
+    if !presents_key(req.headers(), &key) {
+        let message = "present the operators' key as `Authorization: Bearer KEY`";
+        return Failure::new(ErrorCode::Unauthorized, message).into_response();
+    }
+    next.run(req).await
+}
+
+fn presents_key(headers: &HeaderMap, key: &Secret) -> bool {
+    let Some(value) = headers.get(AUTHORIZATION) else {
+        return false;
+    };
+    let Some(presented) = value.as_bytes().strip_prefix(SCHEME.as_bytes()) else {
+        return false;
+    };
+    // Hashes are of one length, so the time taken tells neither the key's text nor its length.
+    let expected = Sha256::digest(key.expose());
+    Sha256::digest(presented).ct_eq(&expected).into()
+}
--- /dev/null
+++ b/lib/src/operator/handler.rs
@@ -0,0 +1,241 @@
+//! What the operators' interface does for each path.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::extract::rejection::JsonRejection;
+use axum::extract::rejection::QueryRejection;
+use axum::middleware;
+use axum::routing::get;
+use axum::routing::post;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use log::info;
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use super::OperatorParts;
+use super::auth::require_key;
+use super::failure::Failure;
+use super::revisions::Revisions;
+use super::wire::ChangeAnswer;
+use super::wire::ChangeBody;
+use super::wire::ConfigurationView;
+use super::wire::DiffView;
+use super::wire::EffectCode;
+use super::wire::ErrorCode;
+use super::wire::HistoryView;
+use crate::configuration::Accepted;
+use crate::configuration::Change;
+use crate::configuration::ChangeRequest;
+use crate::configuration::Configuration;
+use crate::configuration::Effect;
+use crate::configuration::differences;
+use crate::status::Status;
+
+/// Longest time that attempts at a change take.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time that the control thread may take to tell the status.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest body of a request, bytes.
+const MAX_BODY_BYTES: usize = 16 << 10;
+
+/// State of the handlers.
+#[derive(Clone, Debug)]
+pub(super) struct Handlers {
+    pub(super) parts: OperatorParts,
+    pub(super) revisions: Revisions,
+}
+
+/// Routes of the operators' interface.
+pub(super) fn router(handlers: Handlers) -> Router {
+    let key = handlers.parts.key.clone();
+    Router::new()
+        .route("/status", get(status))
+        .route("/configuration", get(configuration))
+        .route("/configuration/history", get(history))
+        .route("/configuration/diff", get(diff))
+        .route("/changes", post(change))
+        .fallback(async || Failure::new(ErrorCode::NoSuchPath, "there is no such path"))
+        .method_not_allowed_fallback(async || {
+            Failure::new(ErrorCode::MethodNotAllowed, "the path takes another method")
+        })
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .layer(middleware::from_fn_with_state(key, require_key))
+        .with_state(handlers)
+}
+
+async fn status(State(handlers): State<Handlers>) -> Result<Json<Status>, Failure> {
+    handlers.status().await.map(Json)
+}
+
+async fn configuration(
+    State(handlers): State<Handlers>,
+) -> Result<Json<ConfigurationView>, Failure> {
+    let configuration = handlers.configuration()?;
+    Ok(Json(ConfigurationView::of(&configuration)))
+}
+
+async fn history(State(handlers): State<Handlers>) -> Result<Json<HistoryView>, Failure> {
+    let configuration = handlers.configuration()?;
+    Ok(Json(HistoryView {
+        revision: configuration.revision,
+        changes: configuration.changes.clone(),
+        kept_revisions: handlers.revisions.numbers(),
+    }))
+}
+
+/// Revisions to compare: by default the one in force with the one kept before it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DiffQuery {
+    from: Option<u64>,
+    to: Option<u64>,
+}
+
+async fn diff(
+    State(handlers): State<Handlers>,
+    query: Result<Query<DiffQuery>, QueryRejection>,
+) -> Result<Json<DiffView>, Failure> {
+    let Query(DiffQuery { from, to }) = query?;
+    let to = match to {
+        Some(to) => handlers.kept(to)?,
+        None => handlers.configuration()?,
+    };
+    let kept = handlers.revisions.numbers();
+    let before = kept.into_iter().rev().find(|kept| *kept < to.revision);
+    let from = handlers.kept(from.or(before).unwrap_or(to.revision))?;
+    Ok(Json(DiffView {
+        from: from.revision,
+        to: to.revision,
+        differences: differences(&from, &to),
+    }))
+}
+
+async fn change(
+    State(handlers): State<Handlers>,
+    body: Result<Json<ChangeBody>, JsonRejection>,
+) -> Result<Json<ChangeAnswer>, Failure> {
+    let Json(body) = body?;
+    if !body.allow_unlisted {
+        handlers.check_listed(&body.change).await?;
+    }
+    // A task of its own: an operator who hangs up must not leave a write half-way.
+    let submitted = tokio::spawn(handlers.submit(body)).await;
+    let accepted = submitted.unwrap_or_else(|_| {
+        let message = "the host failed while it stored the change";
+        Err(Failure::new(ErrorCode::OutcomeUnknown, message))
+    })?;
+    Ok(Json(ChangeAnswer {
+        revision: accepted.configuration.revision,
+        effect: match accepted.effect {
+            Effect::Made => EffectCode::Made,
+            Effect::AlreadySo => EffectCode::AlreadySo,
+            Effect::StoredBefore => EffectCode::StoredBefore,
+        },
+    }))
+}
+
+impl Handlers {
+    async fn status(&self) -> Result<Status, Failure> {
+        let status = self.parts.control.status();
+        let answer = tokio::time::timeout(STATUS_TIMEOUT, status).await;
+        answer.ok().flatten().ok_or_else(|| {
+            let message = "the host is stopping, or its control thread does not answer";
+            Failure::new(ErrorCode::Unavailable, message)
+        })
+    }
+
+    /// The configuration in force.
+    fn configuration(&self) -> Result<Arc<Configuration>, Failure> {
+        let view = self.parts.control.view();
+        let configuration = view.configuration.clone().ok_or_else(|| {
+            let message = "the host has no configuration yet";
+            Failure::new(ErrorCode::NoConfiguration, message)
+        })?;
+        self.revisions.note(&configuration);
+        Ok(configuration)
+    }
+
+    fn kept(&self, revision: u64) -> Result<Arc<Configuration>, Failure> {
+        self.revisions.get(revision).ok_or_else(|| {
+            let host = &self.parts.host;
+            let kept = self.revisions.numbers();
+            let message = format!("{host} does not keep revision {revision}, but these: {kept:?}");
+            Failure::new(ErrorCode::RevisionNotKept, message)
+        })
+    }
+
+    async fn submit(self, body: ChangeBody) -> Result<Accepted, Failure> {
+        if let Some(configuration) = &self.parts.control.view().configuration {
+            self.parts.editor.note_revision(configuration.revision);
+        }
+        let req = ChangeRequest {
+            id: body.id,
+            at: unix_seconds(),
+            change: body.change,
+        };
+        let deadline = Instant::now() + CHANGE_TIMEOUT;
+        let accepted = self.parts.editor.submit(&req, deadline).await?;
+        let configuration = &accepted.configuration;
+        self.revisions.note(configuration);
+        self.parts
+            .control
+            .offer_configuration(configuration.clone());
+        info!("configuration {}: {}", configuration.revision, req.change);
+        Ok(accepted)
+    }
+
+    /// Refuses a name that neither the host list nor the configuration has, which is most likely
+    /// misspelt.
+    async fn check_listed(&self, change: &Change) -> Result<(), Failure> {
+        let (name, listed) = match change {
+            Change::TakeDomainOut { name } | Change::BringDomainBack { name } => {
+                (name, self.domains().await?)
+            }
+            Change::TakeServerOut { name } | Change::BringServerBack { name } => {
+                (name, self.servers().await?)
+            }
+            _ => return Ok(()),
+        };
+        if listed.contains(name) {
+            return Ok(());
+        }
+        let message = format_compact!("{name} is not in the host list, which has: {listed:?}");
+        Err(Failure::new(ErrorCode::NotListed, message))
+    }
+
+    async fn domains(&self) -> Result<BTreeSet<CompactString>, Failure> {
+        let status = self.status().await?;
+        let mut names = match &self.parts.control.view().configuration {
+            Some(configuration) => configuration.domains_out.clone(),
+            None => BTreeSet::new(),
+        };
+        names.extend(status.hosts.into_iter().map(|host| host.domain));
+        names.extend(status.servers.into_iter().map(|server| server.domain));
+        Ok(names)
+    }
+
+    async fn servers(&self) -> Result<BTreeSet<CompactString>, Failure> {
+        let status = self.status().await?;
+        let mut names = match &self.parts.control.view().configuration {
+            Some(configuration) => configuration.servers_out.clone(),
+            None => BTreeSet::new(),
+        };
+        names.extend(status.servers.into_iter().map(|server| server.name));
+        Ok(names)
+    }
+}
+
+fn unix_seconds() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |span| span.as_secs())
+}
--- /dev/null
+++ b/lib/tests/operator_host/mod.rs
@@ -0,0 +1,117 @@
+//! A host that serves operators over a stand-in of the object API, with a control thread that
+//! only keeps the configuration.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cardamomshift_lib::configuration::ConfigurationStore;
+use cardamomshift_lib::configuration::Editor;
+use cardamomshift_lib::configuration::Follower;
+use cardamomshift_lib::control::ControlHandle;
+use cardamomshift_lib::control::ControlRequest;
+use cardamomshift_lib::control::FleetView;
+use cardamomshift_lib::operator;
+use cardamomshift_lib::operator::OperatorParts;
+use cardamomshift_lib::platform::CallOptions;
+use cardamomshift_lib::platform::ObjectClient;
+use cardamomshift_lib::settings::Secret;
+use cardamomshift_lib::status::HostStatus;
+use cardamomshift_lib::status::ListedServerStatus;
+use cardamomshift_lib::status::Status;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Key of the operators.
+pub(crate) const KEY: &str = "operator-key-0123456789abcdef";
+
+/// A serving host.
+pub(crate) struct OperatorHost {
+    /// Listener of the operators' interface.
+    pub(crate) address: SocketAddr,
+    /// Handle on the control thread.
+    pub(crate) control: ControlHandle,
+    /// Ends when the interface has stopped.
+    pub(crate) served: JoinHandle<()>,
+}
+
+impl OperatorHost {
+    /// Starts a host over the object API at `objects`.
+    pub(crate) async fn start(name: &str, objects: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tx, rx) = mpsc::unbounded_channel();
+        let (view_tx, view) = watch::channel(Arc::default());
+        let control = ControlHandle::new(tx, view);
+        tokio::spawn(run_control(status_of(name), rx, view_tx));
+        let options = CallOptions {
+            call_timeout: Duration::from_millis(300),
+            ..CallOptions::default()
+        };
+        let client = ObjectClient::new(objects, options);
+        let parts = OperatorParts {
+            host: name.into(),
+            key: Secret::new(KEY),
+            control: control.clone(),
+            editor: Editor::new(ConfigurationStore::over(client)),
+        };
+        Self {
+            address,
+            control,
+            served: tokio::spawn(operator::serve(listener, parts)),
+        }
+    }
+}
+
+/// The fleet has one entry host and one backend server in each of two failure domains.
+fn status_of(name: &str) -> Status {
+    let host = |name: &str, domain: &str| HostStatus {
+        name: name.into(),
+        domain: domain.into(),
+        alive: true,
+        leaving: false,
+        revision: 0,
+    };
+    let server = |name: &str, domain: &str| ListedServerStatus {
+        name: name.into(),
+        domain: domain.into(),
+        leaving: false,
+        out: false,
+        services: vec!["chat".into()],
+    };
+    Status {
+        host: name.into(),
+        domain: "bern-a".into(),
+        hosts: vec![host("entry-1", "bern-a"), host("entry-2", "zurich-b")],
+        servers: vec![server("worker-1", "bern-a"), server("worker-2", "zurich-b")],
+        ..Status::default()
+    }
+}
+
+async fn run_control(
+    mut status: Status,
+    mut rx: mpsc::UnboundedReceiver<ControlRequest>,
+    view: watch::Sender<Arc<FleetView>>,
+) {
+    let mut follower = Follower::new();
+    while let Some(req) = rx.recv().await {
+        match req {
+            ControlRequest::Status { reply } => {
+                status.revision = follower.revision();
+                let _ = reply.send(status.clone());
+            }
+            ControlRequest::OfferConfiguration { configuration } => {
+                if let Some(configuration) = follower.offer(&configuration).unwrap() {
+                    view.send_replace(Arc::new(FleetView {
+                        configuration: Some(configuration),
+                        ..FleetView::default()
+                    }));
+                }
+            }
+            ControlRequest::Stop => return,
+            other => panic!("{other:?}"),
+        }
+    }
+}
--- a/lib/tests/test_configuration.rs
+++ b/lib/tests/test_configuration.rs
@@ -10,6 +10,7 @@
 use cardamomshift_lib::configuration::MAX_CHANGE_RECORDS;
 use cardamomshift_lib::configuration::MAX_CLASSES;
 use cardamomshift_lib::configuration::MAX_DOCUMENT_BYTES;
+use cardamomshift_lib::configuration::differences;
 use cardamomshift_lib::configuration::hash_key;
 use cardamomshift_lib::id::DomainId;
 use cardamomshift_lib::id::WorkspaceId;
@@ -301,6 +302,67 @@
     );
 }
 
+#[test]
+fn differences_name_each_change() {
+    let before = applied(&[
+        create("arcade-a"),
+        create("arcade-b"),
+        set_class("interactive", 2_000),
+        set_class("batch", 9_000),
+        take_domain_out("zurich-b"),
+    ]);
+    let name = |name: &str| name.into();
+    let changes = [
+        create("arcade-c"),
+        Change::RotateKey {
+            name: name("arcade-a"),
+            key_hash: hash_key(b"new"),
+        },
+        Change::DisableWorkspace {
+            name: name("arcade-b"),
+        },
+        set_class("interactive", 1_500),
+        Change::RemoveClass {
+            name: name("batch"),
+        },
+        set_class("night", 60_000),
+        take_domain_out("bern-a"),
+        bring_domain_back("zurich-b"),
+        Change::TakeServerOut {
+            name: name("worker-1"),
+        },
+    ];
+    let after = (0..)
+        .zip(&changes)
+        .fold(before.clone(), |cfg, (i, change)| {
+            cfg.apply(&format!("d{i}"), AT, change).unwrap()
+        });
+    let shown: Vec<_> = differences(&before, &after)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(
+        shown,
+        [
+            "~ workspace arcade-a: new key",
+            "~ workspace arcade-b: disabled",
+            "+ workspace arcade-c",
+            "~ class interactive: target 2000 ms -> 1500 ms",
+            "+ class night: target 60000 ms",
+            "- class batch",
+            "~ failure domain bern-a: out of service",
+            "~ failure domain zurich-b: back in service",
+            "~ backend server worker-1: out of service",
+        ]
+    );
+    let back: Vec<_> = differences(&after, &before)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert!(back.contains(&"- workspace arcade-c".to_owned()));
+    assert!(back.contains(&"~ backend server worker-1: back in service".to_owned()));
+}
+
 fn any_change() -> impl Strategy<Value = Change> {
     let name = prop_oneof![Just("a"), Just("b"), Just("c")];
     (name, 1..4u64, 0..10u8).prop_map(|(name, n, kind)| {
@@ -334,6 +396,7 @@
                 continue;
             };
             prop_assert_ne!(&next, &cfg);
+            prop_assert_eq!(differences(&cfg, &next).is_empty(), next.is_same_state(&cfg));
             prop_assert_eq!(next.apply(&id, AT + 1, change), Ok(next.clone()));
             let read = Configuration::parse(0, &next.to_document().unwrap());
             prop_assert_eq!(read, Ok(next.clone()));
