--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod message;
 pub mod metrics;
 pub mod operation;
+pub mod operator;
 pub mod peer;
 pub mod permit;
 pub mod platform;
