backend_server: probe above a learnt limit more and more rarely

A single failure no longer pauses a server: going back to one request is enough. The second in a row does.

--- a/lib/src/backend_server/admission.rs
+++ b/lib/src/backend_server/admission.rs
@@ -8,8 +8,12 @@
 const PROBE_BOUND: u32 = 512;
 /// Limit from which on a server is warm.
 const WARM_LIMIT: u32 = 8;
-/// Good completions that raise a ceiling by one.
+/// Good completions that raise a ceiling by one at first. The number grows fourfold with each
+/// failure that a raised limit provokes, and halves with each raise that is borne.
 const CEILING_COMPLETIONS: u32 = 64;
+const RESTORED_COMPLETIONS: u32 = 256;
+const LEAST_COMPLETIONS: u32 = 16;
+const MOST_COMPLETIONS: u32 = 1 << 16;
 
 /// What happened to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +52,7 @@
     ceiling: u32,
     credit: u32,
     ceiling_credit: u32,
+    ceiling_price: u32,
 }
 
 impl Default for Admission {
@@ -57,6 +62,7 @@
             ceiling: PROBE_BOUND,
             credit: 0,
             ceiling_credit: 0,
+            ceiling_price: CEILING_COMPLETIONS,
         }
     }
 }
@@ -94,8 +100,8 @@
     fn warming(&mut self, event: &AdmissionEvent) -> Outcome<State> {
         match event {
             AdmissionEvent::Good { saturated } => {
-                self.earn_ceiling();
                 if *saturated {
+                    self.earn_ceiling();
                     self.grow();
                 }
                 self.settle()
@@ -112,8 +118,8 @@
     fn warm(&mut self, event: &AdmissionEvent) -> Outcome<State> {
         match event {
             AdmissionEvent::Good { saturated } => {
-                self.earn_ceiling();
                 if *saturated {
+                    self.earn_ceiling();
                     self.probe();
                 }
                 Handled
@@ -211,16 +217,22 @@
         self.ceiling_credit = 0;
         if replaced {
             self.ceiling = PROBE_BOUND;
+            self.ceiling_price = CEILING_COMPLETIONS;
         } else if self.limit > 1 {
             self.ceiling = self.limit - 1;
+            self.ceiling_price = (self.ceiling_price * 4).min(MOST_COMPLETIONS);
         }
     }
 
     fn earn_ceiling(&mut self) {
+        if self.limit < self.ceiling {
+            return;
+        }
         self.ceiling_credit += 1;
-        if self.ceiling_credit >= CEILING_COMPLETIONS {
+        if self.ceiling_credit >= self.ceiling_price {
             self.ceiling_credit = 0;
             self.ceiling = (self.ceiling + 1).min(PROBE_BOUND);
+            self.ceiling_price = (self.ceiling_price / 2).max(LEAST_COMPLETIONS);
         }
     }
 
@@ -231,6 +243,9 @@
             ServerPhase::Warm => State::warm(),
         };
         self.limit = limit.clamp(1, PROBE_BOUND);
+        // More than gateways saw is probed as slowly as above a limit that led to a failure.
+        self.ceiling = self.limit.max(WARM_LIMIT);
+        self.ceiling_price = RESTORED_COMPLETIONS;
         Transition(target)
     }
 }
--- a/lib/src/backend_server/server.rs
+++ b/lib/src/backend_server/server.rs
@@ -18,7 +18,7 @@
 use crate::status::ServerStatus;
 use crate::time::Timestamp;
 
-/// Pause after the first failure of a server; it doubles with each one that follows.
+/// Pause after two failures of a server in a row; it doubles with each one that follows.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Time for which a slot that its home refused is not tried again.
@@ -267,10 +267,12 @@
     }
 
     fn fail(&mut self, now: Timestamp) {
-        let doublings = self.failures.min(5);
-        let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+        if self.failures > 0 {
+            let doublings = (self.failures - 1).min(5);
+            let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+            self.paused_until = self.paused_until.max(now + pause);
+        }
         self.failures = self.failures.saturating_add(1);
-        self.paused_until = self.paused_until.max(now + pause);
         self.damage(false);
     }
 
