pool: schedule the shard of a service in one failure domain

Fair queue with a virtual counter per workspace, charged at grant and corrected at the end; grants with a deadline; in-flight state rebuilt from announcements; refusals at once; exchange of totals, summaries and bids with the other shards.

A lapsed grant is renewed in its place, never freed, until its gateway says that it is not running: freeing it would let a cold server run two requests when only the report was lost. A bid after a returned grant is not lifted, because its workspace was not idle.

--- /dev/null
+++ b/lib/src/pool/announcing.rs
@@ -0,0 +1,200 @@
+//! What gateways announce, and what is forgotten with them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::PoolAction;
+use super::flight::Flight;
+use super::flight::FlightState;
+use super::scheduler::Scheduler;
+use crate::backend_server::Sight;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::RequestId;
+use crate::message::Announcement;
+use crate::message::Running;
+use crate::message::ServerSight;
+use crate::message::TotalCell;
+use crate::time::Timestamp;
+
+/// Time after a grant's deadline at which the gateway's announcements are sure to show whether
+/// it was used.
+const GRANT_TRANSIT: Duration = Duration::from_millis(500);
+
+impl Scheduler {
+    pub(super) fn on_announcement(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        incarnation: Incarnation,
+        announcement: Announcement,
+        out: &mut Vec<PoolAction>,
+    ) {
+        if !self.observe_life(from, incarnation) {
+            return;
+        }
+        self.merge_totals(from, incarnation, &announcement.totals);
+        self.replace_flights(now, from, &announcement);
+        self.replace_bids(now, from, &announcement, out);
+        if !self.settled {
+            self.collect_sights(&announcement.sights);
+            self.announced.insert(from);
+            self.awaited.remove(&from);
+            self.settle_if_complete();
+        }
+    }
+
+    pub(super) fn on_gateway_lost(&mut self, gateway: HostId) {
+        self.forget_requests(gateway, u64::MAX);
+    }
+
+    /// Ends the time in which servers are held cold, once every gateway alive has announced.
+    pub(super) fn settle_if_complete(&mut self) {
+        if self.settled || !self.has_members || !self.awaited.is_empty() {
+            return;
+        }
+        self.settled = true;
+        let sights = std::mem::take(&mut self.sights);
+        for (id, server) in &mut self.servers {
+            server.release(sights.get(id).copied().flatten());
+        }
+    }
+
+    /// Notes the life of a gateway; what earlier lives ran is gone. Returns whether the life is
+    /// the latest one.
+    fn observe_life(&mut self, from: HostId, incarnation: Incarnation) -> bool {
+        let known = self.lives.insert(from, incarnation);
+        match known {
+            Some(known) if known > incarnation => {
+                self.lives.insert(from, known);
+                false
+            }
+            Some(known) if known < incarnation => {
+                self.forget_requests(from, incarnation.0);
+                true
+            }
+            _ => true,
+        }
+    }
+
+    /// Forgets the requests of a gateway with numbers below `first`. The numbers of a life start
+    /// at its incarnation, so that those of earlier lives lie below it.
+    fn forget_requests(&mut self, gateway: HostId, first: u64) {
+        for flight in self.flights.of_gateway(gateway) {
+            if flight.request.sequence < first {
+                self.discharge(flight.request);
+            }
+        }
+        self.queue
+            .remove_gateway(gateway, |waiting| waiting.bid.request.sequence < first);
+        self.loans
+            .take_gateway(gateway, |loan| loan.waiting.bid.request.sequence < first);
+    }
+
+    fn merge_totals(&mut self, from: HostId, incarnation: Incarnation, totals: &[TotalCell]) {
+        for cell in totals {
+            self.ledger.merge(TotalCell {
+                origin: from,
+                incarnation,
+                ..*cell
+            });
+        }
+    }
+
+    fn replace_flights(&mut self, now: Timestamp, from: HostId, announcement: &Announcement) {
+        let running: BTreeMap<RequestId, &Running> = announcement
+            .running
+            .iter()
+            .map(|entry| (entry.request, entry))
+            .collect();
+        for flight in self.flights.of_gateway(from) {
+            let listed = running.get(&flight.request);
+            let moved = listed.is_some_and(|entry| entry.server != flight.server);
+            if moved || (listed.is_none() && is_over(&flight, now)) {
+                self.discharge(flight.request);
+            }
+        }
+        for entry in running.values() {
+            self.adopt(entry);
+        }
+    }
+
+    fn adopt(&mut self, entry: &Running) {
+        self.queue.remove(entry.request);
+        self.loans.remove(entry.request);
+        self.largest = self.largest.max(entry.cost).max(entry.estimate);
+        if let Some(server) = self.servers.get_mut(&entry.server) {
+            server.adopt(entry.request);
+        }
+        self.flights.insert(Flight {
+            request: entry.request,
+            workspace: entry.workspace,
+            server: entry.server,
+            charge: entry.estimate.max(entry.cost).max(1),
+            state: FlightState::Running,
+        });
+    }
+
+    fn replace_bids(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        announcement: &Announcement,
+        out: &mut Vec<PoolAction>,
+    ) {
+        let listed: BTreeSet<_> = announcement.bids.iter().map(|bid| bid.request).collect();
+        self.queue.remove_gateway(from, |waiting| {
+            !waiting.is_guest() && !listed.contains(&waiting.bid.request)
+        });
+        self.loans
+            .take_gateway(from, |loan| !listed.contains(&loan.waiting.bid.request));
+        for bid in &announcement.bids {
+            self.on_bid(now, *bid, out);
+        }
+    }
+
+    fn collect_sights(&mut self, sights: &[ServerSight]) {
+        for sight in sights {
+            let seen = Sight {
+                instance: sight.instance,
+                phase: sight.phase,
+                limit: sight.limit,
+            };
+            self.sights
+                .entry(sight.server)
+                .and_modify(|known| *known = known.and_then(|known| merge_sights(known, seen)))
+                .or_insert(Some(seen));
+        }
+    }
+
+    fn discharge(&mut self, request: RequestId) {
+        let Some(flight) = self.flights.remove(request) else {
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(&flight.server) {
+            server.discharge(request);
+        }
+    }
+}
+
+/// Whether a flight that its gateway does not list as running has ended. A grant that is still
+/// on its way, or that belongs to a bid of another shard, is not listed either.
+fn is_over(flight: &Flight, now: Timestamp) -> bool {
+    match flight.state {
+        FlightState::Running => true,
+        FlightState::Granted { lapses, .. } => (lapses + GRANT_TRANSIT).has_passed(now),
+    }
+}
+
+/// The better of two sights of one instance, or none if they disagree on the instance.
+fn merge_sights(a: Sight, b: Sight) -> Option<Sight> {
+    if a.instance != b.instance {
+        return None;
+    }
+    if (b.phase, b.limit) > (a.phase, a.limit) {
+        Some(b)
+    } else {
+        Some(a)
+    }
+}
--- /dev/null
+++ b/lib/src/pool/exchange.rs
@@ -0,0 +1,169 @@
+//! What is known of the other shards of the service, and what they were told.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::id::DomainId;
+use crate::id::HostId;
+use crate::id::WorkspaceId;
+use crate::ledger::Cursor;
+use crate::message::BacklogEntry;
+use crate::message::Summary;
+use crate::time::Timestamp;
+
+/// Time after which a summary is no longer believed.
+const SUMMARY_TERM: Duration = Duration::from_secs(3);
+/// Time for which a shard that had free slots is held to have capacity.
+const CAPACITY_TERM: Duration = Duration::from_secs(10);
+/// Time for which the answer to a pull is awaited.
+const PULL_TERM: Duration = Duration::from_millis(300);
+
+/// A shard of the same service in another failure domain.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub(crate) host: HostId,
+    /// Position in the ledger up to which the peer was told of changes.
+    pub(crate) told: Cursor,
+    pub(crate) next_change: Timestamp,
+    pub(crate) next_full: Timestamp,
+    summary: Option<Summary>,
+    summary_until: Timestamp,
+    capable_until: Timestamp,
+    pull_until: Timestamp,
+    pull_count: u32,
+}
+
+impl Peer {
+    fn new(host: HostId) -> Self {
+        Self {
+            host,
+            told: Cursor::default(),
+            next_change: Timestamp::ZERO,
+            next_full: Timestamp::ZERO,
+            summary: None,
+            summary_until: Timestamp::ZERO,
+            capable_until: Timestamp::ZERO,
+            pull_until: Timestamp::ZERO,
+            pull_count: 0,
+        }
+    }
+
+    /// The latest summary, unless it is too old.
+    pub(crate) fn summary(&self, now: Timestamp) -> Option<&Summary> {
+        self.summary
+            .as_ref()
+            .filter(|_| !self.summary_until.has_passed(now))
+    }
+
+    /// Backlog by the latest summary.
+    pub(crate) fn backlog(&self, now: Timestamp) -> &[BacklogEntry] {
+        self.summary(now)
+            .map_or(&[], |summary| summary.backlog.as_slice())
+    }
+
+    /// Whether the answer to a pull is still awaited.
+    pub(crate) fn is_pulling(&self, now: Timestamp) -> bool {
+        !self.pull_until.has_passed(now)
+    }
+
+    /// Notes that the peer was asked for `count` bids.
+    pub(crate) fn start_pull(&mut self, now: Timestamp, count: u32) {
+        self.pull_until = now + PULL_TERM;
+        self.pull_count = count;
+    }
+}
+
+/// The other shards of the service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Exchange {
+    peers: BTreeMap<DomainId, Peer>,
+}
+
+impl Exchange {
+    /// Replaces the peers. A peer whose scheduler has moved is told everything anew.
+    pub(crate) fn set_peers(&mut self, peers: &[(DomainId, HostId)]) {
+        let domains: BTreeSet<_> = peers.iter().map(|(domain, _)| *domain).collect();
+        self.peers.retain(|domain, _| domains.contains(domain));
+        for (domain, host) in peers {
+            let known = self
+                .peers
+                .get(domain)
+                .is_some_and(|peer| peer.host == *host);
+            if !known {
+                self.peers.insert(*domain, Peer::new(*host));
+            }
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Peers in the order of their failure domains.
+    pub(crate) fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    pub(crate) fn peers_mut(&mut self) -> impl Iterator<Item = &mut Peer> {
+        self.peers.values_mut()
+    }
+
+    /// Takes in a summary, unless it comes from a host that does not schedule that shard.
+    pub(crate) fn summarize(&mut self, now: Timestamp, from: HostId, summary: Summary) {
+        let peer = self.peers.get_mut(&summary.domain);
+        let Some(peer) = peer.filter(|peer| peer.host == from) else {
+            return;
+        };
+        if summary.free_slots > 0 {
+            peer.capable_until = now + CAPACITY_TERM;
+        }
+        peer.summary_until = now + SUMMARY_TERM;
+        peer.summary = Some(summary);
+    }
+
+    /// Notes that a peer wants bids, and therefore has capacity.
+    pub(crate) fn note_capacity(&mut self, now: Timestamp, domain: DomainId) {
+        if let Some(peer) = self.peers.get_mut(&domain) {
+            peer.capable_until = now + CAPACITY_TERM;
+        }
+    }
+
+    /// Bids that were asked for and may still arrive.
+    pub(crate) fn pending_pulls(&self, now: Timestamp) -> u32 {
+        self.peers()
+            .filter(|peer| peer.is_pulling(now))
+            .map(|peer| peer.pull_count)
+            .fold(0, u32::saturating_add)
+    }
+
+    /// Notes the answer to the oldest pull: a handover does not say whom it comes from.
+    pub(crate) fn end_pull(&mut self, now: Timestamp) {
+        let pulling = self.peers.values_mut().filter(|peer| peer.is_pulling(now));
+        if let Some(peer) = pulling.min_by_key(|peer| peer.pull_until) {
+            peer.pull_until = Timestamp::ZERO;
+        }
+    }
+
+    /// Whether some peer is known to have had capacity lately.
+    pub(crate) fn has_capacity(&self, now: Timestamp) -> bool {
+        self.peers().any(|peer| !peer.capable_until.has_passed(now))
+    }
+
+    /// Whether every peer has been heard of.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.peers().all(|peer| peer.summary.is_some())
+    }
+
+    /// Workspaces that are backlogged on other shards.
+    pub(crate) fn backlogged(&self, now: Timestamp) -> BTreeSet<WorkspaceId> {
+        self.peers()
+            .flat_map(|peer| peer.backlog(now))
+            .map(|entry| entry.workspace)
+            .collect()
+    }
+}
--- /dev/null
+++ b/lib/src/pool/fairness.rs
@@ -0,0 +1,73 @@
+//! Order of the workspaces: lift on arrival, least counter first, and the clamp.
+
+use std::time::Duration;
+
+use super::scheduler::Scheduler;
+use crate::id::WorkspaceId;
+use crate::time::Timestamp;
+
+/// Largest requests that a backlogged workspace may lie ahead of another one.
+const CLAMP_REQUESTS: u64 = 8;
+/// Span of the measured rate that a backlogged workspace may lie ahead of another one.
+const CLAMP_SPAN: Duration = Duration::from_secs(1);
+
+impl Scheduler {
+    /// The backlogged workspace with the least counter. Equal counters go by number.
+    pub(super) fn least_served(&self) -> Option<WorkspaceId> {
+        self.queue
+            .workspaces()
+            .min_by_key(|workspace| (self.counter(*workspace), *workspace))
+    }
+
+    /// Lifts a workspace that becomes backlogged to the least counter among the backlogged, or to
+    /// the counter that was served last if there is none: idleness earns no credit.
+    pub(super) fn lift_newcomer(&mut self, now: Timestamp, workspace: WorkspaceId) {
+        if self.queue.is_backlogged(workspace) || self.loans.charge(workspace) > 0 {
+            return;
+        }
+        let mut others = self.exchange.backlogged(now);
+        if others.contains(&workspace) {
+            return;
+        }
+        others.extend(self.queue.workspaces());
+        let least = others.into_iter().map(|other| self.counter(other)).min();
+        self.lift_to(workspace, least.unwrap_or(self.last_served));
+    }
+
+    /// Keeps every backlogged workspace within the clamp behind the one that is furthest ahead. A
+    /// difference carried over from a partition is forgiven beyond it, so that nobody starves to
+    /// repay it.
+    pub(super) fn clamp_counters(&mut self) {
+        let counters: Vec<_> = self
+            .queue
+            .workspaces()
+            .map(|workspace| (workspace, self.counter(workspace)))
+            .collect();
+        let Some(most) = counters.iter().map(|(_, counter)| *counter).max() else {
+            return;
+        };
+        let floor = most.saturating_sub(self.clamp());
+        for (workspace, counter) in counters {
+            if counter < floor {
+                self.lift_to(workspace, floor);
+            }
+        }
+    }
+
+    /// Bound of the clamp, in the unit of the service.
+    pub(super) fn clamp(&self) -> u64 {
+        let shards = self.exchange.len() as u64 + 1;
+        let rate = self.meter.peak_rate().saturating_mul(shards);
+        let span = rate.saturating_mul(CLAMP_SPAN.as_secs());
+        self.largest
+            .saturating_mul(CLAMP_REQUESTS)
+            .saturating_add(span)
+    }
+
+    fn lift_to(&mut self, workspace: WorkspaceId, target: u64) {
+        let counter = self.counter(workspace);
+        if counter < target {
+            self.ledger.lift(workspace, target - counter);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/pool/meter.rs
@@ -0,0 +1,88 @@
+//! Rates that the scheduler measures on itself.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+const BUCKET: Duration = Duration::from_millis(500);
+const BUCKETS: usize = 20;
+/// Departures and busy time without which a rate is unknown.
+const LEAST_DEPARTURES: u64 = 8;
+const LEAST_BUSY: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    end: Timestamp,
+    departures: u64,
+    busy: Duration,
+    cost: u64,
+}
+
+/// Departures from the queue while every server was full, and cost of ended requests, over the
+/// latest ten seconds.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Meter {
+    buckets: VecDeque<Bucket>,
+    busy_since: Option<Timestamp>,
+}
+
+impl Meter {
+    /// Notes whether bids wait for a free server.
+    pub(crate) fn set_busy(&mut self, now: Timestamp, busy: bool) {
+        if let Some(since) = self.busy_since {
+            self.bucket(now).busy += now.since(since);
+        }
+        self.busy_since = busy.then_some(now);
+    }
+
+    /// Notes that a bid has left the queue for a server.
+    pub(crate) fn depart(&mut self, now: Timestamp) {
+        if self.busy_since.is_some() {
+            self.bucket(now).departures += 1;
+        }
+    }
+
+    /// Notes the cost of an ended request.
+    pub(crate) fn spend(&mut self, now: Timestamp, cost: u64) {
+        let bucket = self.bucket(now);
+        bucket.cost = bucket.cost.saturating_add(cost);
+    }
+
+    /// Time that one departure takes, if enough of them were seen.
+    pub(crate) fn departure_interval(&self) -> Option<Duration> {
+        let departures: u64 = self.buckets.iter().map(|bucket| bucket.departures).sum();
+        let busy: Duration = self.buckets.iter().map(|bucket| bucket.busy).sum();
+        if departures < LEAST_DEPARTURES || busy < LEAST_BUSY {
+            return None;
+        }
+        Some(busy / u32::try_from(departures).unwrap_or(u32::MAX))
+    }
+
+    /// Highest cost per second among the latest buckets.
+    pub(crate) fn peak_rate(&self) -> u64 {
+        let peak = self.buckets.iter().map(|bucket| bucket.cost).max();
+        let buckets_per_second = 2;
+        peak.unwrap_or_default().saturating_mul(buckets_per_second)
+    }
+
+    fn bucket(&mut self, now: Timestamp) -> &mut Bucket {
+        let current = self
+            .buckets
+            .back()
+            .is_some_and(|bucket| !bucket.end.has_passed(now));
+        if !current {
+            self.buckets.push_back(Bucket {
+                end: now + BUCKET,
+                departures: 0,
+                busy: Duration::ZERO,
+                cost: 0,
+            });
+            if self.buckets.len() > BUCKETS {
+                self.buckets.pop_front();
+            }
+        }
+        let last = self.buckets.len() - 1;
+        &mut self.buckets[last]
+    }
+}
--- /dev/null
+++ b/lib/src/pool/scheduler.rs
@@ -0,0 +1,221 @@
+//! The scheduler of one shard: state, and the way of an event through it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::PoolAction;
+use super::PoolEvent;
+use super::PoolKey;
+use super::PoolMembers;
+use super::exchange::Exchange;
+use super::flight::Flights;
+use super::loan::Loans;
+use super::meter::Meter;
+use super::queue::Queue;
+use crate::backend_server::BackendServer;
+use crate::backend_server::Sight;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::RequestId;
+use crate::id::ServerId;
+use crate::id::WorkspaceId;
+use crate::ledger::Ledger;
+use crate::message::PeerMessage;
+use crate::status::PoolStatus;
+use crate::status::WorkspaceStatus;
+use crate::time::Timestamp;
+
+/// Scheduler of a shard: one fair queue of bids, and the admission state of the backend servers.
+///
+/// It takes the time and an event and gives messages. It does not read a clock, does no input or
+/// output, and draws no random numbers, so that the same events give the same messages.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(super) key: PoolKey,
+    pub(super) own: HostId,
+    pub(super) started: Timestamp,
+    pub(super) queue: Queue,
+    pub(super) flights: Flights,
+    pub(super) loans: Loans,
+    pub(super) ledger: Ledger,
+    pub(super) servers: BTreeMap<ServerId, BackendServer>,
+    pub(super) exchange: Exchange,
+    pub(super) meter: Meter,
+    pub(super) summary: super::sharing::SummaryState,
+    /// Counter of the workspace that was served last, before it was charged.
+    pub(super) last_served: u64,
+    /// Largest cost or estimate seen.
+    pub(super) largest: u64,
+    /// Requests whose grants were returned lately, and until when that counts.
+    pub(super) returned: BTreeMap<RequestId, Timestamp>,
+    /// Whether the hosts and servers of the shard are known.
+    pub(super) has_members: bool,
+    /// Gateways that are alive and have not announced, while the scheduler is new.
+    pub(super) awaited: BTreeSet<HostId>,
+    pub(super) announced: BTreeSet<HostId>,
+    /// Whether every gateway alive has announced what it runs.
+    pub(super) settled: bool,
+    pub(super) sights: BTreeMap<ServerId, Option<Sight>>,
+    pub(super) lives: BTreeMap<HostId, Incarnation>,
+}
+
+impl Scheduler {
+    /// Makes a scheduler on host `own` that knows nothing yet.
+    pub fn new(key: PoolKey, own: HostId, now: Timestamp) -> Self {
+        Self {
+            key,
+            own,
+            started: now,
+            queue: Queue::default(),
+            flights: Flights::default(),
+            loans: Loans::default(),
+            ledger: Ledger::default(),
+            servers: BTreeMap::new(),
+            exchange: Exchange::default(),
+            meter: Meter::default(),
+            summary: super::sharing::SummaryState::default(),
+            last_served: 0,
+            largest: 1,
+            returned: BTreeMap::new(),
+            has_members: false,
+            awaited: BTreeSet::new(),
+            announced: BTreeSet::new(),
+            settled: false,
+            sights: BTreeMap::new(),
+            lives: BTreeMap::new(),
+        }
+    }
+
+    /// Key of the shard.
+    pub fn key(&self) -> PoolKey {
+        self.key
+    }
+
+    /// Takes in an event at `now` and appends the messages that follow from it.
+    pub fn handle(&mut self, now: Timestamp, event: PoolEvent, out: &mut Vec<PoolAction>) {
+        match event {
+            PoolEvent::Members(members) => self.on_members(members),
+            PoolEvent::Bid(bid) => self.on_bid(now, bid, out),
+            PoolEvent::Withdrawal(withdrawal) => self.on_withdrawal(withdrawal, out),
+            PoolEvent::GrantReturn(grant_return) => self.on_grant_return(now, grant_return),
+            PoolEvent::Finished {
+                incarnation,
+                finished,
+            } => self.on_finished(now, incarnation, finished),
+            PoolEvent::Progress(progress) => self.on_progress(progress),
+            PoolEvent::Announcement {
+                from,
+                incarnation,
+                announcement,
+            } => self.on_announcement(now, from, incarnation, announcement, out),
+            PoolEvent::GatewayLost(gateway) => self.on_gateway_lost(gateway),
+            PoolEvent::Totals(totals) => self.on_totals(&totals),
+            PoolEvent::Summary { from, summary } => self.exchange.summarize(now, from, summary),
+            PoolEvent::Pull { from, pull } => self.on_pull(now, from, pull, out),
+            PoolEvent::Handover(handover) => self.on_handover(now, handover),
+            PoolEvent::Tick => self.on_tick(now, out),
+        }
+        self.grant_free(now, out);
+        let busy = !self.queue.is_empty();
+        self.meter.set_busy(now, busy);
+    }
+
+    /// State for operators.
+    pub fn status(&self) -> PoolStatus {
+        PoolStatus {
+            service: self.key.service,
+            domain: self.key.domain,
+            waiting: self.queue.len() as u64,
+            running: self.flights.len() as u64,
+            servers: self.servers.values().map(BackendServer::status).collect(),
+            workspaces: self.workspace_status(),
+        }
+    }
+
+    /// Service counter of a workspace: its service over the fleet, its lift, and what is charged
+    /// for its requests that have not ended.
+    pub(super) fn counter(&self, workspace: WorkspaceId) -> u64 {
+        self.ledger
+            .counter(workspace)
+            .saturating_add(self.flights.load(workspace).charge)
+            .saturating_add(self.loans.charge(workspace))
+    }
+
+    pub(super) fn send(&self, to: HostId, message: PeerMessage, out: &mut Vec<PoolAction>) {
+        out.push(PoolAction::Send { to, message });
+    }
+
+    fn on_tick(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
+        self.returned.retain(|_, until| !until.has_passed(now));
+        self.take_back_loans(now);
+        self.refuse_expired(now, out);
+        self.refuse_unservable(now, out);
+        self.clamp_counters();
+        self.grant_free(now, out);
+        self.pull(now, out);
+        self.send_totals(now, out);
+        self.send_summary(now, out);
+    }
+
+    fn on_members(&mut self, members: PoolMembers) {
+        self.has_members = true;
+        self.update_servers(&members);
+        self.exchange.set_peers(&members.peers);
+        let alive: BTreeSet<_> = members.alive.iter().copied().collect();
+        self.drop_unreachable(&alive);
+        self.awaited = alive.difference(&self.announced).copied().collect();
+        self.settle_if_complete();
+    }
+
+    fn update_servers(&mut self, members: &PoolMembers) {
+        let listed: BTreeSet<_> = members.servers.iter().map(|entry| entry.server).collect();
+        for entry in &members.servers {
+            let server = self.servers.entry(entry.server).or_insert_with(|| {
+                let mut server = BackendServer::new(entry.server);
+                if self.settled {
+                    server.release(None);
+                }
+                server
+            });
+            server.set_usable(entry.usable);
+        }
+        for (id, server) in &mut self.servers {
+            if !listed.contains(id) {
+                server.remove();
+            }
+        }
+        // A server that has left is kept until the end of what it runs is known.
+        self.servers
+            .retain(|id, server| listed.contains(id) || server.running() > 0);
+    }
+
+    /// Drops waiting bids of gateways that cannot be reached: a grant to them would only hold a
+    /// place. They bid again when they are back.
+    fn drop_unreachable(&mut self, alive: &BTreeSet<HostId>) {
+        let own = self.own;
+        let gateways: BTreeSet<_> = self
+            .queue
+            .iter()
+            .map(|waiting| waiting.bid.request.gateway)
+            .filter(|gateway| *gateway != own && !alive.contains(gateway))
+            .collect();
+        for gateway in gateways {
+            self.queue.remove_gateway(gateway, |_| true);
+        }
+    }
+
+    fn workspace_status(&self) -> Vec<WorkspaceStatus> {
+        let mut workspaces: BTreeSet<_> = self.ledger.workspaces().collect();
+        workspaces.extend(self.queue.workspaces());
+        workspaces.extend(self.flights.workspaces());
+        workspaces
+            .into_iter()
+            .map(|workspace| WorkspaceStatus {
+                workspace,
+                waiting: self.queue.line_len(workspace) as u64,
+                running: self.flights.load(workspace).count,
+                counter: self.counter(workspace),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/lib/src/pool/sharing.rs
@@ -0,0 +1,273 @@
+//! Exchange with the other shards of the service: totals, summaries, and bids.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::PoolAction;
+use super::loan::Loan;
+use super::queue::Waiting;
+use super::scheduler::Scheduler;
+use crate::id::HostId;
+use crate::id::WorkspaceId;
+use crate::message::BacklogEntry;
+use crate::message::Handover;
+use crate::message::PeerMessage;
+use crate::message::Pull;
+use crate::message::Summary;
+use crate::message::Totals;
+use crate::time::Timestamp;
+
+/// Least time between two messages with changed totals to one peer.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two messages with all totals to one peer.
+const FULL_INTERVAL: Duration = Duration::from_secs(10);
+/// Least time between two summaries.
+const SUMMARY_THROTTLE: Duration = Duration::from_millis(100);
+/// Most time between two summaries.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+/// Workspaces in a summary at most, least counters first.
+const SUMMARY_ENTRIES: usize = 16;
+/// Time after which a bid that was handed over is taken back.
+const LOAN_TERM: Duration = Duration::from_secs(1);
+/// Time for which a bid of another shard waits here, shorter than its loan.
+const GUEST_TERM: Duration = Duration::from_millis(600);
+/// Bids handed over at once.
+const HANDOVER_BOUND: u32 = 64;
+/// Bids of one workspace that are pulled to even out the counters.
+const FAIR_PULL: u32 = 2;
+
+/// The summary that was sent last.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SummaryState {
+    sent: Option<Summary>,
+    next_change: Timestamp,
+    next_repeat: Timestamp,
+}
+
+impl Scheduler {
+    pub(super) fn on_totals(&mut self, totals: &Totals) {
+        for cell in &totals.cells {
+            self.ledger.merge_relayed(*cell);
+        }
+    }
+
+    /// Hands the first bids of the fair order over to another shard. Bids of a third shard stay:
+    /// they would wander.
+    pub(super) fn on_pull(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        pull: Pull,
+        out: &mut Vec<PoolAction>,
+    ) {
+        if pull.workspace.is_none() {
+            self.exchange.note_capacity(now, pull.domain);
+        }
+        let mut bids = Vec::new();
+        for _ in 0..pull.count.min(HANDOVER_BOUND) {
+            let Some(waiting) = self.next_to_lend(now, pull.workspace) else {
+                break;
+            };
+            self.queue.remove(waiting.bid.request);
+            self.meter.depart(now);
+            bids.push(waiting.bid_at(now));
+            self.loans.insert(Loan {
+                waiting,
+                to: from,
+                until: waiting.deadline.min(now + LOAN_TERM),
+            });
+        }
+        if !bids.is_empty() {
+            let service = self.key.service;
+            self.send(from, PeerMessage::Handover(Handover { service, bids }), out);
+        }
+    }
+
+    /// Takes bids of another shard in. It has charged and lifted their workspaces.
+    pub(super) fn on_handover(&mut self, now: Timestamp, handover: Handover) {
+        self.exchange.end_pull(now);
+        for bid in handover.bids {
+            let known = self.flights.get(bid.request).is_some()
+                || self.queue.contains(bid.request)
+                || self.loans.contains(bid.request);
+            if !known && bid.remaining_us > 0 {
+                self.enqueue(now, bid, Some(now + GUEST_TERM));
+            }
+        }
+    }
+
+    /// Puts bids back into the queue that another shard did not serve in time.
+    pub(super) fn take_back_loans(&mut self, now: Timestamp) {
+        for loan in self.loans.take_due(now) {
+            self.queue.insert(loan.waiting);
+        }
+    }
+
+    /// Asks other shards for bids: for any while servers are idle, and for those of a workspace
+    /// that was served much less than the ones here.
+    pub(super) fn pull(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
+        if self.queue.is_empty() {
+            self.pull_for_idle(now, out);
+        } else {
+            self.pull_for_fairness(now, out);
+        }
+    }
+
+    pub(super) fn send_totals(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
+        let latest = self.ledger.cursor();
+        for peer in self.exchange.peers_mut() {
+            let cells = if peer.next_full.has_passed(now) {
+                peer.next_full = now + FULL_INTERVAL;
+                self.ledger.all()
+            } else if peer.told < latest && peer.next_change.has_passed(now) {
+                self.ledger.changed_since(peer.told)
+            } else {
+                continue;
+            };
+            peer.told = latest;
+            peer.next_change = now + CHANGE_INTERVAL;
+            if !cells.is_empty() {
+                let service = self.key.service;
+                out.push(PoolAction::Send {
+                    to: peer.host,
+                    message: PeerMessage::Totals(Totals { service, cells }),
+                });
+            }
+        }
+    }
+
+    pub(super) fn send_summary(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
+        if self.exchange.is_empty() || !self.summary.next_change.has_passed(now) {
+            return;
+        }
+        let summary = self.summarize(now);
+        let changed = self
+            .summary
+            .sent
+            .as_ref()
+            .is_none_or(|sent| differs(sent, &summary));
+        if !changed && !self.summary.next_repeat.has_passed(now) {
+            return;
+        }
+        for peer in self.exchange.peers() {
+            self.send(peer.host, PeerMessage::Summary(summary.clone()), out);
+        }
+        self.summary = SummaryState {
+            sent: Some(summary),
+            next_change: now + SUMMARY_THROTTLE,
+            next_repeat: now + SUMMARY_INTERVAL,
+        };
+    }
+
+    fn summarize(&self, now: Timestamp) -> Summary {
+        let mut backlog: Vec<_> = self
+            .queue
+            .workspaces()
+            .map(|workspace| self.backlog_of(workspace))
+            .filter(|entry| entry.queued > 0)
+            .collect();
+        backlog.sort_by_key(|entry| (entry.counter, entry.workspace));
+        backlog.truncate(SUMMARY_ENTRIES);
+        Summary {
+            service: self.key.service,
+            domain: self.key.domain,
+            free_slots: self.free_places(now),
+            backlog,
+        }
+    }
+
+    fn backlog_of(&self, workspace: WorkspaceId) -> BacklogEntry {
+        let own = self
+            .queue
+            .line(workspace)
+            .filter(|waiting| !waiting.is_guest());
+        BacklogEntry {
+            workspace,
+            queued: u32::try_from(own.count()).unwrap_or(u32::MAX),
+            counter: self.counter(workspace),
+        }
+    }
+
+    fn next_to_lend(&self, now: Timestamp, only: Option<WorkspaceId>) -> Option<Waiting> {
+        let heads = self
+            .queue
+            .workspaces()
+            .filter(|workspace| only.is_none_or(|only| only == *workspace))
+            .filter_map(|workspace| self.queue.line(workspace).find(|w| !w.is_guest()))
+            .filter(|waiting| !waiting.deadline.has_passed(now));
+        heads
+            .min_by_key(|waiting| (self.counter(waiting.bid.workspace), waiting.bid.workspace))
+            .copied()
+    }
+
+    fn pull_for_idle(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
+        let pending = self.exchange.pending_pulls(now);
+        let mut free = self.free_places(now).saturating_sub(pending);
+        let key = self.key;
+        for peer in self.exchange.peers_mut() {
+            let queued: u32 = peer.backlog(now).iter().map(|entry| entry.queued).sum();
+            let count = free.min(queued);
+            if count == 0 || peer.is_pulling(now) {
+                continue;
+            }
+            free -= count;
+            peer.start_pull(now, count);
+            out.push(pull_from(key, peer.host, None, count));
+        }
+    }
+
+    fn pull_for_fairness(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
+        let Some(head) = self.least_served() else {
+            return;
+        };
+        let ceiling = self.counter(head).saturating_sub(self.largest);
+        let lagging: BTreeMap<_, _> = self
+            .exchange
+            .backlogged(now)
+            .into_iter()
+            .filter(|workspace| !self.queue.is_backlogged(*workspace))
+            .map(|workspace| (workspace, self.counter(workspace)))
+            .filter(|(_, counter)| *counter < ceiling)
+            .collect();
+        let key = self.key;
+        for peer in self.exchange.peers_mut() {
+            if peer.is_pulling(now) {
+                continue;
+            }
+            let wanted = peer
+                .backlog(now)
+                .iter()
+                .filter_map(|entry| Some((lagging.get(&entry.workspace)?, entry.workspace)))
+                .min();
+            if let Some((_, workspace)) = wanted {
+                peer.start_pull(now, FAIR_PULL);
+                out.push(pull_from(key, peer.host, Some(workspace), FAIR_PULL));
+            }
+        }
+    }
+}
+
+fn pull_from(
+    key: super::PoolKey,
+    to: HostId,
+    workspace: Option<WorkspaceId>,
+    count: u32,
+) -> PoolAction {
+    let message = PeerMessage::Pull(Pull {
+        service: key.service,
+        domain: key.domain,
+        workspace,
+        count,
+    });
+    PoolAction::Send { to, message }
+}
+
+/// Whether a summary says something that peers act on and that the one before did not say.
+fn differs(sent: &Summary, new: &Summary) -> bool {
+    let workspaces = |summary: &Summary| -> Vec<_> {
+        let mut keys: Vec<_> = summary.backlog.iter().map(|e| e.workspace).collect();
+        keys.sort();
+        keys
+    };
+    (sent.free_slots == 0) != (new.free_slots == 0) || workspaces(sent) != workspaces(new)
+}
--- /dev/null
+++ b/lib/tests/pool_pump/mod.rs
@@ -0,0 +1,321 @@
+//! Message pump between schedulers, gateways, slot homes and fake servers of a few hosts.
+//!
+//! One host per failure domain is scheduler, gateway and slot home. Messages are delayed, and
+//! lost, repeated or cut off as the test wants it.
+
+#![allow(dead_code, reason = "each test file uses a part of the pump")]
+
+mod gateway;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cardamomshift_lib::host::ServiceKind;
+use cardamomshift_lib::id::DomainId;
+use cardamomshift_lib::id::HostId;
+use cardamomshift_lib::id::Incarnation;
+use cardamomshift_lib::id::ServerId;
+use cardamomshift_lib::id::ServiceId;
+use cardamomshift_lib::message::PeerMessage;
+use cardamomshift_lib::permit::SlotHome;
+use cardamomshift_lib::pool::PoolAction;
+use cardamomshift_lib::pool::PoolEvent;
+use cardamomshift_lib::pool::PoolKey;
+use cardamomshift_lib::pool::PoolMembers;
+use cardamomshift_lib::pool::PoolServer;
+use cardamomshift_lib::pool::Scheduler;
+use cardamomshift_lib::time::Timestamp;
+
+pub(crate) use gateway::Gateway;
+pub(crate) use gateway::Spec;
+
+pub(crate) const SERVICE: ServiceId = ServiceId(9);
+const STEP: Duration = Duration::from_millis(1);
+const TICK_STEPS: u64 = 20;
+const BID_STEPS: u64 = 400;
+const ANNOUNCE_STEPS: u64 = 2_000;
+
+/// A backend server that fails what it cannot bear.
+#[derive(Debug)]
+pub(crate) struct FakeServer {
+    pub(crate) domain: DomainId,
+    /// Requests that it bears at once.
+    pub(crate) bears: u32,
+    pub(crate) instance: u64,
+    pub(crate) usable: bool,
+    /// Whether every answer fails.
+    pub(crate) failing: bool,
+    pub(crate) running: u32,
+    pub(crate) most_running: u32,
+    pub(crate) dispatched: u64,
+    pub(crate) overloaded: u64,
+}
+
+/// Misbehaviour of the network, in thousandths of the messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Faults {
+    pub(crate) lost: u64,
+    pub(crate) repeated: u64,
+    /// Longest extra delay, milliseconds.
+    pub(crate) jitter_ms: u64,
+}
+
+pub(crate) struct Pump {
+    pub(crate) now: Timestamp,
+    pub(crate) faults: Faults,
+    pub(crate) cut: BTreeSet<(HostId, HostId)>,
+    pub(crate) domains: BTreeMap<HostId, DomainId>,
+    pub(crate) schedulers: BTreeMap<HostId, Scheduler>,
+    pub(crate) gateways: BTreeMap<HostId, Gateway>,
+    pub(crate) homes: BTreeMap<HostId, SlotHome>,
+    pub(crate) servers: BTreeMap<ServerId, FakeServer>,
+    net: BTreeMap<(Timestamp, u64), (HostId, HostId, PeerMessage)>,
+    steps: u64,
+    sent: u64,
+    seed: u64,
+}
+
+impl Pump {
+    /// Makes `hosts` failure domains of one host, with `servers` servers that bear `bears`
+    /// requests each.
+    pub(crate) fn new(hosts: u64, servers: u64, bears: u32, seed: u64) -> Self {
+        let mut pump = Self {
+            now: Timestamp::ZERO + Duration::from_secs(1),
+            faults: Faults::default(),
+            cut: BTreeSet::new(),
+            domains: BTreeMap::new(),
+            schedulers: BTreeMap::new(),
+            gateways: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            net: BTreeMap::new(),
+            steps: 0,
+            sent: 0,
+            seed: seed | 1,
+        };
+        for host in (1..=hosts).map(HostId) {
+            let domain = DomainId(host.0);
+            pump.add_host(host, domain);
+            for number in 0..servers {
+                let server = FakeServer {
+                    domain,
+                    bears,
+                    instance: 1,
+                    usable: true,
+                    failing: false,
+                    running: 0,
+                    most_running: 0,
+                    dispatched: 0,
+                    overloaded: 0,
+                };
+                pump.servers.insert(ServerId(host.0 * 100 + number), server);
+            }
+        }
+        for host in (1..=hosts).map(HostId) {
+            pump.start_scheduler(host);
+        }
+        pump
+    }
+
+    /// Adds a host to a failure domain.
+    pub(crate) fn add_host(&mut self, host: HostId, domain: DomainId) {
+        self.domains.insert(host, domain);
+        self.gateways.insert(host, Gateway::new(host));
+        let home = SlotHome::new(host, domain, self.now);
+        self.homes.insert(host, home);
+    }
+
+    /// Starts an empty scheduler on a host, in place of the one before. Messages of that one that
+    /// are on their way are lost.
+    pub(crate) fn start_scheduler(&mut self, host: HostId) {
+        self.net.retain(|_, (from, _, _)| *from != host);
+        let scheduler = Scheduler::new(self.key_of(host), host, self.now);
+        self.schedulers.insert(host, scheduler);
+        self.members(host);
+        self.announce_all();
+    }
+
+    /// Tells a scheduler its members anew.
+    pub(crate) fn members(&mut self, host: HostId) {
+        let hosts: Vec<_> = self.gateways.keys().copied().collect();
+        let alive = hosts.iter().copied();
+        let alive = alive.filter(|h| !self.cut.contains(&(host, *h)));
+        let domain = self.domains[&host];
+        let servers = self.servers.iter().filter(|(_, s)| s.domain == domain);
+        let mut peers: BTreeMap<_, _> = self.domains.iter().map(|(h, d)| (*d, *h)).collect();
+        peers.remove(&domain);
+        let members = PoolMembers {
+            listed: hosts.clone(),
+            alive: alive.collect(),
+            servers: servers
+                .map(|(server, fake)| PoolServer {
+                    server: *server,
+                    kind: ServiceKind::Model,
+                    usable: fake.usable,
+                })
+                .collect(),
+            peers: peers.into_iter().collect(),
+        };
+        self.event(host, PoolEvent::Members(members));
+    }
+
+    /// Cuts or joins the links of a host to all others.
+    pub(crate) fn isolate(&mut self, host: HostId, cut: bool) {
+        let hosts: Vec<_> = self.gateways.keys().copied().collect();
+        for other in hosts.iter().filter(|other| **other != host) {
+            for link in [(host, *other), (*other, host)] {
+                if cut {
+                    self.cut.insert(link);
+                } else {
+                    self.cut.remove(&link);
+                }
+            }
+        }
+        for other in hosts {
+            self.members(other);
+        }
+    }
+
+    /// Runs for `span`, calling `check` after each millisecond.
+    pub(crate) fn run(&mut self, span: Duration, mut check: impl FnMut(&mut Self)) {
+        let end = self.now + span;
+        while !end.has_passed(self.now) {
+            self.step();
+            check(self);
+        }
+    }
+
+    pub(crate) fn event(&mut self, host: HostId, event: PoolEvent) {
+        let mut out = Vec::new();
+        if let Some(scheduler) = self.schedulers.get_mut(&host) {
+            scheduler.handle(self.now, event, &mut out);
+        }
+        for PoolAction::Send { to, message } in out {
+            self.send(host, to, message);
+        }
+    }
+
+    pub(crate) fn send(&mut self, from: HostId, to: HostId, message: PeerMessage) {
+        if self.draw(1_000) < self.faults.lost || self.cut.contains(&(from, to)) {
+            return;
+        }
+        let copies = 1 + u64::from(self.draw(1_000) < self.faults.repeated);
+        for _ in 0..copies {
+            let jitter = self.draw(self.faults.jitter_ms + 1);
+            let due = self.now + Duration::from_millis(1 + jitter);
+            self.sent += 1;
+            self.net
+                .insert((due, self.sent), (from, to, message.clone()));
+        }
+    }
+
+    /// A number below `bound`, from a fixed sequence.
+    pub(crate) fn draw(&mut self, bound: u64) -> u64 {
+        self.seed ^= self.seed << 13;
+        self.seed ^= self.seed >> 7;
+        self.seed ^= self.seed << 17;
+        self.seed % bound
+    }
+
+    pub(crate) fn announce_all(&mut self) {
+        let hosts: Vec<_> = self.gateways.keys().copied().collect();
+        for host in hosts {
+            self.with_gateway(host, Gateway::announce);
+        }
+    }
+
+    pub(crate) fn submit(&mut self, host: HostId, spec: Spec) {
+        self.with_gateway(host, |gateway, pump| gateway.submit(pump, spec));
+    }
+
+    pub(crate) fn key_of(&self, host: HostId) -> PoolKey {
+        PoolKey {
+            service: SERVICE,
+            domain: self.domains[&host],
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.steps += 1;
+        while let Some(entry) = self.net.first_entry() {
+            if !entry.key().0.has_passed(self.now) {
+                break;
+            }
+            let (from, to, message) = entry.remove();
+            self.deliver(from, to, message);
+        }
+        let hosts: Vec<_> = self.gateways.keys().copied().collect();
+        for host in hosts {
+            self.with_gateway(host, Gateway::end_due);
+            if (self.steps + host.0).is_multiple_of(TICK_STEPS) {
+                self.event(host, PoolEvent::Tick);
+            }
+            if (self.steps + host.0).is_multiple_of(BID_STEPS) {
+                self.with_gateway(host, Gateway::bid_again);
+            }
+            if (self.steps + host.0).is_multiple_of(ANNOUNCE_STEPS) {
+                self.with_gateway(host, Gateway::announce);
+            }
+        }
+    }
+
+    fn with_gateway(&mut self, host: HostId, act: impl FnOnce(&mut Gateway, &mut Self)) {
+        if let Some(mut gateway) = self.gateways.remove(&host) {
+            act(&mut gateway, self);
+            self.gateways.insert(host, gateway);
+        }
+    }
+
+    fn deliver(&mut self, from: HostId, to: HostId, message: PeerMessage) {
+        let life = self.gateways.get(&from).map(|g| g.incarnation);
+        let incarnation = life.unwrap_or(Incarnation(1));
+        let event = match message {
+            PeerMessage::Bid(bid) => PoolEvent::Bid(bid),
+            PeerMessage::Withdrawal(withdrawal) => PoolEvent::Withdrawal(withdrawal),
+            PeerMessage::GrantReturn(grant_return) => PoolEvent::GrantReturn(grant_return),
+            PeerMessage::Progress(progress) => PoolEvent::Progress(progress),
+            PeerMessage::Totals(totals) => PoolEvent::Totals(totals),
+            PeerMessage::Summary(summary) => PoolEvent::Summary { from, summary },
+            PeerMessage::Pull(pull) => PoolEvent::Pull { from, pull },
+            PeerMessage::Handover(handover) => PoolEvent::Handover(handover),
+            PeerMessage::Finished(finished) => PoolEvent::Finished {
+                incarnation,
+                finished,
+            },
+            PeerMessage::Announcement(announcement) => PoolEvent::Announcement {
+                from,
+                incarnation,
+                announcement,
+            },
+            other => return self.deliver_to_gateway(from, to, other),
+        };
+        self.event(to, event);
+    }
+
+    fn deliver_to_gateway(&mut self, from: HostId, to: HostId, message: PeerMessage) {
+        match message {
+            PeerMessage::Grant(grant) => {
+                self.with_gateway(to, |g, pump| g.granted(pump, from, grant))
+            }
+            PeerMessage::Refusal(refusal) => self.with_gateway(to, |g, _| g.refused(refusal)),
+            PeerMessage::PermitAnswer(answer) => {
+                self.with_gateway(to, |g, pump| g.permitted(pump, answer));
+            }
+            PeerMessage::PermitRequest(req) => {
+                let life = self.gateways[&from].incarnation;
+                if let Some(home) = self.homes.get_mut(&to) {
+                    let answer = home.request(self.now, from, life, req, true);
+                    self.send(to, from, PeerMessage::PermitAnswer(answer));
+                }
+            }
+            PeerMessage::PermitRelease(release) => {
+                if let Some(home) = self.homes.get_mut(&to) {
+                    home.release(from, release);
+                }
+            }
+            other => panic!("unexpected message {other:?}"),
+        }
+    }
+}
