runtime: serve a request from caller to backend server over several hosts

The node composes the aggregates into one deterministic machine; the control thread feeds it from links, platform and traffic threads. A grant's deadline is given in the gateway's clock, estimated from the latest heartbeat, so that a grant which was held up while a process was paused lapses in time.

Three tests run three daemons over two failure domains: a streamed model request through every host, a plain request served in the other failure domain, and a change accepted by one host that is in force on all.

--- a/daemon/src/error.rs
+++ b/daemon/src/error.rs
@@ -22,6 +22,11 @@
     /// The system refuses threads or timers.
     #[snafu(display("cannot start the runtime: {source}"))]
     Runtime { source: io::Error },
+    /// The host cannot be started.
+    #[snafu(display("cannot start the host: {source}"))]
+    Start {
+        source: cardamomshift_lib::runtime::DaemonError,
+    },
     /// The system refuses to pass signals on.
     #[snafu(display("cannot listen for signals: {source}"))]
     Signals { source: io::Error },
@@ -31,7 +36,10 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
             Self::Settings { .. } => ExitCode::from(EXIT_SETTINGS),
-            Self::Logging { .. } | Self::Runtime { .. } | Self::Signals { .. } => ExitCode::FAILURE,
+            Self::Logging { .. }
+            | Self::Runtime { .. }
+            | Self::Start { .. }
+            | Self::Signals { .. } => ExitCode::FAILURE,
         }
     }
 }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -7,6 +7,7 @@
 
 use std::process::ExitCode;
 
+use cardamomshift_lib::runtime::Daemon;
 use cardamomshift_lib::settings::Settings;
 use clap::Parser;
 use log::info;
@@ -16,6 +17,7 @@
 use crate::error::DaemonError;
 use crate::error::RuntimeSnafu;
 use crate::error::SettingsSnafu;
+use crate::error::StartSnafu;
 use crate::signal::StopSignals;
 
 fn main() -> ExitCode {
@@ -49,7 +51,14 @@
         "host {} of failure domain {} starts",
         settings.host.name, settings.host.domain
     );
+    let mut daemon = Daemon::start(settings).context(StartSnafu)?;
+    info!("started");
     signals.next().await;
     info!("stopping");
+    daemon.stop();
+    tokio::select! {
+        () = daemon.stopped() => info!("stopped"),
+        () = signals.next() => info!("stopped at once by a second signal"),
+    }
     Ok(())
 }
--- /dev/null
+++ b/lib/src/node/inbox.rs
@@ -0,0 +1,164 @@
+//! Handling of messages from other hosts and from the node itself.
+
+use super::Node;
+use super::NodeAction;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::ServiceId;
+use crate::message::ConfigurationRequest;
+use crate::message::ConfigurationUpdate;
+use crate::message::Heartbeat;
+use crate::message::PeerMessage;
+use crate::message::PermitRequest;
+use crate::pool::PoolEvent;
+use crate::pool::PoolKey;
+use crate::time::Timestamp;
+
+impl Node {
+    /// Handles a message.
+    pub(super) fn receive(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        incarnation: Incarnation,
+        message: PeerMessage,
+        out: &mut Vec<NodeAction>,
+    ) {
+        if from != self.own {
+            self.note_sign_of_life(now, from, incarnation, &message, out);
+        }
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => self.heartbeat(now, from, heartbeat, out),
+            PeerMessage::Findings(findings) => {
+                let changes = self.members.told(now, from, &findings);
+                self.apply_changes(now, changes, out);
+            }
+            PeerMessage::Grant(grant) => self.on_requests(now, out, |table, routing, actions| {
+                table.granted(now, routing, from, grant, actions);
+            }),
+            PeerMessage::Refusal(refusal) => self.on_requests(now, out, |table, _, actions| {
+                table.refused(from, refusal, actions);
+            }),
+            PeerMessage::PermitAnswer(answer) => self.on_requests(now, out, |table, _, actions| {
+                table.permit_answered(now, from, answer, actions);
+            }),
+            PeerMessage::PermitRequest(request) => {
+                self.permit(now, from, incarnation, request, out);
+            }
+            PeerMessage::PermitRelease(release) => self.slots.release(from, release),
+            PeerMessage::PermitHoldings(holdings) => {
+                let held = holdings
+                    .held
+                    .iter()
+                    .map(|held| (held.request, held.server, held.slot));
+                self.slots.announced(now, from, incarnation, held);
+            }
+            PeerMessage::ConfigurationRequest(request) => {
+                self.send_configuration(now, from, request.have, out);
+            }
+            PeerMessage::ConfigurationUpdate(update) => self.configuration_told(now, update, out),
+            message => self.pass_to_pool(now, from, incarnation, message, out),
+        }
+    }
+
+    /// Passes a message on to the scheduler of the shard that it concerns.
+    fn pass_to_pool(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        incarnation: Incarnation,
+        message: PeerMessage,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let (service, event) = match message {
+            PeerMessage::Bid(bid) => (bid.service, PoolEvent::Bid(bid)),
+            PeerMessage::Withdrawal(withdrawal) => {
+                (withdrawal.service, PoolEvent::Withdrawal(withdrawal))
+            }
+            PeerMessage::GrantReturn(grant) => (grant.service, PoolEvent::GrantReturn(grant)),
+            PeerMessage::Finished(finished) => (
+                finished.service,
+                PoolEvent::Finished {
+                    incarnation,
+                    finished,
+                },
+            ),
+            PeerMessage::Progress(progress) => (progress.service, PoolEvent::Progress(progress)),
+            PeerMessage::Announcement(announcement) => (
+                announcement.service,
+                PoolEvent::Announcement {
+                    from,
+                    incarnation,
+                    announcement,
+                },
+            ),
+            PeerMessage::Totals(totals) => (totals.service, PoolEvent::Totals(totals)),
+            PeerMessage::Summary(summary) => {
+                (summary.service, PoolEvent::Summary { from, summary })
+            }
+            PeerMessage::Pull(pull) => (pull.service, PoolEvent::Pull { from, pull }),
+            PeerMessage::Handover(handover) => (handover.service, PoolEvent::Handover(handover)),
+            _ => return,
+        };
+        self.on_pool(now, self.own_pool(service), event, out);
+    }
+
+    fn own_pool(&self, service: ServiceId) -> PoolKey {
+        PoolKey {
+            service,
+            domain: self.own_domain,
+        }
+    }
+
+    fn heartbeat(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        heartbeat: Heartbeat,
+        out: &mut Vec<NodeAction>,
+    ) {
+        self.note_clock(now, from, heartbeat.clock_us);
+        let have = self.follower.revision();
+        if heartbeat.revision <= have || !self.next_configuration_request.has_passed(now) {
+            return;
+        }
+        self.next_configuration_request = now + super::roles::CONFIGURATION_REQUEST_INTERVAL;
+        let message = PeerMessage::ConfigurationRequest(ConfigurationRequest { have });
+        self.send(now, from, message, out);
+    }
+
+    fn permit(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        incarnation: Incarnation,
+        request: PermitRequest,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let home = self.routes().slot_home(request.server, request.slot);
+        let is_home = home == Some(self.own);
+        let answer = self.slots.request(now, from, incarnation, request, is_home);
+        self.send(now, from, PeerMessage::PermitAnswer(answer), out);
+    }
+
+    fn send_configuration(
+        &mut self,
+        now: Timestamp,
+        to: HostId,
+        have: u64,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let revision = self.follower.revision();
+        if revision <= have {
+            return;
+        }
+        let Some(document) = self.follower.document() else {
+            return;
+        };
+        let message = PeerMessage::ConfigurationUpdate(ConfigurationUpdate {
+            revision,
+            document: document.to_vec(),
+        });
+        self.send(now, to, message, out);
+    }
+}
--- /dev/null
+++ b/lib/src/node/roles.rs
@@ -0,0 +1,341 @@
+//! The roles that the node plays as membership, host list and configuration change.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Node;
+use super::NodeAction;
+use super::state::SLOT_QUARANTINE;
+use crate::configuration::Configuration;
+use crate::host::HostList;
+use crate::host::MembershipChange;
+use crate::id::DomainId;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::message::ConfigurationUpdate;
+use crate::message::Heartbeat;
+use crate::message::PeerMessage;
+use crate::message::PermitHoldings;
+use crate::pool::PoolEvent;
+use crate::pool::PoolKey;
+use crate::pool::PoolMembers;
+use crate::pool::Scheduler;
+use crate::request::RequestAction;
+use crate::time::Timestamp;
+
+/// Least time between two requests for a newer configuration.
+pub(super) const CONFIGURATION_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after which the state of a shard is announced again, which heals lost messages.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(2);
+
+impl Node {
+    /// Notes that a host was heard of.
+    pub(super) fn note_sign_of_life(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        incarnation: Incarnation,
+        message: &PeerMessage,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let heartbeat = match message {
+            PeerMessage::Heartbeat(heartbeat) => Some(*heartbeat),
+            _ => None,
+        };
+        let changes = self.members.heard(now, from, incarnation, heartbeat);
+        self.apply_changes(now, changes, out);
+    }
+
+    /// Greets a host whose link is ready, and tells it what it may have missed.
+    pub(super) fn link_up(
+        &mut self,
+        now: Timestamp,
+        host: HostId,
+        incarnation: Incarnation,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let changes = self.members.link_up(now, host, incarnation);
+        self.send_heartbeat(now, host, out);
+        self.send_holdings(now, host, out);
+        self.announced
+            .retain(|_, (scheduler, ..)| *scheduler != host);
+        self.apply_changes(now, changes, out);
+        self.announce(now, out);
+    }
+
+    /// Notes that the link to a host broke.
+    pub(super) fn link_down(&mut self, now: Timestamp, host: HostId) {
+        self.members.link_down(now, host);
+    }
+
+    /// Takes a new reading of the host list.
+    pub(super) fn list_read(&mut self, now: Timestamp, list: HostList, out: &mut Vec<NodeAction>) {
+        let changes = self.members.list_read(now, list.clone());
+        self.list = list;
+        out.push(NodeAction::Connect(self.members.peers_to_connect()));
+        self.note_changes(now, &changes, out);
+        self.rebuild_catalog(now, out);
+        self.announce_holdings(now, out);
+    }
+
+    /// Takes a configuration that the platform holds.
+    pub(super) fn configuration_read(
+        &mut self,
+        now: Timestamp,
+        configuration: Arc<Configuration>,
+        out: &mut Vec<NodeAction>,
+    ) {
+        if let Ok(Some(_)) = self.follower.offer(&configuration) {
+            self.relay_configuration(now, out);
+            self.rebuild_catalog(now, out);
+        }
+    }
+
+    /// Takes a configuration that another host passes on.
+    pub(super) fn configuration_told(
+        &mut self,
+        now: Timestamp,
+        update: ConfigurationUpdate,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let taken = self
+            .follower
+            .offer_document(update.revision, update.document);
+        if let Ok(Some(_)) = taken {
+            self.rebuild_catalog(now, out);
+        }
+    }
+
+    /// Passes a new configuration on to every host that is not known to have it.
+    fn relay_configuration(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        let revision = self.follower.revision();
+        let Some(document) = self.follower.document().map(|document| document.to_vec()) else {
+            return;
+        };
+        let mut lagging = self.other_alive_hosts();
+        lagging.retain(|host| self.members.revision(*host) < revision);
+        for host in lagging {
+            let message = PeerMessage::ConfigurationUpdate(ConfigurationUpdate {
+                revision,
+                document: document.clone(),
+            });
+            self.send(now, host, message, out);
+        }
+    }
+
+    /// Acts on the passage of time.
+    pub(super) fn tick(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        let step = self.members.tick(now);
+        for host in step.heartbeats {
+            self.send_heartbeat(now, host, out);
+        }
+        for (host, findings) in step.findings {
+            self.send(now, host, PeerMessage::Findings(findings), out);
+        }
+        self.apply_changes(now, step.changes, out);
+        self.on_requests(now, out, |table, routing, actions| {
+            table.tick(now, routing, actions);
+        });
+        let keys: Vec<_> = self.pools.keys().copied().collect();
+        for key in keys {
+            self.on_pool(now, key, PoolEvent::Tick, out);
+        }
+        self.announce(now, out);
+        if self.next_holdings.has_passed(now) {
+            self.announce_holdings(now, out);
+        }
+    }
+
+    /// Starts a planned stop: gives up every role, and finishes what runs.
+    pub(super) fn stop(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        self.stopping = true;
+        self.members.stop(now);
+        for host in self.other_alive_hosts() {
+            self.send_heartbeat(now, host, out);
+        }
+        self.show_view(out);
+        self.rearrange(now, out);
+    }
+
+    /// Acts on what changed in the membership.
+    pub(super) fn apply_changes(
+        &mut self,
+        now: Timestamp,
+        changes: Vec<MembershipChange>,
+        out: &mut Vec<NodeAction>,
+    ) {
+        if changes.is_empty() {
+            return;
+        }
+        self.note_changes(now, &changes, out);
+        self.rearrange(now, out);
+    }
+
+    /// Frees what earlier lives of restarted hosts held, and what hosts held that are gone for
+    /// good.
+    fn note_changes(
+        &mut self,
+        now: Timestamp,
+        changes: &[MembershipChange],
+        out: &mut Vec<NodeAction>,
+    ) {
+        for change in changes {
+            match *change {
+                MembershipChange::HostRestarted { host, .. } => self.forget_life(now, host, out),
+                MembershipChange::HostDown(host) => {
+                    self.slots.stop_awaiting(host);
+                    if !self.members.is_listed(host) {
+                        self.forget_life(now, host, out);
+                    }
+                }
+                _ => (),
+            }
+        }
+    }
+
+    fn forget_life(&mut self, now: Timestamp, host: HostId, out: &mut Vec<NodeAction>) {
+        self.clocks.remove(&host);
+        self.slots.gateway_lost(host);
+        let keys: Vec<_> = self.pools.keys().copied().collect();
+        for key in keys {
+            self.on_pool(now, key, PoolEvent::GatewayLost(host), out);
+        }
+    }
+
+    /// Takes up and gives up schedulers, moves bids, and announces them to new schedulers.
+    pub(super) fn rearrange(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        self.arrange_slots(now);
+        self.arrange_pools(now, out);
+        self.on_requests(now, out, |table, routing, actions| {
+            table.replace_bids(now, routing, actions);
+        });
+        self.announce(now, out);
+        self.arrange_watch(out);
+    }
+
+    /// Holds the slots back while homes move, since the old home may still give them out.
+    fn arrange_slots(&mut self, now: Timestamp) {
+        let homes = self.members.listed_hosts(self.own_domain);
+        if homes == self.slot_homes {
+            return;
+        }
+        self.slot_homes = homes;
+        self.slots
+            .set_hosts(self.alive_hosts(), now + SLOT_QUARANTINE);
+    }
+
+    fn alive_hosts(&self) -> Vec<HostId> {
+        let mut hosts = self.members.known_hosts();
+        hosts.retain(|host| self.members.alive(*host));
+        hosts
+    }
+
+    fn other_alive_hosts(&self) -> Vec<HostId> {
+        let mut hosts = self.alive_hosts();
+        hosts.retain(|host| *host != self.own);
+        hosts
+    }
+
+    fn arrange_pools(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        let mut wanted = BTreeSet::new();
+        let arrangements: Vec<_> = self
+            .catalog
+            .pools()
+            .filter(|(key, _)| key.domain == self.own_domain)
+            .filter(|(key, _)| self.members.scheduler(*key) == Some(self.own))
+            .map(|(key, servers)| (key, servers.to_vec()))
+            .collect();
+        for (key, servers) in arrangements {
+            wanted.insert(key);
+            let members = PoolMembers {
+                listed: self.members.known_hosts(),
+                alive: self.alive_hosts(),
+                servers,
+                peers: self.pool_peers(key),
+            };
+            let own = self.own;
+            self.pools
+                .entry(key)
+                .or_insert_with(|| Scheduler::new(key, own, now));
+            self.on_pool(now, key, PoolEvent::Members(members), out);
+        }
+        self.pools.retain(|key, _| wanted.contains(key));
+    }
+
+    /// Schedulers of the same service in other failure domains.
+    fn pool_peers(&self, key: PoolKey) -> Vec<(DomainId, HostId)> {
+        self.catalog
+            .pools()
+            .filter(|(other, _)| other.service == key.service && other.domain != key.domain)
+            .filter_map(|(other, _)| {
+                let host = self.members.scheduler(other)?;
+                Some((other.domain, host))
+            })
+            .collect()
+    }
+
+    fn arrange_watch(&mut self, out: &mut Vec<NodeAction>) {
+        let watching = self.members.watchers(self.own_domain).contains(&self.own);
+        if watching != self.watching {
+            self.watching = watching;
+            out.push(NodeAction::WatchConfiguration(watching));
+        }
+    }
+
+    /// Announces this gateway to schedulers that are new or due to hear of it again.
+    fn announce(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        let keys: Vec<_> = self.catalog.pools().map(|(key, _)| key).collect();
+        for key in keys {
+            self.announce_to(now, key, out);
+        }
+    }
+
+    fn announce_to(&mut self, now: Timestamp, key: PoolKey, out: &mut Vec<NodeAction>) {
+        let Some(scheduler) = self.members.scheduler(key) else {
+            self.announced.remove(&key);
+            return;
+        };
+        let incarnation = self.members.incarnation(scheduler).unwrap_or_default();
+        if let Some((host, life, next)) = self.announced.get(&key)
+            && *host == scheduler
+            && *life == incarnation
+            && !next.has_passed(now)
+        {
+            return;
+        }
+        let next = now + ANNOUNCEMENT_INTERVAL;
+        self.announced.insert(key, (scheduler, incarnation, next));
+        self.on_requests(now, out, |table, routing, actions| {
+            let announcement = table.announcement(now, routing, key);
+            actions.push(RequestAction::Send {
+                to: scheduler,
+                message: PeerMessage::Announcement(announcement),
+            });
+        });
+    }
+
+    fn send_heartbeat(&mut self, now: Timestamp, to: HostId, out: &mut Vec<NodeAction>) {
+        let message = PeerMessage::Heartbeat(Heartbeat {
+            revision: self.follower.revision(),
+            stopping: self.stopping,
+            clock_us: now.as_micros(),
+        });
+        self.send(now, to, message, out);
+    }
+
+    /// Tells every host, the own one included, which slots this gateway holds.
+    fn announce_holdings(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        self.next_holdings = now + ANNOUNCEMENT_INTERVAL;
+        for host in self.alive_hosts() {
+            self.send_holdings(now, host, out);
+        }
+    }
+
+    fn send_holdings(&mut self, now: Timestamp, to: HostId, out: &mut Vec<NodeAction>) {
+        let held = self.requests.holdings();
+        let message = PeerMessage::PermitHoldings(PermitHoldings { held });
+        self.send(now, to, message, out);
+    }
+}
--- a/lib/src/pool/granting.rs
+++ b/lib/src/pool/granting.rs
@@ -221,5 +221,6 @@
         limit: server.limit(),
         slot,
         remaining_us: u64::try_from(GRANT_TERM.as_micros()).unwrap_or(u64::MAX),
+        lapses_at_us: 0,
     }
 }
--- /dev/null
+++ b/lib/src/runtime/control_loop.rs
@@ -0,0 +1,180 @@
+//! The loop of the control thread: feeds events to the node and performs its actions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+
+use crate::configuration::Configuration;
+use crate::control::ControlRequest;
+use crate::control::FleetView;
+use crate::control::TicketKey;
+use crate::control::Verdict;
+use crate::host::HostList;
+use crate::node::Node;
+use crate::node::NodeAction;
+use crate::node::NodeEvent;
+use crate::peer::LinkEvent;
+use crate::peer::Links;
+use crate::time::Clock;
+
+/// Time between two ticks of the node.
+const TICK: Duration = Duration::from_millis(20);
+
+/// What the platform tells the control thread.
+#[derive(Debug)]
+pub(super) enum PlatformEvent {
+    /// A reading of the host list.
+    HostList(HostList),
+    /// A reading of the configuration.
+    Configuration(Arc<Configuration>),
+}
+
+/// The channels of the control thread.
+pub(super) struct ControlChannels {
+    /// Requests of the traffic threads.
+    pub(super) requests: mpsc::UnboundedReceiver<ControlRequest>,
+    /// Events of the links to other hosts.
+    pub(super) links: mpsc::UnboundedReceiver<LinkEvent>,
+    /// Readings of the platform.
+    pub(super) platform: mpsc::UnboundedReceiver<PlatformEvent>,
+    /// Where readings of the fleet go.
+    pub(super) view: watch::Sender<Arc<FleetView>>,
+    /// Whether the configuration is to be watched.
+    pub(super) watch_configuration: watch::Sender<bool>,
+}
+
+/// State of the control thread.
+pub(super) struct ControlLoop {
+    node: Node,
+    links: Links,
+    clock: Clock,
+    channels: ControlChannels,
+    verdicts: HashMap<TicketKey, mpsc::UnboundedSender<Verdict>>,
+    actions: Vec<NodeAction>,
+}
+
+impl ControlLoop {
+    pub(super) fn new(node: Node, links: Links, clock: Clock, channels: ControlChannels) -> Self {
+        Self {
+            node,
+            links,
+            clock,
+            channels,
+            verdicts: HashMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Runs until every handle of the traffic threads is dropped.
+    pub(super) async fn run(mut self) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                req = self.channels.requests.recv() => match req {
+                    Some(req) => self.requested(req),
+                    None => return,
+                },
+                Some(event) = self.channels.links.recv() => self.linked(event),
+                Some(event) = self.channels.platform.recv() => self.told(event),
+                _ = tick.tick() => self.feed(NodeEvent::Tick),
+            }
+        }
+    }
+
+    fn requested(&mut self, req: ControlRequest) {
+        let event = match req {
+            ControlRequest::Submit {
+                key,
+                spec,
+                verdicts,
+            } => {
+                self.verdicts.insert(key, verdicts);
+                NodeEvent::Submit { ticket: key, spec }
+            }
+            ControlRequest::GiveBack { key, unreachable } => NodeEvent::GiveBack {
+                ticket: key,
+                unreachable,
+            },
+            ControlRequest::Progress { key, cost } => NodeEvent::Progress { ticket: key, cost },
+            ControlRequest::Finish { key, report } => {
+                self.verdicts.remove(&key);
+                NodeEvent::Finish {
+                    ticket: key,
+                    report,
+                }
+            }
+            ControlRequest::Abandon { key } => {
+                self.verdicts.remove(&key);
+                NodeEvent::Abandon { ticket: key }
+            }
+            ControlRequest::Status { reply } => {
+                // The receiver may have given up waiting.
+                let _ = reply.send(self.node.status());
+                return;
+            }
+            ControlRequest::OfferConfiguration { configuration } => {
+                NodeEvent::Configuration(configuration)
+            }
+            ControlRequest::Stop => NodeEvent::Stop,
+        };
+        self.feed(event);
+    }
+
+    fn linked(&mut self, event: LinkEvent) {
+        let event = match event {
+            LinkEvent::Message {
+                from,
+                incarnation,
+                message,
+            } => NodeEvent::Message {
+                from,
+                incarnation,
+                message,
+            },
+            LinkEvent::Up { host, incarnation } => NodeEvent::LinkUp { host, incarnation },
+            LinkEvent::Down { host } => NodeEvent::LinkDown(host),
+        };
+        self.feed(event);
+    }
+
+    fn told(&mut self, event: PlatformEvent) {
+        let event = match event {
+            PlatformEvent::HostList(list) => NodeEvent::HostList(list),
+            PlatformEvent::Configuration(configuration) => NodeEvent::Configuration(configuration),
+        };
+        self.feed(event);
+    }
+
+    fn feed(&mut self, event: NodeEvent) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.node.handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+    }
+
+    fn perform(&mut self, action: NodeAction) {
+        match action {
+            NodeAction::Send { to, message } => self.links.send(to, message),
+            NodeAction::Verdict { ticket, verdict } => {
+                if let Some(tx) = self.verdicts.get(&ticket) {
+                    // A caller that has left drops its ticket, which says so by itself.
+                    let _ = tx.send(verdict);
+                }
+            }
+            NodeAction::Connect(peers) => self.links.set_peers(peers),
+            NodeAction::View(view) => {
+                self.channels.view.send_replace(view);
+            }
+            NodeAction::WatchConfiguration(watching) => {
+                self.channels.watch_configuration.send_replace(watching);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/fleet/mod.rs
@@ -0,0 +1,234 @@
+//! A small fleet of daemons in one process, before stand-ins on loopback.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cardamomshift_lib::configuration::Class;
+use cardamomshift_lib::configuration::Configuration;
+use cardamomshift_lib::configuration::Workspace;
+use cardamomshift_lib::configuration::hash_key;
+use cardamomshift_lib::host::HostEntry;
+use cardamomshift_lib::host::HostState;
+use cardamomshift_lib::host::ListedService;
+use cardamomshift_lib::host::Role;
+use cardamomshift_lib::host::ServiceKind;
+use cardamomshift_lib::id::WorkspaceId;
+use cardamomshift_lib::runtime::Daemon;
+use cardamomshift_lib::settings::FleetSettings;
+use cardamomshift_lib::settings::HostSettings;
+use cardamomshift_lib::settings::LimitSettings;
+use cardamomshift_lib::settings::ListenSettings;
+use cardamomshift_lib::settings::LogSettings;
+use cardamomshift_lib::settings::OperatorSettings;
+use cardamomshift_lib::settings::PlatformSettings;
+use cardamomshift_lib::settings::Secret;
+use cardamomshift_lib::settings::Settings;
+use cardamomshift_testutils::HostListApi;
+use cardamomshift_testutils::ObjectApi;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+
+/// Longest time that any step of a test may take before it counts as stuck.
+const STUCK: Duration = Duration::from_secs(60);
+
+/// Stand-ins of the platform and the daemons before them.
+pub(crate) struct Fleet {
+    pub(crate) objects: ObjectApi,
+    pub(crate) hosts: HostListApi,
+    pub(crate) daemons: Vec<Member>,
+}
+
+/// A daemon and its addresses.
+pub(crate) struct Member {
+    pub(crate) name: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    pub(crate) daemon: Daemon,
+}
+
+impl Fleet {
+    /// Starts a platform with one configuration of `workspaces`, whose keys are their names.
+    pub(crate) fn start(workspaces: &[&str]) -> Self {
+        let objects = ObjectApi::start(loopback());
+        let hosts = HostListApi::start(loopback());
+        let document = configuration(workspaces).to_document().unwrap();
+        objects.handle().put("configuration", "fleet", document);
+        Self {
+            objects,
+            hosts,
+            daemons: Vec::new(),
+        }
+    }
+
+    /// Starts a daemon in a failure domain and lists it.
+    pub(crate) fn add_host(&mut self, name: &str, domain: &str) {
+        let settings = self.settings(name, domain);
+        let (callers, operators) = (settings.listen.callers, settings.listen.operators);
+        let entry = entry(name, domain, settings.listen.peers, Role::Entry, &[]);
+        let daemon = Daemon::start(settings).unwrap();
+        self.hosts.handle().put(entry);
+        self.daemons.push(Member {
+            name: name.to_owned(),
+            callers,
+            operators,
+            daemon,
+        });
+    }
+
+    /// Lists a backend server of one service.
+    pub(crate) fn add_server(
+        &self,
+        name: &str,
+        domain: &str,
+        address: SocketAddr,
+        service: (&str, ServiceKind),
+    ) {
+        let listed = entry(name, domain, address, Role::Backend, &[service]);
+        self.hosts.handle().put(listed);
+    }
+
+    /// Waits until every daemon holds a configuration and sees every listed host and server.
+    pub(crate) async fn settled(&self) {
+        let listed = self.hosts.handle().list().hosts;
+        let entries = listed.iter().filter(|host| host.role == Role::Entry);
+        let hosts = entries.count();
+        let servers = listed.len() - hosts;
+        self.wait_until(|status| {
+            let alive = status.hosts.iter().filter(|host| host.alive).count();
+            status.revision > 0 && alive == hosts && status.servers.len() == servers
+        })
+        .await;
+    }
+
+    /// Waits until the status of every daemon meets a condition.
+    pub(crate) async fn wait_until(
+        &self,
+        condition: impl Fn(&cardamomshift_lib::status::Status) -> bool,
+    ) {
+        let all = async {
+            for member in &self.daemons {
+                loop {
+                    let status = member.daemon.control().status().await.unwrap();
+                    if condition(&status) {
+                        break;
+                    }
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        };
+        tokio::time::timeout(STUCK, all)
+            .await
+            .expect("fleet is stuck");
+    }
+
+    fn settings(&self, name: &str, domain: &str) -> Settings {
+        Settings {
+            host: HostSettings {
+                name: name.into(),
+                domain: domain.into(),
+            },
+            listen: ListenSettings {
+                callers: free_address(),
+                peers: free_address(),
+                operators: free_address(),
+                metrics: free_address(),
+            },
+            platform: PlatformSettings {
+                object_api: self.objects.address(),
+                host_list: self.hosts.address(),
+            },
+            fleet: FleetSettings {
+                key: Secret::new("a key of the whole fleet, for tests"),
+                source: None,
+            },
+            operators: OperatorSettings {
+                key: Secret::new(OPERATOR_KEY),
+            },
+            limits: LimitSettings::default(),
+            log: LogSettings::default(),
+        }
+    }
+}
+
+/// Key of the operators of every test fleet.
+pub(crate) const OPERATOR_KEY: &str = "a key of the operators, for tests";
+
+/// Sends a request as a workspace and reads the whole answer.
+pub(crate) async fn call(
+    address: SocketAddr,
+    key: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Response<Bytes> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let mut req = Request::post(format!("http://{address}{path}"))
+        .header("authorization", format!("Bearer {key}"))
+        .header("content-type", "application/json");
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let req = req.body(Full::new(body.into())).unwrap();
+    let answer = tokio::time::timeout(STUCK, async {
+        let (head, body) = client.request(req).await.unwrap().into_parts();
+        Response::from_parts(head, body.collect().await.unwrap().to_bytes())
+    });
+    answer.await.expect("request is stuck")
+}
+
+/// A loopback address with a port that the system chooses.
+pub(crate) fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind(loopback()).unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn entry(
+    name: &str,
+    domain: &str,
+    address: SocketAddr,
+    role: Role,
+    services: &[(&str, ServiceKind)],
+) -> HostEntry {
+    let services = services.iter().map(|(name, kind)| ListedService {
+        name: (*name).into(),
+        kind: *kind,
+    });
+    HostEntry {
+        name: name.into(),
+        domain: domain.into(),
+        role,
+        state: HostState::Live,
+        address,
+        services: services.collect(),
+        checks_fencing: false,
+    }
+}
+
+fn configuration(workspaces: &[&str]) -> Configuration {
+    let workspaces = workspaces.iter().zip(0..).map(|(name, id)| Workspace {
+        id: WorkspaceId(id),
+        name: (*name).into(),
+        key_hash: hash_key(name.as_bytes()),
+        enabled: true,
+    });
+    let workspaces: Vec<_> = workspaces.collect();
+    Configuration {
+        next_workspace: workspaces.len() as u32,
+        workspaces,
+        classes: vec![Class {
+            name: "default".into(),
+            target_ms: 30_000,
+        }],
+        ..Configuration::default()
+    }
+}
--- /dev/null
+++ b/lib/tests/test_fleet.rs
@@ -0,0 +1,99 @@
+//! Daemons that work together: the path of a request through several hosts.
+
+mod fleet;
+
+use cardamomshift_lib::host::ServiceKind;
+use cardamomshift_testutils::EngineProfile;
+use cardamomshift_testutils::ModelEngine;
+use cardamomshift_testutils::PlainService;
+use fleet::Fleet;
+use fleet::OPERATOR_KEY;
+use fleet::call;
+use fleet::loopback;
+
+const OPERATOR_CHANGE: &str =
+    r#"{"id":"change-1","change":{"kind":"set_class","name":"live","target_ms":900}}"#;
+
+const STREAMED: &str =
+    r#"{"model":"ruling","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"x"}]}"#;
+
+fn two_domains() -> Fleet {
+    let mut fleet = Fleet::start(&["arcade-one", "arcade-two"]);
+    for (name, domain) in [
+        ("bern-1", "bern-a"),
+        ("bern-2", "bern-a"),
+        ("zurich-1", "zurich-b"),
+    ] {
+        fleet.add_host(name, domain);
+    }
+    fleet
+}
+
+#[tokio::test]
+async fn streamed_answer_arrives_whole_through_every_host() {
+    let fleet = two_domains();
+    let engine = ModelEngine::start_with(loopback(), EngineProfile::unpaced());
+    fleet.add_server(
+        "engine-1",
+        "bern-a",
+        engine.address(),
+        ("ruling", ServiceKind::Model),
+    );
+    fleet.settled().await;
+    for member in &fleet.daemons {
+        let answer = call(
+            member.callers,
+            "arcade-one",
+            "/v1/chat/completions",
+            &[],
+            STREAMED,
+        )
+        .await;
+        let text = String::from_utf8(answer.body().to_vec()).unwrap();
+        assert_eq!(answer.status(), 200, "{}: {text}", member.name);
+        assert!(text.trim_end().ends_with("data: [DONE]"), "{text}");
+    }
+    assert_eq!(engine.handle().records().len(), fleet.daemons.len());
+}
+
+#[tokio::test]
+async fn plain_request_is_served_in_another_domain() {
+    let fleet = two_domains();
+    let service = PlainService::start(loopback());
+    fleet.add_server(
+        "league-1",
+        "zurich-b",
+        service.address(),
+        ("league", ServiceKind::Plain),
+    );
+    fleet.settled().await;
+    let bern = &fleet.daemons[0];
+    let answer = call(
+        bern.callers,
+        "arcade-two",
+        "/services/league/scores",
+        &[("x-operation", "score-1")],
+        "{}",
+    )
+    .await;
+    assert_eq!(answer.status(), 200, "{:?}", answer.body());
+    assert_eq!(service.handle().executions().len(), 1);
+}
+
+#[tokio::test]
+async fn accepted_change_is_in_force_on_every_host() {
+    let fleet = two_domains();
+    fleet.settled().await;
+    let operators = fleet.daemons[2].operators;
+    let answer = call(operators, OPERATOR_KEY, "/changes", &[], OPERATOR_CHANGE).await;
+    assert_eq!(answer.status(), 200, "{:?}", answer.body());
+    let stored = fleet
+        .objects
+        .handle()
+        .get("configuration", "fleet")
+        .unwrap();
+    fleet.wait_until(|status| status.revision == stored.0).await;
+    let view = fleet.daemons[0].daemon.control().view();
+    let configuration = view.configuration.clone().unwrap();
+    assert!(configuration.class("live").is_some());
+}
