request: announce as running only what was dispatched

An unused grant that was announced as running could not be returned: the scheduler held the return to be outdated, and the request waited for the next announcement. Unused grants count at the scheduler that gave them until they lapse, so the announcement need not list them.

Tests drive the table through grants, permits, lapses and departures; a property test checks that every permitted slot is held or released.

--- a/lib/src/request/table.rs
+++ b/lib/src/request/table.rs
@@ -423,16 +423,16 @@
                         .bids
                         .push(self.bid_of(now, *ticket, &open.spec));
                 }
-                RequestState::Waiting { .. } => (),
-                RequestState::AskingPermit { grant, .. }
-                | RequestState::Resting { grant, .. }
-                | RequestState::Dispatched { grant, .. } => {
+                RequestState::Dispatched { grant, cost, .. }
                     if grant.service == key.service
-                        && (routing.domain)(grant.server) == Some(key.domain)
-                    {
-                        announcement.running.push(running_of(&grant, open));
-                    }
+                        && (routing.domain)(grant.server) == Some(key.domain) =>
+                {
+                    announcement
+                        .running
+                        .push(running_of(&grant, &open.spec, cost));
                 }
+                // An unused grant still counts at the scheduler that gave it.
+                _ => (),
             }
         }
         announcement
@@ -665,16 +665,12 @@
     })
 }
 
-fn running_of(grant: &Grant, open: &OpenRequest) -> Running {
-    let cost = match open.state {
-        RequestState::Dispatched { cost, .. } => cost,
-        _ => 0,
-    };
+fn running_of(grant: &Grant, spec: &RequestSpec, cost: u64) -> Running {
     Running {
         request: grant.request,
-        workspace: open.spec.workspace,
+        workspace: spec.workspace,
         server: grant.server,
-        estimate: open.spec.estimate,
+        estimate: spec.estimate,
         cost,
     }
 }
--- /dev/null
+++ b/lib/tests/test_request.rs
@@ -0,0 +1,311 @@
+//! Rules of the gateway's table of open requests.
+
+use std::time::Duration;
+
+use cardamomshift_lib::control::EndReport;
+use cardamomshift_lib::control::RequestSpec;
+use cardamomshift_lib::control::TicketKey;
+use cardamomshift_lib::id::DomainId;
+use cardamomshift_lib::id::HostId;
+use cardamomshift_lib::id::Incarnation;
+use cardamomshift_lib::id::ServerId;
+use cardamomshift_lib::id::ServiceId;
+use cardamomshift_lib::id::WorkspaceId;
+use cardamomshift_lib::message::EndOutcome;
+use cardamomshift_lib::message::Grant;
+use cardamomshift_lib::message::PeerMessage;
+use cardamomshift_lib::message::PermitAnswer;
+use cardamomshift_lib::message::RefusalReason;
+use cardamomshift_lib::message::ServerPhase;
+use cardamomshift_lib::pool::PoolKey;
+use cardamomshift_lib::request::RequestAction;
+use cardamomshift_lib::request::RequestTable;
+use cardamomshift_lib::request::Routing;
+use cardamomshift_lib::time::Timestamp;
+use proptest::prelude::*;
+
+const OWN: HostId = HostId(1);
+const SCHEDULER: HostId = HostId(2);
+const HOME: HostId = HostId(3);
+const STRANGER: HostId = HostId(4);
+const SERVICE: ServiceId = ServiceId(10);
+const DOMAIN: DomainId = DomainId(20);
+const SERVER: ServerId = ServerId(30);
+const POOL: PoolKey = PoolKey {
+    service: SERVICE,
+    domain: DOMAIN,
+};
+
+struct Bench {
+    table: RequestTable,
+    now: Timestamp,
+    actions: Vec<RequestAction>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        Self {
+            table: RequestTable::new(OWN, Incarnation(1_000)),
+            now: Timestamp::from_micros(1),
+            actions: Vec::new(),
+        }
+    }
+
+    fn step(
+        &mut self,
+        step: impl FnOnce(&mut RequestTable, Timestamp, &Routing<'_>, &mut Vec<RequestAction>),
+    ) -> Vec<RequestAction> {
+        let routing = Routing {
+            place: &|_, _| Ok((POOL, SCHEDULER)),
+            scheduler: &|_| Some(SCHEDULER),
+            usable: &|_| Some(DOMAIN),
+            domain: &|_| Some(DOMAIN),
+            slot_home: &|_, _| Some(HOME),
+        };
+        step(&mut self.table, self.now, &routing, &mut self.actions);
+        std::mem::take(&mut self.actions)
+    }
+
+    fn submit(&mut self, ticket: u64) -> Vec<RequestAction> {
+        let spec = RequestSpec {
+            service: SERVICE,
+            workspace: WorkspaceId(1),
+            estimate: 100,
+            deadline: self.now + Duration::from_secs(60),
+            prefix: 0,
+        };
+        self.step(|table, now, routing, out| {
+            table.submit(now, routing, TicketKey(ticket), spec, out);
+        })
+    }
+
+    fn grant(&mut self, from: HostId, ticket: u64, phase: ServerPhase) -> Vec<RequestAction> {
+        let grant = self.a_grant(ticket, phase);
+        self.step(|table, now, routing, out| table.granted(now, routing, from, grant, out))
+    }
+
+    fn a_grant(&self, ticket: u64, phase: ServerPhase) -> Grant {
+        Grant {
+            request: self.table.request(TicketKey(ticket)),
+            service: SERVICE,
+            server: SERVER,
+            phase,
+            limit: 1,
+            lapses_at_us: (self.now + Duration::from_secs(2)).as_micros(),
+            ..Grant::default()
+        }
+    }
+
+    fn answer(&mut self, from: HostId, ticket: u64, granted: bool) -> Vec<RequestAction> {
+        let answer = PermitAnswer {
+            request: self.table.request(TicketKey(ticket)),
+            server: SERVER,
+            slot: 0,
+            granted,
+        };
+        self.step(|table, now, _, out| table.permit_answered(now, from, answer, out))
+    }
+
+    fn tick(&mut self, span: Duration) -> Vec<RequestAction> {
+        self.now = self.now + span;
+        self.step(|table, now, routing, out| table.tick(now, routing, out))
+    }
+}
+
+fn dispatches(actions: &[RequestAction]) -> usize {
+    let is_dispatch = |action: &&RequestAction| matches!(action, RequestAction::Dispatch { .. });
+    actions.iter().filter(is_dispatch).count()
+}
+
+fn sent(actions: &[RequestAction]) -> Vec<(HostId, &'static str)> {
+    let name = |message: &PeerMessage| match message {
+        PeerMessage::Bid(_) => "bid",
+        PeerMessage::Withdrawal(_) => "withdrawal",
+        PeerMessage::GrantReturn(_) => "return",
+        PeerMessage::PermitRequest(_) => "ask",
+        PeerMessage::PermitRelease(_) => "release",
+        PeerMessage::Finished(_) => "finished",
+        _ => "other",
+    };
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            RequestAction::Send { to, message } => Some((*to, name(message))),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn grant_for_a_warm_server_dispatches_once() {
+    let mut bench = Bench::new();
+    assert_eq!(sent(&bench.submit(1)), [(SCHEDULER, "bid")]);
+    assert_eq!(dispatches(&bench.grant(SCHEDULER, 1, ServerPhase::Warm)), 1);
+    let repeated = bench.grant(SCHEDULER, 1, ServerPhase::Warm);
+    assert!(repeated.is_empty(), "{repeated:?}");
+}
+
+#[test]
+fn grant_of_a_host_that_does_not_schedule_is_returned() {
+    let mut bench = Bench::new();
+    bench.submit(1);
+    let actions = bench.grant(STRANGER, 1, ServerPhase::Warm);
+    assert_eq!(sent(&actions), [(STRANGER, "return")]);
+    assert_eq!(dispatches(&actions), 0);
+}
+
+#[test]
+fn lapsed_grant_is_returned() {
+    let mut bench = Bench::new();
+    bench.submit(1);
+    let grant = bench.a_grant(1, ServerPhase::Warm);
+    bench.now = bench.now + Duration::from_secs(2);
+    let actions =
+        bench.step(|table, now, routing, out| table.granted(now, routing, SCHEDULER, grant, out));
+    assert_eq!(sent(&actions), [(SCHEDULER, "return")]);
+}
+
+#[test]
+fn cold_server_is_used_only_with_a_permit_of_the_slot_home() {
+    let mut bench = Bench::new();
+    bench.submit(1);
+    let actions = bench.grant(SCHEDULER, 1, ServerPhase::Cold);
+    assert_eq!(sent(&actions), [(HOME, "ask")]);
+    let unasked = bench.answer(STRANGER, 1, true);
+    assert_eq!(sent(&unasked), [(STRANGER, "release")]);
+    assert_eq!(dispatches(&bench.answer(HOME, 1, true)), 1);
+    let report = EndReport {
+        outcome: EndOutcome::Complete,
+        cost: 7,
+        first_byte: None,
+        instance: 0,
+    };
+    let end = bench.step(|table, _, routing, out| {
+        table.finish(routing, TicketKey(1), report, out);
+    });
+    assert_eq!(sent(&end), [(HOME, "release"), (SCHEDULER, "finished")]);
+}
+
+#[test]
+fn refused_permit_rests_before_the_next_bid() {
+    let mut bench = Bench::new();
+    bench.submit(1);
+    bench.grant(SCHEDULER, 1, ServerPhase::Cold);
+    let refused = bench.answer(HOME, 1, false);
+    assert!(refused.is_empty(), "{refused:?}");
+    let rested = bench.tick(Duration::from_millis(100));
+    assert_eq!(sent(&rested), [(SCHEDULER, "return"), (SCHEDULER, "bid")]);
+}
+
+#[test]
+fn permit_that_comes_after_the_caller_left_is_released() {
+    let mut bench = Bench::new();
+    bench.submit(1);
+    bench.grant(SCHEDULER, 1, ServerPhase::Cold);
+    let left = bench.step(|table, _, routing, out| table.abandon(routing, TicketKey(1), out));
+    assert_eq!(sent(&left), [(HOME, "release"), (SCHEDULER, "return")]);
+    let late = bench.answer(HOME, 1, true);
+    assert_eq!(sent(&late), [(HOME, "release")]);
+}
+
+#[test]
+fn waiting_request_is_refused_once_its_deadline_passes() {
+    let mut bench = Bench::new();
+    bench.submit(1);
+    let actions = bench.tick(Duration::from_secs(60));
+    let refused = actions.iter().any(|action| {
+        matches!(
+            action,
+            RequestAction::Refuse {
+                reason: RefusalReason::DeadlinePassed,
+                ..
+            }
+        )
+    });
+    assert!(refused, "{actions:?}");
+    assert_eq!(bench.table.counts(), (0, 0));
+}
+
+/// An event of the outside world that concerns one of a few tickets.
+#[derive(Clone, Debug)]
+enum Event {
+    Submit(u64),
+    Grant(u64, ServerPhase, HostId),
+    Permit(u64, bool, HostId),
+    GiveBack(u64),
+    Finish(u64),
+    Abandon(u64),
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let ticket = 0..4_u64;
+    let phase = prop_oneof![Just(ServerPhase::Cold), Just(ServerPhase::Warm)];
+    let granter = prop_oneof![3 => Just(SCHEDULER), 1 => Just(STRANGER)];
+    let home = prop_oneof![3 => Just(HOME), 1 => Just(STRANGER)];
+    prop_oneof![
+        ticket.clone().prop_map(Event::Submit),
+        (ticket.clone(), phase, granter).prop_map(|(t, p, h)| Event::Grant(t, p, h)),
+        (ticket.clone(), any::<bool>(), home).prop_map(|(t, g, h)| Event::Permit(t, g, h)),
+        ticket.clone().prop_map(Event::GiveBack),
+        ticket.clone().prop_map(Event::Finish),
+        ticket.prop_map(Event::Abandon),
+        (1..3_000_u64).prop_map(Event::Pass),
+    ]
+}
+
+fn apply(bench: &mut Bench, event: Event) -> Vec<RequestAction> {
+    match event {
+        Event::Submit(ticket) => bench.submit(ticket),
+        Event::Grant(ticket, phase, from) => bench.grant(from, ticket, phase),
+        Event::Permit(ticket, granted, from) => bench.answer(from, ticket, granted),
+        Event::GiveBack(ticket) => bench.step(|table, now, routing, out| {
+            table.give_back(now, routing, TicketKey(ticket), false, out);
+        }),
+        Event::Finish(ticket) => bench.step(|table, _, routing, out| {
+            let report = EndReport {
+                outcome: EndOutcome::Complete,
+                cost: 1,
+                first_byte: None,
+                instance: 0,
+            };
+            table.finish(routing, TicketKey(ticket), report, out);
+        }),
+        Event::Abandon(ticket) => bench.step(|table, _, routing, out| {
+            table.abandon(routing, TicketKey(ticket), out);
+        }),
+        Event::Pass(millis) => bench.tick(Duration::from_millis(millis)),
+    }
+}
+
+proptest! {
+    /// Every slot that a stranger or the home permits is either held by a request or released,
+    /// and a request holds at most one dispatch at a time.
+    #[test]
+    fn slots_are_held_or_released(events in proptest::collection::vec(event(), 1..120)) {
+        let mut bench = Bench::new();
+        let mut submitted = std::collections::BTreeSet::new();
+        for event in events {
+            // A ticket is used for one request only.
+            if let Event::Submit(ticket) = &event
+                && !submitted.insert(*ticket)
+            {
+                continue;
+            }
+            let permit = match &event {
+                Event::Permit(ticket, true, from) => Some((*ticket, *from)),
+                _ => None,
+            };
+            let actions = apply(&mut bench, event);
+            prop_assert!(dispatches(&actions) <= 1);
+            if let Some((ticket, from)) = permit {
+                let request = bench.table.request(TicketKey(ticket));
+                let held = bench.table.holdings().iter().any(|held| held.request == request);
+                let released = sent(&actions).contains(&(from, "release"));
+                prop_assert!(held || released);
+            }
+        }
+        let (waiting, running) = bench.table.counts();
+        prop_assert!(waiting + running <= submitted.len() as u64);
+    }
+}
