operation: keep records in the object API

Cause: the records had only the store of the tests. The object API's client is now their store; every error but a conflict counts as "perhaps written", so that a read decides. The random schedules also read earlier states, because the platform's reads may lag.

--- a/lib/src/operation/mod.rs
+++ b/lib/src/operation/mod.rs
@@ -4,6 +4,7 @@
 //! state machines, and [`Records`] carries them out.
 
 mod claim;
+mod platform;
 mod record;
 mod records;
 mod settle;
--- a/lib/src/operation/records.rs
+++ b/lib/src/operation/records.rs
@@ -55,7 +55,7 @@
             return None;
         }
         let hash = hex::encode(Sha256::digest(key));
-        Some(Self(format_compact!("operation-{workspace}-{hash}")))
+        Some(Self(format_compact!("{workspace}-{hash}")))
     }
 }
 
--- a/lib/tests/test_operation.rs
+++ b/lib/tests/test_operation.rs
@@ -35,7 +35,7 @@
     }
 }
 
-/// What happens to a write.
+/// What happens to a call. A delayed write arrives later; a delayed read sees an earlier state.
 #[derive(Clone, Copy, Debug)]
 enum Fate {
     Answered,
@@ -77,6 +77,8 @@
 #[derive(Default)]
 struct StoreModel {
     object: Option<(u64, Record)>,
+    /// States before the present one, oldest first.
+    earlier: Vec<Option<(u64, Record)>>,
     delayed: Vec<Write>,
 }
 
@@ -87,10 +89,20 @@
             return None;
         }
         let version = current.unwrap_or(0) + 1;
+        self.earlier.push(self.object.clone());
         self.object = Some((version, record));
         Some(version)
     }
 
+    /// Result of a read, if there is any.
+    fn read(&self, fate: Fate) -> Result<Option<(u64, Record)>, ()> {
+        match fate {
+            Fate::Answered => Ok(self.object.clone()),
+            Fate::AnswerLost | Fate::CallLost => Err(()),
+            Fate::Delayed => Ok(self.earlier.last().cloned().flatten()),
+        }
+    }
+
     /// Result of a write: its version, `None` for a conflict, or nothing at all.
     fn write(&mut self, write: Write, fate: Fate) -> Result<Option<u64>, ()> {
         match fate {
@@ -201,10 +213,10 @@
             Some(Ok(Some(version))) => ClaimEvent::Written { version },
             Some(Ok(None)) => ClaimEvent::Conflict,
             Some(Err(())) => ClaimEvent::Lost,
-            None if matches!(fate, Fate::CallLost) => ClaimEvent::Unreadable,
-            None => match self.store.object.clone() {
-                Some((version, record)) => ClaimEvent::Found { version, record },
-                None => ClaimEvent::Absent,
+            None => match self.store.read(fate) {
+                Ok(Some((version, record))) => ClaimEvent::Found { version, record },
+                Ok(None) => ClaimEvent::Absent,
+                Err(()) => ClaimEvent::Unreadable,
             },
         };
         let step = claim.on(event);
@@ -221,10 +233,10 @@
                     Err(()) => SettleEvent::Lost,
                 }
             }
-            SettleStep::Read => match self.store.object.clone() {
-                _ if matches!(fate, Fate::CallLost) => SettleEvent::Unreadable,
-                Some((version, record)) => SettleEvent::Found { version, record },
-                None => SettleEvent::Absent,
+            SettleStep::Read => match self.store.read(fate) {
+                Ok(Some((version, record))) => SettleEvent::Found { version, record },
+                Ok(None) => SettleEvent::Absent,
+                Err(()) => SettleEvent::Unreadable,
             },
         };
         let step = settle.on(event);
