metrics: serve measurements and health

Cause: nothing showed the measurements, and a balancer had nothing to ask. The listener serves /metrics, /livez and /readyz; a host is ready while it has a configuration and is not stopping.

Ruled out: readiness by the state of the platform, which would take every host away in an outage.

--- a/lib/src/metrics/mod.rs
+++ b/lib/src/metrics/mod.rs
@@ -1,7 +1,9 @@
 //! Measurements of a host and the listener that shows them.
 
 mod registry;
+mod serve;
 
 pub use registry::Fault;
 pub use registry::Metrics;
 pub use registry::PairMetrics;
+pub use serve::serve;
--- /dev/null
+++ b/lib/src/metrics/serve.rs
@@ -0,0 +1,59 @@
+//! Listener for measurements and health.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::http::header;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use tokio::net::TcpListener;
+
+use super::registry::Metrics;
+use crate::control::ControlHandle;
+
+/// Media type of the text format of Prometheus.
+const TEXT_FORMAT: &str = "text/plain; version=0.0.4; charset=utf-8";
+
+#[derive(Clone)]
+struct Watched {
+    metrics: Arc<Metrics>,
+    control: ControlHandle,
+}
+
+/// Serves `/metrics`, `/livez` and `/readyz` until the task is dropped.
+///
+/// The host is ready while it has a configuration and is not stopping; it is alive while it
+/// answers at all.
+pub async fn serve(listener: TcpListener, metrics: Arc<Metrics>, control: ControlHandle) {
+    let router = Router::new()
+        .route("/metrics", get(show_metrics))
+        .route("/livez", get(show_life))
+        .route("/readyz", get(show_readiness))
+        .with_state(Watched { metrics, control });
+    // The library ends this loop for no error of a connection.
+    let _ = axum::serve(listener, router).await;
+}
+
+async fn show_metrics(State(watched): State<Watched>) -> Response {
+    match watched.metrics.text() {
+        Ok(text) => ([(header::CONTENT_TYPE, TEXT_FORMAT)], text).into_response(),
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+async fn show_life() -> &'static str {
+    "alive\n"
+}
+
+async fn show_readiness(State(watched): State<Watched>) -> Response {
+    let view = watched.control.view();
+    let reason = match (&view.configuration, view.stopping) {
+        (_, true) => "stopping\n",
+        (None, false) => "no configuration\n",
+        (Some(_), false) => return "ready\n".into_response(),
+    };
+    (StatusCode::SERVICE_UNAVAILABLE, reason).into_response()
+}
