gateway: read the prompt's start by a visitor, test the limits on callers

Cause: the hash of the prompt's prefix covered the JSON text after "messages", so that two requests with one system prompt differed in the order of fields or after a short prompt. It now covers the first 256 bytes of the first message or prompt, read by a serde visitor without a copy.

Ruled out: parsing whole conversations, which costs memory for texts that nobody reads.

Figures: 13 tests of keys, classes, paths, refusals, size and time limits, connections and HTTP/2.

--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod headers;
 mod keyed;
+mod model;
 mod preface;
 mod refusal;
 mod relay;
--- a/lib/src/gateway/routes.rs
+++ b/lib/src/gateway/routes.rs
@@ -32,11 +32,12 @@
 use super::dispatch::Shared;
 use super::headers;
 use super::keyed;
+use super::model::ModelRequest;
+use super::model::prompt_tokens;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::request;
 use super::request::Call;
-use super::request::ModelRequest;
 use super::run_mark::RunMark;
 use crate::control::FleetView;
 use crate::control::RequestSpec;
@@ -103,18 +104,18 @@
 /// All paths of the callers' side.
 pub(crate) fn router(front: Arc<Front>) -> Router {
     Router::new()
-        .route("/v1/chat/completions", post(model))
-        .route("/v1/completions", post(model))
-        .route("/v1/models", get(models))
-        .route("/services/{service}", any(plain))
-        .route("/services/{service}/", any(plain))
-        .route("/services/{service}/{*path}", any(plain))
+        .route("/v1/chat/completions", post(serve_model))
+        .route("/v1/completions", post(serve_model))
+        .route("/v1/models", get(list_models))
+        .route("/services/{service}", any(serve_plain))
+        .route("/services/{service}/", any(serve_plain))
+        .route("/services/{service}/{*path}", any(serve_plain))
         .fallback(not_found)
         .method_not_allowed_fallback(method_not_allowed)
         .with_state(front)
 }
 
-async fn model(State(front): State<Arc<Front>>, req: Request<Body>) -> Response<Body> {
+async fn serve_model(State(front): State<Arc<Front>>, req: Request<Body>) -> Response<Body> {
     let request_id = front.next_request_id();
     let result = match model_call(&front, request_id.clone(), req).await {
         Ok(call) => keyed::serve(&front.shared, &front.records, &call).await,
@@ -123,7 +124,7 @@
     front.respond(&request_id, result)
 }
 
-async fn plain(State(front): State<Arc<Front>>, req: Request<Body>) -> Response<Body> {
+async fn serve_plain(State(front): State<Arc<Front>>, req: Request<Body>) -> Response<Body> {
     let request_id = front.next_request_id();
     let result = match plain_call(&front, request_id.clone(), req).await {
         Ok(call) => keyed::serve(&front.shared, &front.records, &call).await,
@@ -140,13 +141,13 @@
     let body = front.read_body(body).await?;
     let model = ModelRequest::parse(&body)?;
     let service = service_of_kind(&view, &model.model, ServiceKind::Model)?;
-    let prompt_tokens = request::prompt_tokens(&body);
+    let prompt_tokens = prompt_tokens(&body);
     let spec = RequestSpec {
         service: service.id,
         workspace: caller.workspace,
         estimate: model.estimate(prompt_tokens),
         deadline: arrived + caller.target,
-        prefix: request::prefix_hash(caller.workspace, &body),
+        prefix: model.prefix(caller.workspace),
     };
     let target = path_and_query(&parts.uri)?;
     Ok(Call {
@@ -251,7 +252,7 @@
     owned_by: &'static str,
 }
 
-async fn models(State(front): State<Arc<Front>>, headers: HeaderMap) -> Response<Body> {
+async fn list_models(State(front): State<Arc<Front>>, headers: HeaderMap) -> Response<Body> {
     let request_id = front.next_request_id();
     let view = front.shared.control.view();
     let result = front
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -109,3 +109,42 @@
     assert!(answer.contains(MODEL), "{answer}");
     assert!(!answer.contains(PLAIN));
 }
+
+#[tokio::test]
+async fn prefix_depends_on_the_workspace_and_the_start_of_the_prompt_only() {
+    let long = "s".repeat(300);
+    let bodies = [
+        format!(
+            r#"{{"model":"{MODEL}","messages":[{{"role":"system","content":"{long}"}},{{"content":"a"}}]}}"#
+        ),
+        format!(
+            r#"{{"messages":[{{"content":"{long}x","role":"system"}},{{"content":"b"}}],"model":"{MODEL}"}}"#
+        ),
+        format!(
+            r#"{{"model":"{MODEL}","messages":[{{"content":[{{"type":"text","text":"{long}"}}]}}]}}"#
+        ),
+        format!(r#"{{"model":"{MODEL}","prompt":"{long}"}}"#),
+        format!(r#"{{"model":"{MODEL}","prompt":["{long}"]}}"#),
+        format!(r#"{{"model":"{MODEL}","prompt":"s\n"}}"#),
+        format!(r#"{{"model":"{MODEL}","prompt":[[1,2]]}}"#),
+    ];
+    let mut rig = Rig::start(vec![]).await;
+    let mut prefixes = Vec::new();
+    let mut callers = Vec::new();
+    for body in bodies {
+        callers.push(
+            rig.open(&request("POST", "/v1/completions", "", &body))
+                .await,
+        );
+        let Told::Submit(spec) = rig.next().await else {
+            panic!("no submission");
+        };
+        prefixes.push(spec.prefix);
+    }
+    assert!(
+        prefixes[..5].iter().all(|prefix| *prefix == prefixes[0]),
+        "{prefixes:?}"
+    );
+    assert_ne!(prefixes[5], prefixes[0]);
+    assert_eq!(prefixes[6], 0);
+}
--- /dev/null
+++ b/lib/tests/test_gateway_callers.rs
@@ -0,0 +1,307 @@
+//! Who may call, what the limits are, and how refusals look.
+
+mod common;
+
+use std::sync::Arc;
+
+use cardamomshift_lib::control::FleetView;
+use cardamomshift_lib::control::Verdict;
+use cardamomshift_lib::message::RefusalReason;
+use cardamomshift_lib::settings::LimitSettings;
+use common::Backend;
+use common::KEY;
+use common::MODEL;
+use common::PLAIN;
+use common::Rig;
+use common::Told;
+use common::chat;
+use common::metrics_text;
+use common::order;
+use common::read_to_end;
+use common::read_until;
+use common::request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+fn post() -> String {
+    request("POST", &format!("/services/{PLAIN}/book"), "", "two")
+}
+
+async fn limited(limits: LimitSettings) -> Rig {
+    Rig::with(vec![], limits, common::view()).await
+}
+
+fn assert_refused(answer: &str, status: u16, code: &str) {
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status} ")),
+        "{answer}"
+    );
+    assert!(answer.contains(&format!("\"code\":\"{code}\"")), "{answer}");
+    assert!(answer.contains("\"outcome\":\"not_run\""), "{answer}");
+    assert!(answer.contains("x-request-id: "), "{answer}");
+}
+
+#[tokio::test]
+async fn callers_without_rights_are_refused() {
+    let mut rig = Rig::start(vec![]).await;
+    let with_key = |key: &str| post().replace(KEY, key);
+    let cases = [
+        (post().replace("Bearer ", "Basic "), 401, "missing_key"),
+        (with_key(""), 401, "missing_key"),
+        (with_key("wrong"), 401, "unknown_key"),
+        (with_key("key-of-bern-and-more"), 401, "unknown_key"),
+        (with_key("key-of-closed"), 403, "workspace_disabled"),
+    ];
+    for (text, status, code) in cases {
+        assert_refused(&rig.call(&text).await, status, code);
+    }
+    assert!(rig.told.try_recv().is_err(), "none of them was submitted");
+    let text = metrics_text(&rig.metrics);
+    assert!(text.contains("cardamomshift_refusals_total{code=\"unknown_key\"} 2"));
+    assert!(!text.contains(KEY));
+}
+
+#[tokio::test]
+async fn malformed_requests_are_refused() {
+    let rig = Rig::start(vec![]).await;
+    let model = |body: &str| request("POST", "/v1/completions", "", body);
+    let to = |method: &str, path: &str| request(method, path, "", "");
+    let classed = |class: &str| {
+        let field = format!("x-cardamomshift-class: {class}\r\n");
+        request("POST", &format!("/services/{PLAIN}/book"), &field, "")
+    };
+    let cases = [
+        (model("{\"model\":"), 400, "malformed_request"),
+        (model("{\"prompt\":\"x\"}"), 400, "malformed_request"),
+        (model("{\"model\":\"ledger\"}"), 404, "unknown_service"),
+        (model("{\"model\":\"other\"}"), 404, "unknown_service"),
+        (to("POST", "/services/other/x"), 404, "unknown_service"),
+        (
+            to("GET", &format!("/services/{MODEL}/x")),
+            404,
+            "unknown_service",
+        ),
+        (to("GET", "/elsewhere"), 404, "not_found"),
+        (to("GET", "/v1/completions"), 405, "method_not_allowed"),
+        (classed("other"), 400, "unknown_class"),
+    ];
+    for (text, status, code) in cases {
+        assert_refused(&rig.call(&text).await, status, code);
+    }
+}
+
+#[tokio::test]
+async fn nothing_is_served_before_there_is_a_configuration_or_after_the_stop() {
+    let rig = Rig::with(vec![], common::limits(), FleetView::default()).await;
+    let answer = rig.call(&post()).await;
+    assert_refused(&answer, 503, "not_configured");
+    assert!(answer.contains("retry-after: 1\r\n"));
+    rig.view.send_replace(Arc::new(FleetView {
+        stopping: true,
+        ..common::view()
+    }));
+    assert_refused(&rig.call(&post()).await, 503, "stopping");
+}
+
+#[tokio::test]
+async fn new_configuration_changes_who_may_call() {
+    let backend = Backend::answering(|req| req.answer("200 OK", "", "booked")).await;
+    let rig = Rig::start(vec![order(backend.address)]).await;
+    assert!(rig.call(&post()).await.ends_with("booked"));
+    let mut view = common::view();
+    let mut configuration = (*view.configuration.unwrap()).clone();
+    configuration.workspaces[0].enabled = false;
+    view.configuration = Some(Arc::new(configuration));
+    rig.view.send_replace(Arc::new(view));
+    assert_refused(&rig.call(&post()).await, 403, "workspace_disabled");
+}
+
+#[tokio::test]
+async fn class_decides_the_deadline() {
+    let mut rig = Rig::start(vec![]).await;
+    let mut deadlines = Vec::new();
+    let mut callers = Vec::new();
+    for field in ["", "x-cardamomshift-class: batch\r\n"] {
+        let path = format!("/services/{PLAIN}/book");
+        callers.push(rig.open(&request("POST", &path, field, "")).await);
+        let Told::Submit(spec) = rig.next().await else {
+            panic!("no submission");
+        };
+        deadlines.push(spec.deadline);
+    }
+    let apart = deadlines[1].since(deadlines[0]);
+    assert!(
+        apart.as_secs() >= 40,
+        "targets of 20 and 60 s, {apart:?} apart"
+    );
+}
+
+#[tokio::test]
+async fn refusals_of_the_scheduler_have_their_status_and_wait() {
+    let cases = [
+        (RefusalReason::QueueFull, 429, "queue_full"),
+        (
+            RefusalReason::DeadlineUnreachable,
+            429,
+            "deadline_unreachable",
+        ),
+        (RefusalReason::DeadlinePassed, 429, "deadline_passed"),
+        (RefusalReason::NoServer, 503, "no_server"),
+        (RefusalReason::NoScheduler, 503, "no_scheduler"),
+        (RefusalReason::Stopping, 503, "stopping"),
+    ];
+    for (reason, status, code) in cases {
+        let retry_after = std::time::Duration::from_millis(400);
+        let verdict = Verdict::Refuse {
+            reason,
+            retry_after,
+        };
+        let rig = Rig::start(vec![verdict]).await;
+        let answer = rig.call(&post()).await;
+        assert_refused(&answer, status, code);
+        assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
+        assert!(answer.contains("\"retry_after_ms\":400"), "{answer}");
+    }
+}
+
+#[tokio::test]
+async fn request_that_nobody_decides_on_is_refused_at_its_deadline() {
+    let mut view = common::view();
+    let mut configuration = (*view.configuration.unwrap()).clone();
+    configuration.classes[0].target_ms = 20;
+    view.configuration = Some(Arc::new(configuration));
+    let rig = Rig::with(vec![], common::limits(), view).await;
+    assert_refused(&rig.call(&post()).await, 429, "deadline_passed");
+}
+
+#[tokio::test]
+async fn waiting_requests_of_a_workspace_are_bounded() {
+    let mut rig = limited(LimitSettings {
+        waiting_per_workspace: 2,
+        ..common::limits()
+    })
+    .await;
+    let mut callers = Vec::new();
+    for _ in 0..2 {
+        callers.push(rig.open(&post()).await);
+        assert!(matches!(rig.next().await, Told::Submit(_)));
+    }
+    assert_refused(&rig.call(&post()).await, 429, "queue_full");
+    callers.pop();
+    assert_eq!(rig.next().await, Told::Abandon);
+    callers.push(rig.open(&post()).await);
+    assert!(
+        matches!(rig.next().await, Told::Submit(_)),
+        "the place is free again"
+    );
+}
+
+#[tokio::test]
+async fn large_and_slow_bodies_are_refused() {
+    let rig = limited(LimitSettings {
+        body_bytes: 100,
+        body_timeout_ms: 50,
+        ..common::limits()
+    })
+    .await;
+    let path = format!("/services/{PLAIN}/book");
+    let large = request("POST", &path, "", &"x".repeat(101));
+    assert_refused(&rig.call(&large).await, 413, "body_too_large");
+    let slow = post().replace("content-length: 3", "content-length: 30");
+    assert_refused(&rig.call(&slow).await, 408, "body_timeout");
+}
+
+#[tokio::test]
+async fn large_and_slow_heads_are_refused() {
+    let rig = limited(LimitSettings {
+        header_bytes: 8192,
+        header_timeout_ms: 50,
+        ..common::limits()
+    })
+    .await;
+    let field = format!("x-long: {}\r\n", "y".repeat(9000));
+    let path = format!("/services/{PLAIN}/book");
+    let answer = rig.call(&request("POST", &path, &field, "")).await;
+    assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
+    for start in [
+        "",
+        "P",
+        "PRI * HTTP/2.0\r\n",
+        "GET /v1/models HTTP/1.1\r\nhost: fl",
+    ] {
+        let answer = rig.call(start).await;
+        assert!(answer.starts_with("HTTP/1.1 408 "), "{start:?}: {answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn connections_beyond_the_limit_are_refused_at_once() {
+    let rig = limited(LimitSettings {
+        connections: 1,
+        ..common::limits()
+    })
+    .await;
+    let text = request("GET", "/v1/models", "", "").replace("connection: close\r\n", "");
+    let mut first = rig.open(&text).await;
+    read_until(&mut first, MODEL).await;
+    let mut second = TcpStream::connect(rig.address).await.unwrap();
+    let answer = read_to_end(&mut second).await;
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    drop(first);
+    let mut left = String::new();
+    while !left.contains(MODEL) {
+        // The place is free as soon as the gateway has seen the first caller leave.
+        left = rig
+            .call(&text.replace("host: fleet", "host: fleet\r\nconnection: close"))
+            .await;
+    }
+    while rig.metrics.connections.get() > 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn http2_callers_are_served() {
+    let backend = Backend::answering(|req| req.answer("200 OK", "", &req.body)).await;
+    let rig = Rig::start(vec![order(backend.address)]).await;
+    let stream = TcpStream::connect(rig.address).await.unwrap();
+    let (sender, driver) =
+        hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
+            .await
+            .unwrap();
+    tokio::spawn(driver);
+    let call = |n: usize| {
+        let mut sender = sender.clone();
+        let req = hyper::Request::post(format!("http://fleet/services/{PLAIN}/book"))
+            .header("authorization", format!("Bearer {KEY}"))
+            .body(Full::new(bytes::Bytes::from(n.to_string())))
+            .unwrap();
+        async move {
+            let answer = sender.send_request(req).await.unwrap();
+            let body = answer.into_body().collect().await.unwrap().to_bytes();
+            assert_eq!(body, n.to_string().as_bytes());
+        }
+    };
+    futures::future::join_all((0..20).map(call)).await;
+    assert_eq!(backend.runs(), 20);
+}
+
+#[tokio::test]
+async fn two_requests_on_one_connection_are_both_served() {
+    let backend = Backend::answering(|req| {
+        let body = r#"{"usage":{"prompt_tokens":1,"completion_tokens":1}}"#;
+        req.answer("200 OK", "content-type: application/json\r\n", body)
+    })
+    .await;
+    let rig = Rig::start(vec![order(backend.address)]).await;
+    let mut caller = rig
+        .open(&chat(false).replace("connection: close\r\n", ""))
+        .await;
+    read_until(&mut caller, "usage").await;
+    caller.write_all(chat(false).as_bytes()).await.unwrap();
+    assert!(read_to_end(&mut caller).await.contains("usage"));
+}
