--- /dev/null
+++ b/cli/src/access.rs
@@ -0,0 +1,54 @@
+//! Hosts and key, from arguments or the environment.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+
+use cardamomshift_lib::settings::Secret;
+use snafu::ResultExt;
+
+use crate::args::Args;
+use crate::client::Client;
+use crate::error::CliError;
+use crate::error::KeyFileSnafu;
+
+const HOST_VARIABLE: &str = "CARDAMOMSHIFT_HOST";
+const KEY_VARIABLE: &str = "CARDAMOMSHIFT_KEY";
+
+/// A client of the given hosts with the given key.
+pub(crate) fn client(args: &Args) -> Result<Client, CliError> {
+    Client::new(hosts(args)?, &key(args)?)
+}
+
+fn hosts(args: &Args) -> Result<Vec<SocketAddr>, CliError> {
+    if !args.hosts.is_empty() {
+        return Ok(args.hosts.clone());
+    }
+    let listed = env::var(HOST_VARIABLE).unwrap_or_default();
+    let texts = listed
+        .split(',')
+        .map(str::trim)
+        .filter(|text| !text.is_empty());
+    let parsed = texts.map(|text| {
+        text.parse().map_err(|_| CliError::HostForm {
+            text: text.to_owned(),
+        })
+    });
+    let hosts: Vec<SocketAddr> = parsed.collect::<Result<_, _>>()?;
+    if hosts.is_empty() {
+        return Err(CliError::NoHost);
+    }
+    Ok(hosts)
+}
+
+fn key(args: &Args) -> Result<Secret, CliError> {
+    let text = match &args.key_file {
+        Some(path) => fs::read_to_string(path).context(KeyFileSnafu { path })?,
+        None => env::var(KEY_VARIABLE).map_err(|_| CliError::NoKey)?,
+    };
+    let key = text.trim_end_matches(['\r', '\n']);
+    if key.is_empty() || !key.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err(CliError::KeyForm);
+    }
+    Ok(Secret::new(key))
+}
--- a/lib/tests/operator_host/mod.rs
+++ b/lib/tests/operator_host/mod.rs
@@ -11,6 +11,11 @@
 use cardamomshift_lib::control::ControlHandle;
 use cardamomshift_lib::control::ControlRequest;
 use cardamomshift_lib::control::FleetView;
+use cardamomshift_lib::id::DomainId;
+use cardamomshift_lib::id::ServerId;
+use cardamomshift_lib::id::ServiceId;
+use cardamomshift_lib::id::WorkspaceId;
+use cardamomshift_lib::message::ServerPhase;
 use cardamomshift_lib::operator;
 use cardamomshift_lib::operator::OperatorParts;
 use cardamomshift_lib::platform::CallOptions;
@@ -18,7 +23,10 @@
 use cardamomshift_lib::settings::Secret;
 use cardamomshift_lib::status::HostStatus;
 use cardamomshift_lib::status::ListedServerStatus;
+use cardamomshift_lib::status::PoolStatus;
+use cardamomshift_lib::status::ServerStatus;
 use cardamomshift_lib::status::Status;
+use cardamomshift_lib::status::WorkspaceStatus;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -85,11 +93,40 @@
         host: name.into(),
         domain: "bern-a".into(),
         hosts: vec![host("entry-1", "bern-a"), host("entry-2", "zurich-b")],
+        pools: vec![pool()],
         servers: vec![server("worker-1", "bern-a"), server("worker-2", "zurich-b")],
         ..Status::default()
     }
 }
 
+/// A pool with a warm server and two backlogged workspaces.
+fn pool() -> PoolStatus {
+    let workspace = |id, waiting, counter| WorkspaceStatus {
+        workspace: WorkspaceId(id),
+        waiting,
+        counter,
+        ..WorkspaceStatus::default()
+    };
+    PoolStatus {
+        service: ServiceId::of("chat"),
+        domain: DomainId::of("bern-a"),
+        waiting: 5,
+        running: 4,
+        servers: vec![ServerStatus {
+            server: ServerId::of("worker-1"),
+            phase: ServerPhase::Warm,
+            limit: 4,
+            running: 4,
+            usable: true,
+        }],
+        workspaces: vec![
+            workspace(0, 3, 70),
+            workspace(1, 2, 100),
+            workspace(2, 0, 9),
+        ],
+    }
+}
+
 async fn run_control(
     mut status: Status,
     mut rx: mpsc::UnboundedReceiver<ControlRequest>,
