configuration: look keys up by fingerprint before comparing whole hashes

Every request of a caller looks its workspace up.

The eight digits are shown to operators and are no secret.

--- a/lib/src/configuration/lookup.rs
+++ b/lib/src/configuration/lookup.rs
@@ -3,13 +3,12 @@
 use compact_str::CompactString;
 use sha2::Digest;
 use sha2::Sha256;
-use subtle::Choice;
-use subtle::ConditionallySelectable;
 use subtle::ConstantTimeEq;
 
 use super::Class;
 use super::Configuration;
 use super::Workspace;
+use super::fingerprint;
 
 /// The hash of a workspace's key as the configuration holds it.
 pub fn hash_key(key: &[u8]) -> CompactString {
@@ -24,15 +23,18 @@
 
     /// The workspace whose key has this hash, enabled or not.
     ///
-    /// Compares with every workspace in constant time, so that the time taken tells nothing of
-    /// the stored hashes.
+    /// Workspaces are told apart by the fingerprint, which is no secret; the whole hash is
+    /// compared in constant time.
     pub fn workspace_by_key_hash(&self, key_hash: &str) -> Option<&Workspace> {
-        let mut position = u32::MAX;
-        for (i, workspace) in (0u32..).zip(&self.workspaces) {
-            let equal: Choice = workspace.key_hash.as_bytes().ct_eq(key_hash.as_bytes());
-            position.conditional_assign(&i, equal);
-        }
-        self.workspaces.get(usize::try_from(position).ok()?)
+        let wanted = fingerprint(key_hash);
+        let mut candidates = self
+            .workspaces
+            .iter()
+            .filter(|entry| fingerprint(&entry.key_hash) == wanted);
+        candidates.find(|entry| {
+            let equal = entry.key_hash.as_bytes().ct_eq(key_hash.as_bytes());
+            equal.into()
+        })
     }
 
     /// Whether another configuration says the same, whatever their revisions and change records.
--- a/lib/tests/test_configuration.rs
+++ b/lib/tests/test_configuration.rs
@@ -69,6 +69,22 @@
     );
 }
 
+#[test]
+fn keys_of_one_fingerprint_are_told_apart() {
+    let hash = |last: &str| format!("{}{last}", "ab".repeat(31)).into();
+    let create = |name: &str, last| Change::CreateWorkspace {
+        name: name.into(),
+        key_hash: hash(last),
+    };
+    let cfg = applied(&[create("arcade-a", "00"), create("arcade-b", "01")]);
+    assert_eq!(
+        cfg.workspace_by_key_hash(&hash("01")).unwrap().name,
+        "arcade-b"
+    );
+    assert_eq!(cfg.workspace_by_key_hash(&hash("02")), None);
+    assert_eq!(cfg.workspace_by_key_hash("abababab"), None);
+}
+
 #[test]
 fn first_class_is_the_default() {
     let cfg = applied(&[set_class("interactive", 2_000), set_class("batch", 60_000)]);
