--- a/lib/src/runtime/daemon.rs
+++ b/lib/src/runtime/daemon.rs
@@ -188,6 +188,7 @@
 struct Listeners {
     callers: TcpListener,
     operators: TcpListener,
+    metrics: TcpListener,
 }
 
 impl Listeners {
@@ -196,6 +197,7 @@
         Ok(Self {
             callers: listen("callers", settings.listen.callers)?,
             operators: listen("operators", settings.listen.operators)?,
+            metrics: listen("metrics", settings.listen.metrics)?,
         })
     }
 }
@@ -338,6 +340,11 @@
                 editor: Editor::new(ConfigurationStore::over(self.objects.clone())),
             },
         ));
+        runtime.spawn(crate::metrics::serve(
+            listeners.metrics,
+            metrics,
+            self.control.clone(),
+        ));
         runtime.spawn(async move {
             let drain = close_after_stop(self.stop, self.control, close);
             tokio::join!(gateway.serve(), drain);
