pool: count what other shards have charged, and pull by the deficit

Two causes made the gap between workspaces of two domains grow with the load. Shards learnt of a request elsewhere only at its end, so with long requests each of them gave the same workspace its turn. The summary now carries what a shard has charged for requests that have not ended, sent together with the totals, so that a request moves from one to the other at once. And a pull for fairness fetched two bids per tick whatever was owed; it now fetches as many as the deficit holds, within what leaves the queue until the guests' term ends.

BacklogEntry::counter means the open charges of the sender; its shape stays.

--- a/lib/src/message/scheduling.rs
+++ b/lib/src/message/scheduling.rs
@@ -274,14 +274,15 @@
     pub cells: Vec<TotalCell>,
 }
 
-/// A workspace with waiting bids.
+/// A workspace with waiting bids or with requests that have not ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BacklogEntry {
     /// The workspace.
     pub workspace: WorkspaceId,
     /// Waiting bids.
     pub queued: u32,
-    /// Service counter of the workspace on the sender.
+    /// Service that the sender has charged to the workspace for requests that have not ended. It
+    /// is not in the totals yet.
     pub counter: u64,
 }
 
@@ -294,7 +295,7 @@
     pub domain: DomainId,
     /// Requests that the shard could start at once.
     pub free_slots: u32,
-    /// Workspaces with waiting bids.
+    /// Workspaces with waiting bids or with requests that have not ended.
     pub backlog: Vec<BacklogEntry>,
 }
 
--- a/lib/src/pool/exchange.rs
+++ b/lib/src/pool/exchange.rs
@@ -25,9 +25,9 @@
     pub(crate) host: HostId,
     /// Position in the ledger up to which the peer was told of changes.
     pub(crate) told: Cursor,
-    pub(crate) next_change: Timestamp,
     pub(crate) next_full: Timestamp,
     summary: Option<Summary>,
+    charges: BTreeMap<WorkspaceId, u64>,
     summary_until: Timestamp,
     capable_until: Timestamp,
     pull_until: Timestamp,
@@ -39,9 +39,9 @@
         Self {
             host,
             told: Cursor::default(),
-            next_change: Timestamp::ZERO,
             next_full: Timestamp::ZERO,
             summary: None,
+            charges: BTreeMap::new(),
             summary_until: Timestamp::ZERO,
             capable_until: Timestamp::ZERO,
             pull_until: Timestamp::ZERO,
@@ -56,10 +56,12 @@
             .filter(|_| !self.summary_until.has_passed(now))
     }
 
-    /// Backlog by the latest summary.
-    pub(crate) fn backlog(&self, now: Timestamp) -> &[BacklogEntry] {
+    /// Workspaces with waiting bids by the latest summary.
+    pub(crate) fn backlog(&self, now: Timestamp) -> impl Iterator<Item = &BacklogEntry> {
         self.summary(now)
-            .map_or(&[], |summary| summary.backlog.as_slice())
+            .into_iter()
+            .flat_map(|summary| &summary.backlog)
+            .filter(|entry| entry.queued > 0)
     }
 
     /// Whether the answer to a pull is still awaited.
@@ -123,9 +125,30 @@
             peer.capable_until = now + CAPACITY_TERM;
         }
         peer.summary_until = now + SUMMARY_TERM;
+        peer.charges = summary
+            .backlog
+            .iter()
+            .map(|entry| (entry.workspace, entry.counter))
+            .collect();
         peer.summary = Some(summary);
     }
 
+    /// Forgets the charges of summaries that are too old.
+    pub(crate) fn expire(&mut self, now: Timestamp) {
+        for peer in self.peers.values_mut() {
+            if peer.summary(now).is_none() {
+                peer.charges.clear();
+            }
+        }
+    }
+
+    /// What the other shards have charged to a workspace for requests that have not ended.
+    pub(crate) fn charge(&self, workspace: WorkspaceId) -> u64 {
+        self.peers()
+            .filter_map(|peer| peer.charges.get(&workspace).copied())
+            .fold(0, u64::saturating_add)
+    }
+
     /// Notes that a peer wants bids, and therefore has capacity.
     pub(crate) fn note_capacity(&mut self, now: Timestamp, domain: DomainId) {
         if let Some(peer) = self.peers.get_mut(&domain) {
--- a/lib/src/pool/fairness.rs
+++ b/lib/src/pool/fairness.rs
@@ -7,9 +7,9 @@
 use crate::time::Timestamp;
 
 /// Largest requests that a backlogged workspace may lie ahead of another one.
-const CLAMP_REQUESTS: u64 = 8;
+const CLAMP_REQUESTS: u64 = 4;
 /// Span of the measured rate that a backlogged workspace may lie ahead of another one.
-const CLAMP_SPAN: Duration = Duration::from_secs(1);
+const CLAMP_SPAN: Duration = Duration::from_millis(400);
 
 impl Scheduler {
     /// The backlogged workspace with the least counter. Equal counters go by number.
@@ -58,7 +58,7 @@
     pub(super) fn clamp(&self) -> u64 {
         let shards = self.exchange.len() as u64 + 1;
         let rate = self.meter.peak_rate().saturating_mul(shards);
-        let span = rate.saturating_mul(CLAMP_SPAN.as_secs());
+        let span = rate / 1_000 * CLAMP_SPAN.as_millis() as u64;
         self.largest
             .saturating_mul(CLAMP_REQUESTS)
             .saturating_add(span)
--- a/lib/src/pool/loan.rs
+++ b/lib/src/pool/loan.rs
@@ -34,6 +34,11 @@
         self.charges.get(&workspace).copied().unwrap_or_default()
     }
 
+    /// Workspaces with loans, in ascending order.
+    pub(crate) fn workspaces(&self) -> impl Iterator<Item = WorkspaceId> {
+        self.charges.keys().copied()
+    }
+
     pub(crate) fn insert(&mut self, loan: Loan) {
         let bid = loan.waiting.bid;
         self.remove(bid.request);
--- a/lib/src/pool/meter.rs
+++ b/lib/src/pool/meter.rs
@@ -17,6 +17,7 @@
     departures: u64,
     busy: Duration,
     cost: u64,
+    ends: u64,
 }
 
 /// Departures from the queue while every server was full, and cost of ended requests, over the
@@ -47,6 +48,14 @@
     pub(crate) fn spend(&mut self, now: Timestamp, cost: u64) {
         let bucket = self.bucket(now);
         bucket.cost = bucket.cost.saturating_add(cost);
+        bucket.ends += 1;
+    }
+
+    /// Average cost of the requests that ended, at least one.
+    pub(crate) fn average_cost(&self) -> u64 {
+        let cost: u64 = self.buckets.iter().map(|bucket| bucket.cost).sum();
+        let ends: u64 = self.buckets.iter().map(|bucket| bucket.ends).sum();
+        (cost / ends.max(1)).max(1)
     }
 
     /// Time that one departure takes, if enough of them were seen.
@@ -77,6 +86,7 @@
                 departures: 0,
                 busy: Duration::ZERO,
                 cost: 0,
+                ends: 0,
             });
             if self.buckets.len() > BUCKETS {
                 self.buckets.pop_front();
--- a/lib/src/pool/scheduler.rs
+++ b/lib/src/pool/scheduler.rs
@@ -42,6 +42,7 @@
     pub(super) exchange: Exchange,
     pub(super) meter: Meter,
     pub(super) summary: super::sharing::SummaryState,
+    pub(super) next_pull: Timestamp,
     /// Counter of the workspace that was served last, before it was charged.
     pub(super) last_served: u64,
     /// Largest cost or estimate seen.
@@ -74,6 +75,7 @@
             exchange: Exchange::default(),
             meter: Meter::default(),
             summary: super::sharing::SummaryState::default(),
+            next_pull: Timestamp::ZERO,
             last_served: 0,
             largest: 1,
             returned: BTreeMap::new(),
@@ -116,6 +118,7 @@
             PoolEvent::Tick => self.on_tick(now, out),
         }
         self.grant_free(now, out);
+        self.pull(now, out);
         let busy = !self.queue.is_empty();
         self.meter.set_busy(now, busy);
     }
@@ -132,13 +135,19 @@
         }
     }
 
-    /// Service counter of a workspace: its service over the fleet, its lift, and what is charged
-    /// for its requests that have not ended.
+    /// Service counter of a workspace: its service over the fleet, its lift, and what this and the
+    /// other shards have charged for its requests that have not ended.
     pub(super) fn counter(&self, workspace: WorkspaceId) -> u64 {
         self.ledger
             .counter(workspace)
-            .saturating_add(self.flights.load(workspace).charge)
-            .saturating_add(self.loans.charge(workspace))
+            .saturating_add(self.own_charge(workspace))
+            .saturating_add(self.exchange.charge(workspace))
+    }
+
+    /// What this shard has charged for requests that have not ended.
+    pub(super) fn own_charge(&self, workspace: WorkspaceId) -> u64 {
+        let granted = self.flights.load(workspace).charge;
+        granted.saturating_add(self.loans.charge(workspace))
     }
 
     pub(super) fn send(&self, to: HostId, message: PeerMessage, out: &mut Vec<PoolAction>) {
@@ -147,14 +156,13 @@
 
     fn on_tick(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
         self.returned.retain(|_, until| !until.has_passed(now));
+        self.exchange.expire(now);
         self.take_back_loans(now);
         self.refuse_expired(now, out);
         self.refuse_unservable(now, out);
         self.clamp_counters();
         self.grant_free(now, out);
-        self.pull(now, out);
-        self.send_totals(now, out);
-        self.send_summary(now, out);
+        self.inform_peers(now, out);
     }
 
     fn on_members(&mut self, members: PoolMembers) {
--- a/lib/src/pool/sharing.rs
+++ b/lib/src/pool/sharing.rs
@@ -1,6 +1,7 @@
 //! Exchange with the other shards of the service: totals, summaries, and bids.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::PoolAction;
@@ -9,6 +10,7 @@
 use super::scheduler::Scheduler;
 use crate::id::HostId;
 use crate::id::WorkspaceId;
+use crate::ledger::Cursor;
 use crate::message::BacklogEntry;
 use crate::message::Handover;
 use crate::message::PeerMessage;
@@ -17,29 +19,34 @@
 use crate::message::Totals;
 use crate::time::Timestamp;
 
-/// Least time between two messages with changed totals to one peer.
+/// Least time between two messages to the peers about a change that they act on.
+const URGENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Least time between two messages to the peers about other changes.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
+/// Most time between two summaries.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two messages with all totals to one peer.
 const FULL_INTERVAL: Duration = Duration::from_secs(10);
-/// Least time between two summaries.
-const SUMMARY_THROTTLE: Duration = Duration::from_millis(100);
-/// Most time between two summaries.
-const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
-/// Workspaces in a summary at most, least counters first.
-const SUMMARY_ENTRIES: usize = 16;
+/// Workspaces in a summary at most: the backlogged ones first, then by the least counter.
+const SUMMARY_ENTRIES: usize = 64;
 /// Time after which a bid that was handed over is taken back.
 const LOAN_TERM: Duration = Duration::from_secs(1);
 /// Time for which a bid of another shard waits here, shorter than its loan.
 const GUEST_TERM: Duration = Duration::from_millis(600);
+/// Least time between two looks for bids of other shards.
+const PULL_INTERVAL: Duration = Duration::from_millis(4);
 /// Bids handed over at once.
 const HANDOVER_BOUND: u32 = 64;
-/// Bids of one workspace that are pulled to even out the counters.
-const FAIR_PULL: u32 = 2;
+/// Bids of one workspace that are pulled at least to even out the counters.
+const LEAST_FAIR_PULL: u64 = 2;
 
 /// The summary that was sent last.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SummaryState {
     sent: Option<Summary>,
+    /// Position in the ledger up to which the peers were told of changes.
+    told: Cursor,
+    next_urgent: Timestamp,
     next_change: Timestamp,
     next_repeat: Timestamp,
 }
@@ -106,6 +113,10 @@
     /// Asks other shards for bids: for any while servers are idle, and for those of a workspace
     /// that was served much less than the ones here.
     pub(super) fn pull(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
+        if !self.next_pull.has_passed(now) {
+            return;
+        }
+        self.next_pull = now + PULL_INTERVAL;
         if self.queue.is_empty() {
             self.pull_for_idle(now, out);
         } else {
@@ -113,61 +124,74 @@
         }
     }
 
-    pub(super) fn send_totals(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
-        let latest = self.ledger.cursor();
-        for peer in self.exchange.peers_mut() {
-            let cells = if peer.next_full.has_passed(now) {
-                peer.next_full = now + FULL_INTERVAL;
-                self.ledger.all()
-            } else if peer.told < latest && peer.next_change.has_passed(now) {
-                self.ledger.changed_since(peer.told)
-            } else {
-                continue;
-            };
-            peer.told = latest;
-            peer.next_change = now + CHANGE_INTERVAL;
-            if !cells.is_empty() {
-                let service = self.key.service;
-                out.push(PoolAction::Send {
-                    to: peer.host,
-                    message: PeerMessage::Totals(Totals { service, cells }),
-                });
-            }
-        }
-    }
-
-    pub(super) fn send_summary(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
-        if self.exchange.is_empty() || !self.summary.next_change.has_passed(now) {
+    /// Tells the other shards what has changed: the totals first, then the summary, so that a
+    /// request that has ended moves from the charges to the totals at once.
+    pub(super) fn inform_peers(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
+        if self.exchange.is_empty() {
             return;
         }
         let summary = self.summarize(now);
-        let changed = self
-            .summary
-            .sent
-            .as_ref()
-            .is_none_or(|sent| differs(sent, &summary));
-        if !changed && !self.summary.next_repeat.has_passed(now) {
+        if !self.is_news(now, &summary) {
             return;
         }
+        self.send_totals(now, out);
         for peer in self.exchange.peers() {
             self.send(peer.host, PeerMessage::Summary(summary.clone()), out);
         }
         self.summary = SummaryState {
             sent: Some(summary),
-            next_change: now + SUMMARY_THROTTLE,
-            next_repeat: now + SUMMARY_INTERVAL,
+            told: self.ledger.cursor(),
+            next_urgent: now + URGENT_INTERVAL,
+            next_change: now + CHANGE_INTERVAL,
+            next_repeat: now + REPEAT_INTERVAL,
         };
     }
 
+    fn is_news(&self, now: Timestamp, summary: &Summary) -> bool {
+        let state = &self.summary;
+        let Some(sent) = &state.sent else {
+            return true;
+        };
+        let changed = sent.backlog != summary.backlog || state.told != self.ledger.cursor();
+        state.next_repeat.has_passed(now)
+            || (changed && state.next_change.has_passed(now))
+            || (is_urgent(sent, summary) && state.next_urgent.has_passed(now))
+    }
+
+    fn send_totals(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
+        let latest = self.ledger.cursor();
+        let service = self.key.service;
+        for peer in self.exchange.peers_mut() {
+            let cells = if peer.next_full.has_passed(now) {
+                peer.next_full = now + FULL_INTERVAL;
+                self.ledger.all()
+            } else {
+                self.ledger.changed_since(peer.told)
+            };
+            peer.told = latest;
+            if !cells.is_empty() {
+                let message = PeerMessage::Totals(Totals { service, cells });
+                let to = peer.host;
+                out.push(PoolAction::Send { to, message });
+            }
+        }
+    }
+
     fn summarize(&self, now: Timestamp) -> Summary {
-        let mut backlog: Vec<_> = self
-            .queue
-            .workspaces()
+        let mut workspaces: BTreeSet<_> = self.queue.workspaces().collect();
+        workspaces.extend(self.flights.workspaces());
+        workspaces.extend(self.loans.workspaces());
+        let mut backlog: Vec<_> = workspaces
+            .into_iter()
             .map(|workspace| self.backlog_of(workspace))
-            .filter(|entry| entry.queued > 0)
             .collect();
-        backlog.sort_by_key(|entry| (entry.counter, entry.workspace));
-        backlog.truncate(SUMMARY_ENTRIES);
+        if backlog.len() > SUMMARY_ENTRIES {
+            backlog.sort_by_key(|entry| {
+                let counter = self.counter(entry.workspace);
+                (entry.queued == 0, counter, entry.workspace)
+            });
+            backlog.truncate(SUMMARY_ENTRIES);
+        }
         Summary {
             service: self.key.service,
             domain: self.key.domain,
@@ -184,7 +208,7 @@
         BacklogEntry {
             workspace,
             queued: u32::try_from(own.count()).unwrap_or(u32::MAX),
-            counter: self.counter(workspace),
+            counter: self.own_charge(workspace),
         }
     }
 
@@ -205,7 +229,7 @@
         let mut free = self.free_places(now).saturating_sub(pending);
         let key = self.key;
         for peer in self.exchange.peers_mut() {
-            let queued: u32 = peer.backlog(now).iter().map(|entry| entry.queued).sum();
+            let queued: u32 = peer.backlog(now).map(|entry| entry.queued).sum();
             let count = free.min(queued);
             if count == 0 || peer.is_pulling(now) {
                 continue;
@@ -220,7 +244,9 @@
         let Some(head) = self.least_served() else {
             return;
         };
-        let ceiling = self.counter(head).saturating_sub(self.largest);
+        let least = self.counter(head);
+        let average = self.meter.average_cost();
+        let ceiling = least.saturating_sub(average);
         let lagging: BTreeMap<_, _> = self
             .exchange
             .backlogged(now)
@@ -230,21 +256,32 @@
             .filter(|(_, counter)| *counter < ceiling)
             .collect();
         let key = self.key;
+        let most = self.departures_within(GUEST_TERM / 2);
         for peer in self.exchange.peers_mut() {
             if peer.is_pulling(now) {
                 continue;
             }
             let wanted = peer
                 .backlog(now)
-                .iter()
                 .filter_map(|entry| Some((lagging.get(&entry.workspace)?, entry.workspace)))
                 .min();
-            if let Some((_, workspace)) = wanted {
-                peer.start_pull(now, FAIR_PULL);
-                out.push(pull_from(key, peer.host, Some(workspace), FAIR_PULL));
+            if let Some((counter, workspace)) = wanted {
+                let bids = ((least - counter) / average).clamp(LEAST_FAIR_PULL, most);
+                let count = u32::try_from(bids).unwrap_or(HANDOVER_BOUND);
+                peer.start_pull(now, count);
+                out.push(pull_from(key, peer.host, Some(workspace), count));
             }
         }
     }
+
+    /// Bids that leave the queue within `span`, by the measured rate.
+    fn departures_within(&self, span: Duration) -> u64 {
+        let interval = self.meter.departure_interval().unwrap_or(span);
+        let departures = span.as_micros() / interval.as_micros().max(1);
+        u64::try_from(departures)
+            .unwrap_or(u64::MAX)
+            .clamp(LEAST_FAIR_PULL, u64::from(HANDOVER_BOUND))
+    }
 }
 
 fn pull_from(
@@ -262,12 +299,14 @@
     PoolAction::Send { to, message }
 }
 
-/// Whether a summary says something that peers act on and that the one before did not say.
-fn differs(sent: &Summary, new: &Summary) -> bool {
-    let workspaces = |summary: &Summary| -> Vec<_> {
-        let mut keys: Vec<_> = summary.backlog.iter().map(|e| e.workspace).collect();
-        keys.sort();
-        keys
-    };
-    (sent.free_slots == 0) != (new.free_slots == 0) || workspaces(sent) != workspaces(new)
+/// Whether a summary says something that peers act on at once: that the shard has become idle or
+/// full, or that other workspaces wait.
+fn is_urgent(sent: &Summary, new: &Summary) -> bool {
+    let full = |summary: &Summary| summary.free_slots == 0;
+    full(sent) != full(new) || waiting(sent) != waiting(new)
+}
+
+fn waiting(summary: &Summary) -> BTreeSet<WorkspaceId> {
+    let entries = summary.backlog.iter().filter(|entry| entry.queued > 0);
+    entries.map(|entry| entry.workspace).collect()
 }
