backend_server: keep a cold server at one request until it has shown eight ends

Cause: the limit grew with the first good completion, so that an engine which bears two requests until its sixth completion was given three at the fifth and fell over; test_fleet_failures showed it as a truncated stream. The stand-in recorded the overload (three running, two borne).

Ruled out: a second scheduler (one only at that moment), slots (three different ones, each permitted once).

A cold server now stays at one request until eight good completions, or four seconds of good service, and each failure of a warming server doubles both.

--- a/lib/src/backend_server/admission.rs
+++ b/lib/src/backend_server/admission.rs
@@ -1,5 +1,7 @@
 //! State machine of what a backend server bears.
 
+use std::time::Duration;
+
 use statig::prelude::*;
 
 use crate::message::ServerPhase;
@@ -8,6 +10,11 @@
 const PROBE_BOUND: u32 = 512;
 /// Limit from which on a server is warm.
 const WARM_LIMIT: u32 = 8;
+/// Good completions one after the other, or time that they ran, after which a cold server is tried
+/// with more than one request at once. Both double with each failure of a warming server.
+const COLD_COMPLETIONS: u32 = 8;
+const COLD_SERVICE: Duration = Duration::from_secs(4);
+const MOST_COLD_DOUBLINGS: u32 = 4;
 /// Good completions that raise a ceiling by one at first. The number grows fourfold with each
 /// failure that a raised limit provokes, and halves with each raise that is borne.
 const CEILING_COMPLETIONS: u32 = 64;
@@ -28,6 +35,8 @@
     Good {
         /// Whether the server was at its limit.
         saturated: bool,
+        /// Time that the request ran.
+        served: Duration,
     },
     /// Latency has risen: the server bears no more than it does.
     Strained,
@@ -53,6 +62,9 @@
     credit: u32,
     ceiling_credit: u32,
     ceiling_price: u32,
+    cold_completions: u32,
+    cold_service: Duration,
+    cold_doublings: u32,
 }
 
 impl Default for Admission {
@@ -63,6 +75,9 @@
             credit: 0,
             ceiling_credit: 0,
             ceiling_price: CEILING_COMPLETIONS,
+            cold_completions: 0,
+            cold_service: Duration::ZERO,
+            cold_doublings: 0,
         }
     }
 }
@@ -87,7 +102,12 @@
     #[state(superstate = "serving", entry_action = "enter_cold")]
     fn cold(&mut self, event: &AdmissionEvent) -> Outcome<State> {
         match event {
-            AdmissionEvent::Good { .. } => {
+            AdmissionEvent::Good { served, .. } => {
+                self.cold_completions += 1;
+                self.cold_service += *served;
+                if !self.has_warmed_up() {
+                    return Handled;
+                }
                 self.grow();
                 Transition(State::warming())
             }
@@ -99,7 +119,7 @@
     #[state(superstate = "serving")]
     fn warming(&mut self, event: &AdmissionEvent) -> Outcome<State> {
         match event {
-            AdmissionEvent::Good { saturated } => {
+            AdmissionEvent::Good { saturated, .. } => {
                 if *saturated {
                     self.earn_ceiling();
                     self.grow();
@@ -110,6 +130,11 @@
                 self.shrink();
                 Transition(State::warm())
             }
+            // It was still cold: the next warm-up has to show more before the limit grows.
+            AdmissionEvent::Damaged { replaced: false } => {
+                self.cold_doublings = (self.cold_doublings + 1).min(MOST_COLD_DOUBLINGS);
+                Transition(State::cold())
+            }
             _ => Super,
         }
     }
@@ -117,7 +142,7 @@
     #[state(superstate = "serving")]
     fn warm(&mut self, event: &AdmissionEvent) -> Outcome<State> {
         match event {
-            AdmissionEvent::Good { saturated } => {
+            AdmissionEvent::Good { saturated, .. } => {
                 if *saturated {
                     self.earn_ceiling();
                     self.probe();
@@ -169,6 +194,8 @@
     fn enter_cold(&mut self) {
         self.limit = 1;
         self.credit = 0;
+        self.cold_completions = 0;
+        self.cold_service = Duration::ZERO;
     }
 }
 
@@ -178,6 +205,12 @@
         self.limit
     }
 
+    fn has_warmed_up(&self) -> bool {
+        let factor = 1 << self.cold_doublings;
+        self.cold_completions >= COLD_COMPLETIONS * factor
+            || self.cold_service >= COLD_SERVICE * factor
+    }
+
     fn grow(&mut self) {
         self.limit = (self.limit + 1).min(self.ceiling.max(1));
     }
@@ -218,6 +251,7 @@
         if replaced {
             self.ceiling = PROBE_BOUND;
             self.ceiling_price = CEILING_COMPLETIONS;
+            self.cold_doublings = 0;
         } else if self.limit > 1 {
             self.ceiling = self.limit - 1;
             self.ceiling_price = (self.ceiling_price * 4).min(MOST_COMPLETIONS);
--- a/lib/src/backend_server/server.rs
+++ b/lib/src/backend_server/server.rs
@@ -49,6 +49,7 @@
 /// A request that the server is known to run. `epoch` counts the damages before its admission.
 #[derive(Clone, Copy, Debug)]
 struct Admitted {
+    at: Timestamp,
     slot: Option<u32>,
     epoch: u32,
 }
@@ -161,19 +162,19 @@
             return None;
         }
         if self.phase() == ServerPhase::Warm {
-            self.insert(request, None);
+            self.insert(now, request, None);
             return Some(0);
         }
         let slot = self.free_slots(now).next()?;
         self.refused_slots.remove(&slot);
-        self.insert(request, Some(slot));
+        self.insert(now, request, Some(slot));
         Some(slot)
     }
 
     /// Takes in a request that runs already.
-    pub fn adopt(&mut self, request: RequestId) {
+    pub fn adopt(&mut self, now: Timestamp, request: RequestId) {
         if !self.requests.contains_key(&request) {
-            self.insert(request, None);
+            self.insert(now, request, None);
         }
     }
 
@@ -195,12 +196,13 @@
         if end.instance != 0 {
             self.instance = end.instance;
         }
-        if admitted.is_none_or(|admitted| admitted.epoch != self.epoch) {
+        let Some(admitted) = admitted.filter(|admitted| admitted.epoch == self.epoch) else {
             // It was admitted to the server as it was before a damage.
             return;
-        }
+        };
+        let served = now.since(admitted.at);
         match end.outcome {
-            EndOutcome::Complete => self.succeed(saturated, end.first_byte_us),
+            EndOutcome::Complete => self.succeed(saturated, served, end.first_byte_us),
             EndOutcome::Cancelled => {}
             EndOutcome::Rejected | EndOutcome::Failed => self.fail(now),
         }
@@ -254,11 +256,11 @@
         instance != 0 && self.instance != 0 && instance != self.instance
     }
 
-    fn succeed(&mut self, saturated: bool, first_byte_us: u64) {
+    fn succeed(&mut self, saturated: bool, served: Duration, first_byte_us: u64) {
         self.failures = 0;
         match self.latency.record(first_byte_us) {
             LatencySignal::Normal => {
-                let event = AdmissionEvent::Good { saturated };
+                let event = AdmissionEvent::Good { saturated, served };
                 self.admission.handle(&event);
             }
             LatencySignal::Damaged => self.admission.handle(&AdmissionEvent::Strained),
@@ -281,9 +283,9 @@
         self.admission.handle(&AdmissionEvent::Damaged { replaced });
     }
 
-    fn insert(&mut self, request: RequestId, slot: Option<u32>) {
+    fn insert(&mut self, at: Timestamp, request: RequestId, slot: Option<u32>) {
         let epoch = self.epoch;
-        self.requests.insert(request, Admitted { slot, epoch });
+        self.requests.insert(request, Admitted { at, slot, epoch });
     }
 
     fn free_slots(&self, now: Timestamp) -> impl Iterator<Item = u32> {
--- a/lib/src/pool/announcing.rs
+++ b/lib/src/pool/announcing.rs
@@ -116,16 +116,16 @@
             }
         }
         for entry in running.values() {
-            self.adopt(entry);
+            self.adopt(now, entry);
         }
     }
 
-    fn adopt(&mut self, entry: &Running) {
+    fn adopt(&mut self, now: Timestamp, entry: &Running) {
         self.queue.remove(entry.request);
         self.loans.remove(entry.request);
         self.largest = self.largest.max(entry.cost).max(entry.estimate);
         if let Some(server) = self.servers.get_mut(&entry.server) {
-            server.adopt(entry.request);
+            server.adopt(now, entry.request);
         }
         self.flights.insert(Flight {
             request: entry.request,
--- a/lib/src/pool/refusing.rs
+++ b/lib/src/pool/refusing.rs
@@ -11,6 +11,7 @@
 use crate::message::PeerMessage;
 use crate::message::Refusal;
 use crate::message::RefusalReason;
+use crate::message::ServerPhase;
 use crate::time::Timestamp;
 
 /// Waiting bids of one workspace on one shard.
@@ -84,7 +85,7 @@
         let Some(interval) = self.meter.departure_interval() else {
             return Duration::ZERO;
         };
-        if self.free_places(now) > 0 {
+        if self.free_places(now) > 0 || self.is_warming_up() {
             return Duration::ZERO;
         }
         let deadline = now + Duration::from_micros(bid.remaining_us);
@@ -94,6 +95,15 @@
         multiply(interval, ahead.saturating_mul(sharers))
     }
 
+    /// Whether the measured drain rate tells nothing of the coming one, because at least half of
+    /// the servers are in a cold start.
+    fn is_warming_up(&self) -> bool {
+        let usable = self.servers.values().filter(|server| server.is_usable());
+        let (warm, cold): (Vec<_>, Vec<_>) =
+            usable.partition(|server| server.phase() == ServerPhase::Warm);
+        cold.len() >= warm.len()
+    }
+
     fn refusal(&self, bid: &Bid, reason: RefusalReason) -> Refusal {
         let retry = self.retry_after(bid.workspace).as_millis();
         Refusal {
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! A small fleet of daemons in one process, before stand-ins on loopback.
 
+// Each test program uses a part of this module.
+#![allow(dead_code)]
+
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -127,6 +130,39 @@
             .expect("fleet is stuck");
     }
 
+    /// Waits until the status of some daemon meets a condition.
+    pub(crate) async fn wait_until_any(
+        &self,
+        condition: impl Fn(&cardamomshift_lib::status::Status) -> bool,
+    ) {
+        let any = async {
+            loop {
+                for member in &self.daemons {
+                    if condition(&member.daemon.control().status().await.unwrap()) {
+                        return;
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(STUCK, any)
+            .await
+            .expect("fleet is stuck");
+    }
+
+    /// Position of a daemon that schedules a shard.
+    pub(crate) async fn scheduler(&self) -> usize {
+        loop {
+            for (position, member) in self.daemons.iter().enumerate() {
+                let status = member.daemon.control().status().await.unwrap();
+                if !status.pools.is_empty() {
+                    return position;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     fn settings(&self, name: &str, domain: &str) -> Settings {
         Settings {
             host: HostSettings {
--- a/lib/tests/test_backend_server.rs
+++ b/lib/tests/test_backend_server.rs
@@ -16,6 +16,8 @@
 
 const START: Timestamp = Timestamp::from_micros(1_000_000);
 const NORMAL_US: u64 = 50_000;
+/// Good completions that end a first cold start.
+const COLD_COMPLETIONS: usize = 8;
 
 struct Drive {
     server: BackendServer,
@@ -87,6 +89,9 @@
 #[test]
 fn limit_grows_by_good_completions_until_warm() {
     let mut drive = Drive::new();
+    drive.warm_up(COLD_COMPLETIONS - 1);
+    assert_eq!(drive.server.phase(), ServerPhase::Cold);
+    assert_eq!(drive.server.limit(), 1);
     drive.warm_up(3);
     assert_eq!(drive.server.phase(), ServerPhase::Warming);
     assert_eq!(drive.server.limit(), 4);
@@ -96,6 +101,31 @@
     assert!(drive.server.limit() > 8);
 }
 
+#[test]
+fn one_long_completion_ends_a_cold_start() {
+    let mut drive = Drive::new();
+    drive.fill();
+    drive.now = drive.now + Duration::from_secs(5);
+    drive.end(EndOutcome::Complete, 1, NORMAL_US);
+    assert_eq!(drive.server.phase(), ServerPhase::Warming);
+}
+
+#[test]
+fn failure_of_a_warming_server_doubles_the_next_cold_start() {
+    let mut drive = Drive::new();
+    for failures in 0..3 {
+        let needed = COLD_COMPLETIONS << failures;
+        drive.warm_up(needed - 1);
+        assert_eq!(drive.server.phase(), ServerPhase::Cold, "{failures}");
+        drive.warm_up(1);
+        assert_eq!(drive.server.phase(), ServerPhase::Warming, "{failures}");
+        drive.fill();
+        drive.end(EndOutcome::Failed, 1, 0);
+        drive.end_all();
+        drive.now = drive.now + Duration::from_secs(3);
+    }
+}
+
 #[test]
 fn limit_does_not_grow_while_the_server_is_not_full() {
     let mut drive = Drive::new();
--- /dev/null
+++ b/lib/tests/test_fleet_failures.rs
@@ -0,0 +1,161 @@
+//! Daemons that work together while hosts crash or stop and the platform is out.
+
+mod fleet;
+
+use std::time::Duration;
+
+use cardamomshift_lib::host::ServiceKind;
+use cardamomshift_testutils::EngineOutcome;
+use cardamomshift_testutils::EngineProfile;
+use cardamomshift_testutils::HostListHandle;
+use cardamomshift_testutils::ModelEngine;
+use cardamomshift_testutils::Outage;
+use cardamomshift_testutils::PlainService;
+use fleet::Fleet;
+use fleet::call;
+use fleet::loopback;
+
+const HOSTS: [(&str, &str); 4] = [
+    ("dakar-1", "dakar-plateau"),
+    ("dakar-2", "dakar-plateau"),
+    ("dakar-3", "dakar-plateau"),
+    ("rufisque-1", "dakar-rufisque"),
+];
+
+fn body(tokens: u32) -> String {
+    format!(
+        r#"{{"model":"fitting","stream":true,"max_tokens":{tokens},
+        "messages":[{{"role":"user","content":"describe"}}]}}"#
+    )
+}
+
+async fn fleet_before(engine: &ModelEngine) -> Fleet {
+    let mut fleet = Fleet::start(&["shop-one", "shop-two"]);
+    for (name, domain) in HOSTS {
+        fleet.add_host(name, domain);
+    }
+    let address = engine.address();
+    fleet.add_server(
+        "engine-1",
+        "dakar-plateau",
+        address,
+        ("fitting", ServiceKind::Model),
+    );
+    fleet.settled().await;
+    fleet
+}
+
+fn remove_host(hosts: &HostListHandle, fleet: &mut Fleet, index: usize) {
+    let member = fleet.daemons.remove(index);
+    hosts.remove(&member.name);
+    drop(member);
+}
+
+fn is_whole(answer: &hyper::Response<bytes::Bytes>) -> bool {
+    let text = String::from_utf8_lossy(answer.body());
+    answer.status() == 200 && text.trim_end().ends_with("data: [DONE]")
+}
+
+/// Every waiting request is served although each host of the shard's failure domain but one
+/// crashes while they wait, the scheduler's host among them.
+#[tokio::test]
+async fn waiting_requests_outlive_the_crash_of_their_scheduler() {
+    let engine = ModelEngine::start(loopback());
+    let mut fleet = fleet_before(&engine).await;
+    let callers = fleet.daemons[3].callers;
+    let requests: Vec<_> = (0..12)
+        .map(|_| {
+            tokio::spawn(async move {
+                call(callers, "shop-one", "/v1/chat/completions", &[], body(40)).await
+            })
+        })
+        .collect();
+    fleet
+        .wait_until_any(|status| status.pools.iter().any(|pool| pool.running > 0))
+        .await;
+    for _ in 0..2 {
+        let scheduler = fleet.scheduler().await;
+        fleet.daemons.remove(scheduler);
+    }
+    for request in requests {
+        let answer = request.await.unwrap();
+        assert!(is_whole(&answer), "{answer:?}");
+    }
+}
+
+/// A host that is stopped passes its open stream on to the end, and takes its leave only then.
+#[tokio::test]
+async fn planned_stop_cuts_off_no_request() {
+    let engine = ModelEngine::start(loopback());
+    let mut fleet = fleet_before(&engine).await;
+    let callers = fleet.daemons[3].callers;
+    let request = tokio::spawn(async move {
+        call(
+            callers,
+            "shop-one",
+            "/v1/chat/completions",
+            &[],
+            body(2_000),
+        )
+        .await
+    });
+    while engine.handle().running() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut stopping = fleet.daemons.remove(3);
+    stopping.daemon.stop();
+    stopping.daemon.stopped().await;
+    let answer = request.await.unwrap();
+    assert!(is_whole(&answer), "{answer:?}");
+    let records = engine.handle().records();
+    assert!(
+        records
+            .iter()
+            .all(|record| record.outcome == EngineOutcome::Complete)
+    );
+}
+
+/// With the platform out, hosts go on by what they know; a keyed operation, which needs a record
+/// there, is refused as not run.
+#[tokio::test]
+async fn requests_are_served_while_the_platform_is_out() {
+    let engine = ModelEngine::start(loopback());
+    let service = PlainService::start(loopback());
+    let fleet = fleet_before(&engine).await;
+    fleet.add_server(
+        "shop-1",
+        "dakar-rufisque",
+        service.address(),
+        ("shop", ServiceKind::Plain),
+    );
+    fleet.settled().await;
+    fleet.objects.handle().set_outage(Outage::Broken);
+    fleet.hosts.handle().set_outage(true);
+    let callers = fleet.daemons[0].callers;
+    let model = call(callers, "shop-one", "/v1/chat/completions", &[], body(8)).await;
+    assert!(is_whole(&model), "{model:?}");
+    let plain = call(callers, "shop-two", "/services/shop/book", &[], "{}").await;
+    assert_eq!(plain.status(), 200, "{plain:?}");
+    let keyed = [("idempotency-key", "booking-1")];
+    let refused = call(callers, "shop-two", "/services/shop/book", &keyed, "{}").await;
+    let text = String::from_utf8_lossy(refused.body());
+    assert_eq!(refused.status(), 503, "{text}");
+    assert!(text.contains(r#""outcome":"not_run""#), "{text}");
+    assert_eq!(service.handle().executions().len(), 1);
+}
+
+/// A host that joins and one that leaves the list change nothing for requests.
+#[tokio::test]
+async fn hosts_are_replaced_while_requests_run() {
+    let engine = ModelEngine::start_with(loopback(), EngineProfile::default());
+    let mut fleet = fleet_before(&engine).await;
+    let hosts = fleet.hosts.handle();
+    let callers = fleet.daemons[3].callers;
+    for index in 4..7 {
+        fleet.add_host(&format!("dakar-{index}"), "dakar-plateau");
+        remove_host(&hosts, &mut fleet, 0);
+        fleet.settled().await;
+        let answer = call(callers, "shop-two", "/v1/chat/completions", &[], body(8)).await;
+        assert!(is_whole(&answer), "{answer:?}");
+    }
+}
