--- /dev/null
+++ b/lib/src/gateway/request.rs
@@ -0,0 +1,66 @@
+//! A caller's request as the gateway takes it in.
+
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::http::HeaderMap;
+use axum::http::Method;
+use axum::http::uri::PathAndQuery;
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+
+use super::access::Caller;
+use super::code::Code;
+use super::run_mark::RunMark;
+use crate::control::RequestSpec;
+use crate::host::ServiceKind;
+use crate::time::Timestamp;
+
+/// Server time assumed for a request to a plain service, microseconds.
+const PLAIN_ESTIMATE_US: u64 = 5_000;
+
+/// A request on its way to a backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) id: CompactString,
+    pub(crate) caller: Caller,
+    pub(crate) kind: ServiceKind,
+    pub(crate) method: Method,
+    pub(crate) target: PathAndQuery,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) spec: RequestSpec,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) arrived: Timestamp,
+    /// Whether a backend server may have run it.
+    pub(crate) mark: RunMark,
+}
+
+impl Call {
+    /// Whether running the request twice does no harm (RFC 9110, section 9.2.1).
+    pub(crate) fn is_safe(&self) -> bool {
+        self.method.is_safe()
+    }
+}
+
+/// Estimated cost of a request to a plain service, microseconds of server time.
+pub(crate) const fn plain_estimate() -> u64 {
+    PLAIN_ESTIMATE_US
+}
+
+/// Reads a body within the limits on its size and its time.
+pub(crate) async fn read_body(
+    body: Body,
+    max_bytes: usize,
+    timeout: Duration,
+) -> Result<Bytes, Code> {
+    let limited = Limited::new(body, max_bytes);
+    match tokio::time::timeout(timeout, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Code::BodyTooLarge),
+        Ok(Err(_)) => Err(Code::MalformedRequest),
+        Err(_) => Err(Code::BodyTimeout),
+    }
+}
