gateway: serve connections that wait to be accepted at a planned stop

Cause: closing the listener reset connections in its queue, and a connection whose request was on its way when the stop began was closed unanswered, because the HTTP library closes connections that have had no request yet. The queue is now emptied before the listener closes, such connections serve one request, and what has arrived is read before the stop is looked at.

Ruled out: a wait before the close, which only makes the loss rarer.

Conclusion: a planned stop cuts off no request that has arrived whole. A head that has arrived in part when the stop begins is still cut off; it has not been run.

--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -49,30 +49,60 @@
 
 impl Server {
     /// Serves until the stop, then until the open requests have ended or the drain timeout.
-    pub(crate) async fn run(mut self) {
-        let permits = Arc::new(Semaphore::new(self.limits.connections));
-        let mut connections = JoinSet::new();
+    pub(crate) async fn run(self) {
+        let mut stop = self.stop.clone();
+        let mut connections = Connections {
+            router: self.router,
+            permits: Arc::new(Semaphore::new(self.limits.connections)),
+            limits: self.limits,
+            metrics: self.metrics,
+            stop: self.stop,
+            open: JoinSet::new(),
+        };
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
-                () = stopped(&mut self.stop) => break,
-                Some(_) = connections.join_next() => continue,
-            };
-            let Ok((stream, _)) = accepted else {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
+                () = stopped(&mut stop) => break,
+                Some(_) = connections.open.join_next() => continue,
             };
-            match permits.clone().try_acquire_owned() {
-                Ok(permit) => {
-                    connections.spawn(self.connection(stream, permit));
-                }
-                Err(_) => self.refuse_connection(&stream),
+            match accepted {
+                Ok((stream, _)) => connections.admit(stream),
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+        for stream in close(self.listener) {
+            connections.admit(stream);
+        }
+        connections.drain().await;
+    }
+}
+
+/// Open connections.
+struct Connections {
+    router: Router,
+    limits: LimitSettings,
+    metrics: Arc<Metrics>,
+    stop: watch::Receiver<bool>,
+    permits: Arc<Semaphore>,
+    open: JoinSet<()>,
+}
+
+impl Connections {
+    /// Serves a connection, or refuses it if too many are open.
+    fn admit(&mut self, stream: TcpStream) {
+        match self.permits.clone().try_acquire_owned() {
+            Ok(permit) => {
+                let connection = self.connection(stream, permit);
+                self.open.spawn(connection);
             }
+            Err(_) => self.refuse_connection(&stream),
         }
-        drop(self.listener);
-        let drained = async { while connections.join_next().await.is_some() {} };
+    }
+
+    /// Waits for the open connections. Those that remain after the timeout are aborted.
+    async fn drain(mut self) {
         let timeout = Duration::from_millis(self.limits.drain_timeout_ms);
-        // Whatever still runs after the timeout is aborted with the set.
+        let drained = async { while self.open.join_next().await.is_some() {} };
         let _ = tokio::time::timeout(timeout, drained).await;
     }
 
@@ -104,6 +134,20 @@
     }
 }
 
+/// Closes a listener and gives the connections that wait in its queue, which would be reset.
+fn close(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    // The listener does not block: the first error says that the queue is empty.
+    std::iter::from_fn(|| listener.accept().ok())
+        .filter_map(|(stream, _)| {
+            stream.set_nonblocking(true).ok()?;
+            TcpStream::from_std(stream).ok()
+        })
+        .collect()
+}
+
 /// Waits for the stop. A closed channel is one, too.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
@@ -138,15 +182,20 @@
 
     async fn serve_http1(mut self, io: StartedStream) {
         let service = TowerToHyperService::new(self.router);
+        // The library would close a connection without a request at once if it were told of the
+        // stop, but a request is on its way here.
+        let mut draining = *self.stop.borrow();
         let mut connection = http1::Builder::new()
+            .keep_alive(!draining)
             .timer(TokioTimer::new())
             .header_read_timeout(self.head_timeout)
             .max_buf_size(self.header_bytes)
             .serve_connection(TokioIo::new(io), service);
-        let mut draining = false;
         let ended = loop {
             let driver = std::future::poll_fn(|cx| connection.poll_without_shutdown(cx));
             tokio::select! {
+                // What has arrived is read before the stop is looked at.
+                biased;
                 ended = driver => break ended,
                 () = stopped(&mut self.stop), if !draining => {
                     draining = true;
--- a/lib/tests/test_gateway_leaving.rs
+++ b/lib/tests/test_gateway_leaving.rs
@@ -165,3 +165,23 @@
     let rest = answer.into_body().collect().await;
     assert!(rest.is_err(), "the stream has no clean end");
 }
+
+#[tokio::test]
+async fn planned_stop_serves_connections_that_wait_to_be_accepted() {
+    let backend = Backend::answering(|req| req.answer("200 OK", "", "booked")).await;
+    let rig = Rig::start(vec![order(backend.address)]).await;
+    let mut callers = Vec::new();
+    for _ in 0..20 {
+        // The gateway cannot run meanwhile, as the test does not wait for anything.
+        let mut caller = std::net::TcpStream::connect(rig.address).unwrap();
+        std::io::Write::write_all(&mut caller, post().as_bytes()).unwrap();
+        caller.set_nonblocking(true).unwrap();
+        callers.push(tokio::net::TcpStream::from_std(caller).unwrap());
+    }
+    rig.stop.send(true).unwrap();
+    for mut caller in callers {
+        let answer = read_to_end(&mut caller).await;
+        assert!(answer.ends_with("booked"), "{answer}");
+    }
+    rig.serving.await.unwrap();
+}
