gateway: estimate costs from those of earlier requests

Cause: every plain request was estimated at 5 ms and every model request without a bound at 256 tokens, so that a workspace with costly requests was charged too little until they ended, which widens the fairness gap. The estimate is now the moving average of the workspace's true costs on the service, within the bound that a model request names.

The first byte of a model's whole answer was reported as its first token. It arrives with the last one, and a server that gave whole answers among streams looked as if it had turned cold. It is no longer reported.

Ruled out: trusting max_tokens, a bound that most requests stay far below.

Figures: a test each for the second estimate of a model and of a plain service, and for the absent first byte. The effect on the fairness gap is not measured.

--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -22,6 +22,7 @@
 use super::backend::Connection;
 use super::backend::Written;
 use super::code::Code;
+use super::estimate::Estimates;
 use super::headers;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
@@ -55,6 +56,7 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) pool: BackendPool,
+    pub(crate) estimates: Arc<Estimates>,
     pub(crate) waiting: WaitingLimit,
 }
 
@@ -220,6 +222,7 @@
             clock: self.shared.clock,
             metrics: self.shared.metrics.clone(),
             pair: self.pair.clone(),
+            estimates: self.shared.estimates.clone(),
         };
         let mut running = Running::new(self.call, ticket, connection, gauges);
         if running.connection.sender.ready().await.is_err() {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod backend;
 mod code;
 mod dispatch;
+mod estimate;
 mod headers;
 mod keyed;
 mod model;
@@ -80,6 +81,7 @@
             clock: parts.clock,
             metrics: parts.metrics.clone(),
             pool: BackendPool::new(parts.clock),
+            estimates: Arc::default(),
             waiting: WaitingLimit::new(parts.limits.waiting_per_workspace),
         });
         let front = Front {
--- a/lib/src/gateway/model.rs
+++ b/lib/src/gateway/model.rs
@@ -49,12 +49,15 @@
         serde_json::from_slice(body).map_err(|_| Code::MalformedRequest)
     }
 
-    /// Estimated cost, tokens.
-    pub(crate) fn estimate(&self, prompt_tokens: u64) -> u64 {
-        let completion = self
-            .max_completion_tokens
-            .or(self.max_tokens)
-            .unwrap_or(COMPLETION_TOKENS_DEFAULT);
+    /// Estimated cost, tokens: the prompt, and as many generated tokens as the workspace's
+    /// requests have had on average, within the bound that the request names.
+    pub(crate) fn estimate(&self, prompt_tokens: u64, average: Option<u64>) -> u64 {
+        let bound = self.max_completion_tokens.or(self.max_tokens);
+        let completion = match (bound, average) {
+            (Some(bound), Some(average)) => bound.min(average),
+            (Some(known), None) | (None, Some(known)) => known,
+            (None, None) => COMPLETION_TOKENS_DEFAULT,
+        };
         prompt_tokens
             .saturating_add(completion)
             .clamp(1, ESTIMATE_MAX_TOKENS)
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -18,8 +18,8 @@
 use crate::host::ServiceKind;
 use crate::time::Timestamp;
 
-/// Server time assumed for a request to a plain service, microseconds.
-const PLAIN_ESTIMATE_US: u64 = 5_000;
+/// Server time assumed for the first requests to a plain service, microseconds.
+pub(crate) const PLAIN_ESTIMATE_US: u64 = 5_000;
 
 /// A request on its way to a backend server.
 #[derive(Clone, Debug)]
@@ -45,11 +45,6 @@
     }
 }
 
-/// Estimated cost of a request to a plain service, microseconds of server time.
-pub(crate) const fn plain_estimate() -> u64 {
-    PLAIN_ESTIMATE_US
-}
-
 /// Reads a body within the limits on its size and its time.
 pub(crate) async fn read_body(
     body: Body,
--- a/lib/src/gateway/routes.rs
+++ b/lib/src/gateway/routes.rs
@@ -45,7 +45,6 @@
 use crate::control::ServiceEntry;
 use crate::host::ServiceKind;
 use crate::operation::Records;
-use crate::time::Timestamp;
 
 /// Path under which plain services are reached.
 const SERVICES_PREFIX: &str = "/services/";
@@ -148,10 +147,11 @@
     let model = ModelRequest::parse(&body)?;
     let service = service_of_kind(&view, &model.model, ServiceKind::Model)?;
     let prompt_tokens = prompt_tokens(&body);
+    let average = front.shared.estimates.average(caller.workspace, service.id);
     let spec = RequestSpec {
         service: service.id,
         workspace: caller.workspace,
-        estimate: model.estimate(prompt_tokens),
+        estimate: model.estimate(prompt_tokens, average),
         deadline: arrived + caller.target,
         prefix: model.prefix(caller.workspace),
     };
@@ -179,30 +179,15 @@
     let (name, target) = plain_target(&parts.uri)?;
     let service = service_of_kind(&view, name, ServiceKind::Plain)?;
     let body = front.read_body(body).await?;
-    let spec = plain_spec(service, &caller, arrived);
-    Ok(plain_parts(id, caller, parts, target, body, spec, arrived))
-}
-
-fn plain_spec(service: ServiceEntry, caller: &Caller, arrived: Timestamp) -> RequestSpec {
-    RequestSpec {
+    let average = front.shared.estimates.average(caller.workspace, service.id);
+    let spec = RequestSpec {
         service: service.id,
         workspace: caller.workspace,
-        estimate: request::plain_estimate(),
+        estimate: average.unwrap_or(request::PLAIN_ESTIMATE_US),
         deadline: arrived + caller.target,
         prefix: 0,
-    }
-}
-
-fn plain_parts(
-    id: CompactString,
-    caller: Caller,
-    parts: Parts,
-    target: PathAndQuery,
-    body: Bytes,
-    spec: RequestSpec,
-    arrived: Timestamp,
-) -> Call {
-    Call {
+    };
+    Ok(Call {
         id,
         caller,
         kind: ServiceKind::Plain,
@@ -214,7 +199,7 @@
         prompt_tokens: 0,
         arrived,
         mark: RunMark::default(),
-    }
+    })
 }
 
 /// Name of a plain service and the path on its servers.
--- a/lib/src/gateway/running.rs
+++ b/lib/src/gateway/running.rs
@@ -6,6 +6,7 @@
 use super::backend::Connection;
 use super::backend::WriteGate;
 use super::backend::Written;
+use super::estimate::Estimates;
 use super::request::Call;
 use super::run_mark::RunMark;
 use super::scan::StreamScan;
@@ -13,6 +14,8 @@
 use crate::control::EndReport;
 use crate::control::Ticket;
 use crate::host::ServiceKind;
+use crate::id::ServiceId;
+use crate::id::WorkspaceId;
 use crate::message::EndOutcome;
 use crate::metrics::Metrics;
 use crate::metrics::PairMetrics;
@@ -28,6 +31,7 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) pair: Arc<PairMetrics>,
+    pub(crate) estimates: Arc<Estimates>,
 }
 
 /// A running request: its connection, and the account of what it costs.
@@ -61,6 +65,8 @@
     gate: Arc<WriteGate>,
     mark: RunMark,
     with: Gauges,
+    workspace: WorkspaceId,
+    service: ServiceId,
     kind: ServiceKind,
     prompt_tokens: u64,
     arrived: Timestamp,
@@ -80,6 +86,8 @@
             gate,
             mark: call.mark.clone(),
             with,
+            workspace: call.spec.workspace,
+            service: call.spec.service,
             kind: call.kind,
             prompt_tokens: call.prompt_tokens,
             arrived: call.arrived,
@@ -146,14 +154,22 @@
             return;
         };
         let now = self.with.clock.now();
+        let cost = self.cost(now.since(self.dispatched), usage);
         if outcome == EndOutcome::Complete {
             let whole = now.since(self.arrived);
             self.with.pair.whole.observe(whole.as_secs_f64());
+            let unforeseen = cost.saturating_sub(self.prompt_tokens);
+            self.with
+                .estimates
+                .learn(self.workspace, self.service, unforeseen);
         }
+        // The first byte of a model's whole answer is its last token, too, and says nothing of
+        // how the server bears its load.
+        let is_whole_model_answer = self.kind == ServiceKind::Model && self.scan.events == 0;
         ticket.finish(EndReport {
             outcome,
-            cost: self.cost(now.since(self.dispatched), usage),
-            first_byte: self.first_byte,
+            cost,
+            first_byte: self.first_byte.filter(|_| !is_whole_model_answer),
             instance: self.instance,
         });
     }
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use cardamomshift_lib::control::RequestSpec;
 use cardamomshift_lib::id::ServiceId;
 use cardamomshift_lib::id::WorkspaceId;
 use cardamomshift_lib::message::EndOutcome;
@@ -62,7 +63,9 @@
     let mut rig = Rig::start(vec![order(backend.address)]).await;
     let answer = rig.call(&chat(false)).await;
     assert!(answer.contains("\"completion_tokens\":4"));
-    assert_eq!(rig.end().await.cost, 7);
+    let report = rig.end().await;
+    assert_eq!(report.cost, 7);
+    assert_eq!(report.first_byte, None, "it is no first token");
 }
 
 #[tokio::test]
@@ -148,3 +151,35 @@
     assert_ne!(prefixes[5], prefixes[0]);
     assert_eq!(prefixes[6], 0);
 }
+
+async fn next_spec(rig: &mut Rig) -> RequestSpec {
+    loop {
+        if let Told::Submit(spec) = rig.next().await {
+            return spec;
+        }
+    }
+}
+
+#[tokio::test]
+async fn estimates_follow_the_true_costs() {
+    let backend = Backend::answering(|req| {
+        let body = r#"{"usage":{"prompt_tokens":20,"completion_tokens":80}}"#;
+        req.answer("200 OK", "content-type: application/json\r\n", body)
+    })
+    .await;
+    let mut rig = Rig::start(vec![order(backend.address)]).await;
+    let body = format!("{{\"model\":\"{MODEL}\",\"prompt\":\"offside?\"}}");
+    let text = request("POST", "/v1/completions", "", &body);
+    let prompt = body.len() as u64 / 4;
+    rig.call(&text).await;
+    assert_eq!(next_spec(&mut rig).await.estimate, prompt + 256);
+    rig.call(&text).await;
+    assert_eq!(next_spec(&mut rig).await.estimate, 100);
+
+    let text = request("GET", &format!("/services/{PLAIN}/standings"), "", "");
+    rig.call(&text).await;
+    assert_eq!(next_spec(&mut rig).await.estimate, 5_000);
+    let cost = rig.end().await.cost;
+    rig.call(&text).await;
+    assert_eq!(next_spec(&mut rig).await.estimate, cost);
+}
