metrics: put the targets among the bucket bounds

Cause: no bucket ended at 33 ms between tokens or 1.9 s to the first one, so that the share of requests within the targets could not be read off.

Ruled out: more buckets, as each one is a series for every workspace and class.

Figures: 13 bounds as before.

Conclusion: both targets are bucket bounds.

--- a/lib/src/metrics/registry.rs
+++ b/lib/src/metrics/registry.rs
@@ -23,9 +23,10 @@
 const PAIRS_MAX: usize = 2048;
 /// Label of the pairs beyond the bound.
 const OTHER: &str = "other";
-/// Upper bounds of the time buckets, seconds.
+/// Upper bounds of the time buckets, seconds. Those of the targets, 33 ms between tokens and 1.9 s
+/// to the first one, are among them.
 const TIME_BUCKETS: [f64; 13] = [
-    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0,
+    0.001, 0.0025, 0.005, 0.01, 0.02, 0.033, 0.05, 0.1, 0.3, 1.0, 1.9, 5.0, 60.0,
 ];
 
 /// A fault of a backend server's answer.
