--- a/lib/src/configuration/mod.rs
+++ b/lib/src/configuration/mod.rs
@@ -1,10 +1,13 @@
 //! The configuration: workspaces, classes of work, and what operators have taken out of service.
 
 mod change;
+mod difference;
 mod document;
+mod editor;
 mod follower;
 mod lookup;
 mod name;
+mod store;
 mod stored;
 
 pub use change::Change;
@@ -14,12 +17,20 @@
 pub use change::MAX_CLASSES;
 pub use change::MAX_TARGET_MS;
 pub use change::fingerprint;
+pub use difference::Difference;
+pub use difference::differences;
 pub use document::ChangeRecord;
 pub use document::Class;
 pub use document::Configuration;
 pub use document::Workspace;
+pub use editor::Accepted;
+pub use editor::ChangeRequest;
+pub use editor::EditError;
+pub use editor::Editor;
+pub use editor::Effect;
 pub use follower::Follower;
 pub use lookup::hash_key;
 pub use name::MAX_NAME_BYTES;
+pub use store::ConfigurationStore;
 pub use stored::DocumentError;
 pub use stored::MAX_DOCUMENT_BYTES;
--- a/lib/src/gateway/routes.rs
+++ b/lib/src/gateway/routes.rs
@@ -30,17 +30,20 @@
 use super::access::Caller;
 use super::code::Code;
 use super::dispatch::Shared;
-use super::dispatch::dispatch;
 use super::headers;
+use super::keyed;
+use super::model::ModelRequest;
+use super::model::prompt_tokens;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::request;
 use super::request::Call;
-use super::request::ModelRequest;
+use super::run_mark::RunMark;
 use crate::control::FleetView;
 use crate::control::RequestSpec;
 use crate::control::ServiceEntry;
 use crate::host::ServiceKind;
+use crate::operation::Records;
 use crate::time::Timestamp;
 
 /// Path under which plain services are reached.
@@ -49,6 +52,7 @@
 /// State of the callers' side.
 pub(crate) struct Front {
     pub(crate) shared: Arc<Shared>,
+    pub(crate) records: Arc<Records>,
     pub(crate) access: Access,
     /// Distinguishes request identifiers of the hosts and their lives.
     pub(crate) id_prefix: u64,
@@ -100,30 +104,30 @@
 /// All paths of the callers' side.
 pub(crate) fn router(front: Arc<Front>) -> Router {
     Router::new()
-        .route("/v1/chat/completions", post(model))
-        .route("/v1/completions", post(model))
-        .route("/v1/models", get(models))
-        .route("/services/{service}", any(plain))
-        .route("/services/{service}/", any(plain))
-        .route("/services/{service}/{*path}", any(plain))
+        .route("/v1/chat/completions", post(serve_model))
+        .route("/v1/completions", post(serve_model))
+        .route("/v1/models", get(list_models))
+        .route("/services/{service}", any(serve_plain))
+        .route("/services/{service}/", any(serve_plain))
+        .route("/services/{service}/{*path}", any(serve_plain))
         .fallback(not_found)
         .method_not_allowed_fallback(method_not_allowed)
         .with_state(front)
 }
 
-async fn model(State(front): State<Arc<Front>>, req: Request<Body>) -> Response<Body> {
+async fn serve_model(State(front): State<Arc<Front>>, req: Request<Body>) -> Response<Body> {
     let request_id = front.next_request_id();
     let result = match model_call(&front, request_id.clone(), req).await {
-        Ok(call) => dispatch(&front.shared, &call).await,
+        Ok(call) => keyed::serve(&front.shared, &front.records, &call).await,
         Err(code) => Err(Refusal::not_run(code)),
     };
     front.respond(&request_id, result)
 }
 
-async fn plain(State(front): State<Arc<Front>>, req: Request<Body>) -> Response<Body> {
+async fn serve_plain(State(front): State<Arc<Front>>, req: Request<Body>) -> Response<Body> {
     let request_id = front.next_request_id();
     let result = match plain_call(&front, request_id.clone(), req).await {
-        Ok(call) => dispatch(&front.shared, &call).await,
+        Ok(call) => keyed::serve(&front.shared, &front.records, &call).await,
         Err(code) => Err(Refusal::not_run(code)),
     };
     front.respond(&request_id, result)
@@ -137,13 +141,13 @@
     let body = front.read_body(body).await?;
     let model = ModelRequest::parse(&body)?;
     let service = service_of_kind(&view, &model.model, ServiceKind::Model)?;
-    let prompt_tokens = request::prompt_tokens(&body);
+    let prompt_tokens = prompt_tokens(&body);
     let spec = RequestSpec {
         service: service.id,
         workspace: caller.workspace,
         estimate: model.estimate(prompt_tokens),
         deadline: arrived + caller.target,
-        prefix: request::prefix_hash(caller.workspace, &body),
+        prefix: model.prefix(caller.workspace),
     };
     let target = path_and_query(&parts.uri)?;
     Ok(Call {
@@ -157,6 +161,7 @@
         spec,
         prompt_tokens,
         arrived,
+        mark: RunMark::default(),
     })
 }
 
@@ -202,6 +207,7 @@
         spec,
         prompt_tokens: 0,
         arrived,
+        mark: RunMark::default(),
     }
 }
 
@@ -246,7 +252,7 @@
     owned_by: &'static str,
 }
 
-async fn models(State(front): State<Arc<Front>>, headers: HeaderMap) -> Response<Body> {
+async fn list_models(State(front): State<Arc<Front>>, headers: HeaderMap) -> Response<Body> {
     let request_id = front.next_request_id();
     let view = front.shared.control.view();
     let result = front
