bench: places of a fleet, load generator and baseline

Measurements need a fleet on loopback, callers that judge every answer, and a baseline on the same stand-ins. Each fleet claims a loopback subnet of its own, so that several run side by side; ports drawn at random were ruled out because two fleets can draw the same one. Callers check the nonce and number of every token, so that a foreign or partial answer cannot pass for a whole one.

--- /dev/null
+++ b/bench/src/fleet/backend.rs
@@ -0,0 +1,128 @@
+//! Backend servers of a fleet.
+
+use std::net::SocketAddr;
+
+use cardamomshift_lib::host::HostEntry;
+use cardamomshift_lib::host::HostState;
+use cardamomshift_lib::host::ListedService;
+use cardamomshift_lib::host::Role;
+use cardamomshift_lib::host::ServiceKind;
+use cardamomshift_testutils::EngineHandle;
+use cardamomshift_testutils::LinkRelay;
+use cardamomshift_testutils::LinkRoute;
+use cardamomshift_testutils::ModelEngine;
+use cardamomshift_testutils::Network;
+use cardamomshift_testutils::PlainService;
+use cardamomshift_testutils::PlainServiceHandle;
+
+use super::plan::FleetPlan;
+use super::plan::MODEL;
+use super::plan::PLAIN_SERVICE;
+use super::subnet::Subnet;
+use super::subnet::at;
+
+/// Port of a backend server as the host list shows it.
+const LISTED_PORT: u16 = 8000;
+/// Port of a backend server behind its relay.
+const INNER_PORT: u16 = 8001;
+
+/// What a backend server runs.
+#[derive(Debug)]
+pub enum BackendKind {
+    /// A model engine.
+    Engine(ModelEngine),
+    /// A plain service.
+    Plain(PlainService),
+}
+
+/// A backend server.
+#[derive(Debug)]
+pub struct Backend {
+    /// Name in the host list.
+    pub name: String,
+    /// Name of the failure domain.
+    pub domain: String,
+    /// Address in the host list.
+    pub address: SocketAddr,
+    /// What it runs.
+    pub kind: BackendKind,
+    /// Relay in front of it, if the plan wants one.
+    _relay: Option<LinkRelay>,
+}
+
+impl Backend {
+    /// Handle of the engine, if it is one.
+    pub fn engine(&self) -> Option<EngineHandle> {
+        match &self.kind {
+            BackendKind::Engine(engine) => Some(engine.handle()),
+            BackendKind::Plain(_) => None,
+        }
+    }
+
+    /// Handle of the plain service, if it is one.
+    pub fn plain(&self) -> Option<PlainServiceHandle> {
+        match &self.kind {
+            BackendKind::Engine(_) => None,
+            BackendKind::Plain(plain) => Some(plain.handle()),
+        }
+    }
+
+    /// Its entry in the host list.
+    pub fn entry(&self) -> HostEntry {
+        let (name, kind) = match &self.kind {
+            BackendKind::Engine(_) => (MODEL, ServiceKind::Model),
+            BackendKind::Plain(_) => (PLAIN_SERVICE, ServiceKind::Plain),
+        };
+        HostEntry {
+            name: self.name.as_str().into(),
+            domain: self.domain.as_str().into(),
+            role: Role::Backend,
+            state: HostState::Live,
+            address: self.address,
+            services: vec![ListedService {
+                name: name.into(),
+                kind,
+            }],
+            checks_fencing: false,
+        }
+    }
+}
+
+pub(super) fn start_all(plan: &FleetPlan, subnet: &Subnet, network: &Network) -> Vec<Backend> {
+    let mut backends = Vec::new();
+    for (number, domain) in plan.domains.iter().enumerate() {
+        for index in 0..plan.engines_per_domain + plan.plains_per_domain {
+            let is_engine = index < plan.engines_per_domain;
+            let ip = subnet.backend(number, index);
+            let port = if plan.relays { INNER_PORT } else { LISTED_PORT };
+            let inner = at(ip, port);
+            let (kind, name) = if is_engine {
+                let engine = ModelEngine::start_with(inner, plan.engine);
+                (
+                    BackendKind::Engine(engine),
+                    format!("{domain}-engine-{index}"),
+                )
+            } else {
+                let plain = PlainService::start_with(inner, plan.plain);
+                (BackendKind::Plain(plain), format!("{domain}-plain-{index}"))
+            };
+            let relay = plan.relays.then(|| {
+                let route = LinkRoute {
+                    source: None,
+                    destination: ip,
+                    target: inner,
+                    network: network.clone(),
+                };
+                LinkRelay::start(at(ip, LISTED_PORT), route)
+            });
+            backends.push(Backend {
+                name,
+                domain: domain.clone(),
+                address: at(ip, LISTED_PORT),
+                kind,
+                _relay: relay,
+            });
+        }
+    }
+    backends
+}
--- /dev/null
+++ b/bench/src/fleet/link.rs
@@ -0,0 +1,82 @@
+//! Relays on the links of the hosts.
+
+use std::net::IpAddr;
+
+use cardamomshift_testutils::LinkRelay;
+use cardamomshift_testutils::LinkRoute;
+use cardamomshift_testutils::Network;
+
+use super::plan::HostPlan;
+use super::platform::HOST_LIST_PORT;
+use super::platform::OBJECT_API_PORT;
+use super::subnet::Subnet;
+use super::subnet::at;
+
+/// Port at a host's address that leads to the object API.
+const OBJECT_API_LINK_PORT: u16 = 7101;
+/// Port at a host's address that leads to the host list.
+const HOST_LIST_LINK_PORT: u16 = 7102;
+
+/// Relays of one host: from its peers, and to the platform.
+#[derive(Debug)]
+pub(super) struct HostLinks {
+    _peers: LinkRelay,
+    _object_api: LinkRelay,
+    _host_list: LinkRelay,
+}
+
+/// Addresses of the platform as a host sees them.
+pub(super) struct PlatformAddresses {
+    pub(super) object_api: std::net::SocketAddr,
+    pub(super) host_list: std::net::SocketAddr,
+}
+
+pub(super) fn platform_addresses(
+    host: &HostPlan,
+    subnet: &Subnet,
+    relays: bool,
+) -> PlatformAddresses {
+    if !relays {
+        return PlatformAddresses {
+            object_api: at(subnet.platform(), OBJECT_API_PORT),
+            host_list: at(subnet.platform(), HOST_LIST_PORT),
+        };
+    }
+    PlatformAddresses {
+        object_api: at(host.peers.ip(), OBJECT_API_LINK_PORT),
+        host_list: at(host.peers.ip(), HOST_LIST_LINK_PORT),
+    }
+}
+
+pub(super) fn start_all(hosts: &[HostPlan], subnet: &Subnet, network: &Network) -> Vec<HostLinks> {
+    let platform = subnet.platform();
+    hosts
+        .iter()
+        .map(|host| {
+            let ip = host.peers.ip();
+            let to_platform = |own_port, port| {
+                let route = LinkRoute {
+                    source: Some(ip),
+                    destination: platform,
+                    target: at(platform, port),
+                    network: network.clone(),
+                };
+                LinkRelay::start(at(ip, own_port), route)
+            };
+            HostLinks {
+                _peers: LinkRelay::start(host.peers, peer_route(host, ip, network)),
+                _object_api: to_platform(OBJECT_API_LINK_PORT, OBJECT_API_PORT),
+                _host_list: to_platform(HOST_LIST_LINK_PORT, HOST_LIST_PORT),
+            }
+        })
+        .collect()
+}
+
+fn peer_route(host: &HostPlan, ip: IpAddr, network: &Network) -> LinkRoute {
+    LinkRoute {
+        source: None,
+        destination: ip,
+        target: host.peers_inner,
+        network: network.clone(),
+    }
+}
--- /dev/null
+++ b/bench/src/fleet/plan.rs
@@ -0,0 +1,182 @@
+//! What a fleet is made of, and where its hosts are.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cardamomshift_lib::configuration::Class;
+use cardamomshift_lib::configuration::Configuration;
+use cardamomshift_lib::configuration::Workspace;
+use cardamomshift_lib::configuration::hash_key;
+use cardamomshift_lib::host::HostEntry;
+use cardamomshift_lib::host::HostState;
+use cardamomshift_lib::host::Role;
+use cardamomshift_lib::id::WorkspaceId;
+use cardamomshift_testutils::EngineProfile;
+use cardamomshift_testutils::PlainProfile;
+
+use super::subnet::Subnet;
+use super::subnet::at;
+
+/// Name of the model that every engine offers.
+pub const MODEL: &str = "ruling-7b";
+/// Name of the plain service.
+pub const PLAIN_SERVICE: &str = "ledger";
+/// Key that the hosts of a fleet prove to each other.
+pub(crate) const FLEET_KEY: &str = "bench-fleet-key-0123456789abcdef";
+/// Key of the operators.
+pub(crate) const OPERATOR_KEY: &str = "bench-operator-key-0123456789abcdef";
+
+const CALLERS_PORT: u16 = 7080;
+const PEERS_INNER_PORT: u16 = 7090;
+const PEERS_PORT: u16 = 7091;
+const OPERATORS_PORT: u16 = 7070;
+const METRICS_PORT: u16 = 7060;
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Names of the failure domains.
+    pub domains: Vec<String>,
+    /// Entry hosts in each failure domain.
+    pub hosts_per_domain: usize,
+    /// Model engines in each failure domain.
+    pub engines_per_domain: usize,
+    /// Plain services in each failure domain.
+    pub plains_per_domain: usize,
+    /// What an engine bears and how fast it is.
+    pub engine: EngineProfile,
+    /// What a plain service bears and how fast it is.
+    pub plain: PlainProfile,
+    /// Workspaces.
+    pub workspaces: usize,
+    /// Classes of work with their targets, milliseconds.
+    pub classes: Vec<(String, u64)>,
+    /// Delay in each direction of every link through a relay.
+    pub link_delay: Duration,
+    /// Whether links between hosts, servers and the platform go through relays.
+    pub relays: bool,
+}
+
+impl FleetPlan {
+    /// A fleet of the Flipperliga: four failure domains.
+    pub fn flipperliga() -> Self {
+        Self::over(&["bern-a", "zurich-b", "basel-c", "luzern-d"])
+    }
+
+    /// A fleet of Teranga: three failure domains.
+    pub fn teranga() -> Self {
+        Self::over(&["dakar-plateau", "dakar-almadies", "dakar-rufisque"])
+    }
+
+    fn over(domains: &[&str]) -> Self {
+        Self {
+            domains: domains.iter().map(|name| (*name).to_owned()).collect(),
+            hosts_per_domain: 2,
+            engines_per_domain: 2,
+            plains_per_domain: 1,
+            engine: EngineProfile::default(),
+            plain: PlainProfile::default(),
+            workspaces: 6,
+            classes: vec![
+                ("ruling".to_owned(), 30_000),
+                ("bulletin".to_owned(), 120_000),
+                ("live".to_owned(), 2_000),
+            ],
+            link_delay: Duration::ZERO,
+            relays: true,
+        }
+    }
+
+    /// Requests that all warm engines bear together.
+    pub fn warm_slots(&self) -> usize {
+        self.domains.len() * self.engines_per_domain * self.engine.warm_limit
+    }
+
+    /// Name of a workspace.
+    pub fn workspace_name(&self, number: usize) -> String {
+        format!("house-{number}")
+    }
+
+    /// Key of a workspace.
+    pub fn workspace_key(&self, number: usize) -> String {
+        format!("workspace-key-{number:04}-0123456789abcdef")
+    }
+
+    /// The configuration that the fleet starts with.
+    pub fn configuration(&self) -> Configuration {
+        let workspaces = (0..self.workspaces).map(|number| Workspace {
+            id: WorkspaceId(number as u32),
+            name: self.workspace_name(number).into(),
+            key_hash: hash_key(self.workspace_key(number).as_bytes()),
+            enabled: true,
+        });
+        let classes = self.classes.iter().map(|(name, target_ms)| Class {
+            name: name.as_str().into(),
+            target_ms: *target_ms,
+        });
+        Configuration {
+            next_workspace: self.workspaces as u32,
+            workspaces: workspaces.collect(),
+            classes: classes.collect(),
+            ..Configuration::default()
+        }
+    }
+}
+
+/// Where a host is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostPlan {
+    /// Name in the host list.
+    pub name: String,
+    /// Name of the failure domain.
+    pub domain: String,
+    /// Listener for callers.
+    pub callers: SocketAddr,
+    /// Listener for other hosts, behind the relay.
+    pub peers_inner: SocketAddr,
+    /// Listener for other hosts as the host list shows it.
+    pub peers: SocketAddr,
+    /// Listener for operators.
+    pub operators: SocketAddr,
+    /// Listener for metrics and health.
+    pub metrics: SocketAddr,
+}
+
+impl HostPlan {
+    /// Its entry in the host list.
+    pub fn entry(&self) -> HostEntry {
+        HostEntry {
+            name: self.name.as_str().into(),
+            domain: self.domain.as_str().into(),
+            role: Role::Entry,
+            state: HostState::Live,
+            address: self.peers,
+            services: Vec::new(),
+            checks_fencing: false,
+        }
+    }
+}
+
+pub(super) fn place_hosts(plan: &FleetPlan, subnet: &Subnet) -> Vec<HostPlan> {
+    let mut hosts = Vec::new();
+    for (number, domain) in plan.domains.iter().enumerate() {
+        for index in 0..plan.hosts_per_domain {
+            let ip = subnet.host(number, index);
+            let inner = if plan.relays {
+                PEERS_INNER_PORT
+            } else {
+                PEERS_PORT
+            };
+            hosts.push(HostPlan {
+                name: format!("{domain}-entry-{index}"),
+                domain: domain.clone(),
+                callers: at(ip, CALLERS_PORT),
+                peers_inner: at(ip, inner),
+                peers: at(ip, PEERS_PORT),
+                operators: at(ip, OPERATORS_PORT),
+                metrics: at(ip, METRICS_PORT),
+            });
+        }
+    }
+    hosts
+}
--- /dev/null
+++ b/bench/src/fleet/platform.rs
@@ -0,0 +1,41 @@
+//! The platform's stand-ins of a fleet.
+
+use cardamomshift_testutils::HostListApi;
+use cardamomshift_testutils::HostListHandle;
+use cardamomshift_testutils::ObjectApi;
+use cardamomshift_testutils::ObjectApiHandle;
+
+use super::subnet::Subnet;
+use super::subnet::at;
+
+/// Port of the object API.
+pub(crate) const OBJECT_API_PORT: u16 = 7001;
+/// Port of the host list.
+pub(crate) const HOST_LIST_PORT: u16 = 7002;
+
+/// Object API and host list.
+#[derive(Debug)]
+pub struct Platform {
+    object_api: ObjectApi,
+    host_list: HostListApi,
+}
+
+impl Platform {
+    pub(super) fn start(subnet: &Subnet) -> Self {
+        let address = subnet.platform();
+        Self {
+            object_api: ObjectApi::start(at(address, OBJECT_API_PORT)),
+            host_list: HostListApi::start(at(address, HOST_LIST_PORT)),
+        }
+    }
+
+    /// Handle of the object API.
+    pub fn objects(&self) -> ObjectApiHandle {
+        self.object_api.handle()
+    }
+
+    /// Handle of the host list.
+    pub fn hosts(&self) -> HostListHandle {
+        self.host_list.handle()
+    }
+}
--- /dev/null
+++ b/bench/src/fleet/subnet.rs
@@ -0,0 +1,77 @@
+//! Loopback addresses of one fleet, apart from those of other fleets on the machine.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+
+/// Port that is held while a subnet is in use.
+const CLAIM_PORT: u16 = 6999;
+/// First and last second octet that a fleet may claim.
+const OCTETS: std::ops::RangeInclusive<u8> = 10..=250;
+/// Last octet of the first backend server in a failure domain.
+const FIRST_BACKEND: u8 = 128;
+
+/// The addresses 127.x.0.0/16 for one x that no other fleet uses.
+#[derive(Debug)]
+pub struct Subnet {
+    octet: u8,
+    /// Holds the claim.
+    _claim: TcpListener,
+}
+
+impl Subnet {
+    /// Claims the first free subnet from a place that differs between processes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if every subnet is in use.
+    pub fn claim() -> Self {
+        let count = u32::from(OCTETS.end() - OCTETS.start()) + 1;
+        let start = std::process::id() % count;
+        (0..count)
+            .map(|i| OCTETS.start() + ((start + i) % count) as u8)
+            .find_map(|octet| {
+                let address = Ipv4Addr::new(127, octet, 0, 1);
+                let claim = TcpListener::bind((address, CLAIM_PORT)).ok()?;
+                Some(Self {
+                    octet,
+                    _claim: claim,
+                })
+            })
+            .expect("a free loopback subnet")
+    }
+
+    fn address(&self, third: u8, fourth: u8) -> IpAddr {
+        Ipv4Addr::new(127, self.octet, third, fourth).into()
+    }
+
+    /// Address of the platform.
+    pub fn platform(&self) -> IpAddr {
+        self.address(0, 1)
+    }
+
+    /// Address of an entry host of a failure domain.
+    pub fn host(&self, domain: usize, host: usize) -> IpAddr {
+        self.address(third_octet(domain), octet(host + 1))
+    }
+
+    /// Address of a backend server of a failure domain.
+    pub fn backend(&self, domain: usize, backend: usize) -> IpAddr {
+        let fourth = octet(usize::from(FIRST_BACKEND) + backend);
+        self.address(third_octet(domain), fourth)
+    }
+}
+
+fn third_octet(domain: usize) -> u8 {
+    octet(domain + 1)
+}
+
+fn octet(number: usize) -> u8 {
+    u8::try_from(number).expect("less than 256 addresses")
+}
+
+/// A port at an address.
+pub(crate) fn at(address: IpAddr, port: u16) -> SocketAddr {
+    SocketAddr::new(address, port)
+}
--- /dev/null
+++ b/bench/src/load/caller.rs
@@ -0,0 +1,205 @@
+//! One call of a caller, from its sending to the judgement of its answer.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use cardamomshift_testutils::history::CallOutcome;
+use cardamomshift_testutils::history::CallRecord;
+use cardamomshift_testutils::now_us;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_TYPE;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+
+use super::check::StreamCheck;
+use super::check::judge_whole;
+use super::work::Request;
+
+/// HTTP client of callers.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Makes a client with connections of its own.
+pub fn http_client() -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(usize::MAX)
+        .build(connector)
+}
+
+/// A caller of one workspace.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Client that it sends with.
+    pub client: HttpClient,
+    /// Name of the workspace.
+    pub workspace: String,
+    /// Key of the workspace.
+    pub key: String,
+    /// Class of work, the default one if absent.
+    pub class: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    code: String,
+    outcome: String,
+    #[serde(default)]
+    retry_after_ms: Option<u64>,
+}
+
+/// What came of a call beside its record.
+#[derive(Debug)]
+pub struct Called {
+    /// The record.
+    pub record: CallRecord,
+    /// When the caller may come back, milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// What is known of an answer while it is read.
+struct Reading {
+    outcome: CallOutcome,
+    first_byte: Option<u64>,
+    tokens: u32,
+    retry_after_ms: Option<u64>,
+}
+
+impl Reading {
+    fn broken() -> Self {
+        Self {
+            outcome: CallOutcome::Broken,
+            first_byte: None,
+            tokens: 0,
+            retry_after_ms: None,
+        }
+    }
+}
+
+impl Caller {
+    /// Sends a request to the host with the number `host` at `address`, and judges the answer.
+    pub async fn call(&self, host: usize, address: SocketAddr, request: &Request) -> Called {
+        let sent = now_us();
+        let reading = match self.client.request(self.http(address, request)).await {
+            Ok(response) => read(request, response).await,
+            Err(_) => Reading::broken(),
+        };
+        Called {
+            record: CallRecord {
+                workspace: self.workspace.clone(),
+                host,
+                operation: request.operation.clone(),
+                nonce: request.nonce,
+                sent,
+                first_byte: reading.first_byte,
+                end: now_us(),
+                tokens: reading.tokens,
+                outcome: reading.outcome,
+            },
+            retry_after_ms: reading.retry_after_ms,
+        }
+    }
+
+    fn http(&self, address: SocketAddr, request: &Request) -> hyper::Request<Full<Bytes>> {
+        let mut builder = hyper::Request::post(format!("http://{address}{}", request.path))
+            .header(AUTHORIZATION, format!("Bearer {}", self.key))
+            .header(CONTENT_TYPE, "application/json")
+            .header("x-operation", &request.operation)
+            .header("x-test-tag", &self.workspace);
+        if let Some(class) = &self.class {
+            builder = builder.header("x-cardamomshift-class", class);
+        }
+        if let Some(key) = &request.key {
+            builder = builder.header("idempotency-key", key);
+        }
+        builder
+            .body(Full::new(request.body.clone().into()))
+            .expect("request of a caller")
+    }
+}
+
+async fn read(request: &Request, response: hyper::Response<Incoming>) -> Reading {
+    let status = response.status();
+    if status != StatusCode::OK {
+        return read_error(status, response.into_body()).await;
+    }
+    if request.streamed {
+        return read_stream(request, response.into_body()).await;
+    }
+    let Ok(body) = response.into_body().collect().await else {
+        return Reading::broken();
+    };
+    let first_byte = Some(now_us());
+    let body = body.to_bytes();
+    let (outcome, tokens) = if request.is_model {
+        judge_whole(&body, request.nonce, request.tokens)
+    } else {
+        (judge_plain(&body, &request.operation), 0)
+    };
+    Reading {
+        outcome,
+        first_byte,
+        tokens,
+        retry_after_ms: None,
+    }
+}
+
+async fn read_stream(request: &Request, mut body: Incoming) -> Reading {
+    let mut check = StreamCheck::new(request.nonce, request.tokens);
+    let mut first_byte = None;
+    let mut outcome = None;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            outcome = Some(CallOutcome::Broken);
+            break;
+        };
+        if let Some(data) = frame.data_ref() {
+            first_byte.get_or_insert_with(now_us);
+            check.feed(data);
+        }
+    }
+    Reading {
+        outcome: outcome.unwrap_or_else(|| check.outcome()),
+        first_byte,
+        tokens: check.tokens(),
+        retry_after_ms: None,
+    }
+}
+
+async fn read_error(status: StatusCode, body: Incoming) -> Reading {
+    let mut reading = Reading::broken();
+    let Ok(body) = body.collect().await else {
+        return reading;
+    };
+    let parsed = serde_json::from_slice::<ErrorBody>(&body.to_bytes());
+    reading.outcome = match parsed {
+        Ok(ErrorBody { error }) => {
+            reading.retry_after_ms = error.retry_after_ms;
+            match error.outcome.as_str() {
+                "not_run" => CallOutcome::NotRun(error.code),
+                _ => CallOutcome::Unknown(error.code),
+            }
+        }
+        Err(_) => CallOutcome::Rejected(status.as_u16()),
+    };
+    reading
+}
+
+fn judge_plain(body: &[u8], operation: &str) -> CallOutcome {
+    match serde_json::from_slice::<serde_json::Value>(body) {
+        Err(_) => CallOutcome::Partial,
+        Ok(value) if value["operation"] == operation => CallOutcome::Whole,
+        Ok(_) => CallOutcome::Foreign,
+    }
+}
--- /dev/null
+++ b/bench/src/load/generator.rs
@@ -0,0 +1,248 @@
+//! Many callers at once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use cardamomshift_testutils::history::CallOutcome;
+use cardamomshift_testutils::history::CallRecord;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::caller::Caller;
+use super::caller::HttpClient;
+use super::work::Request;
+use super::work::Work;
+
+/// Longest pause of a caller after a refusal.
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+/// Pause of a caller after an answer that names none.
+const SHORT_PAUSE: Duration = Duration::from_millis(20);
+
+/// When the requests of a workspace are sent.
+#[derive(Clone, Copy, Debug)]
+pub enum Arrivals {
+    /// So many requests are open at any time: each end sends the next.
+    Closed(usize),
+    /// So many requests a second on average, whatever becomes of them.
+    Open(f64),
+}
+
+/// The load of one workspace.
+#[derive(Clone, Debug)]
+pub struct WorkspaceLoad {
+    /// Name of the workspace.
+    pub workspace: String,
+    /// Key of the workspace.
+    pub key: String,
+    /// Class of work, the default one if absent.
+    pub class: Option<String>,
+    /// Numbers of the hosts that it goes through.
+    pub hosts: Vec<usize>,
+    /// When it sends.
+    pub arrivals: Arrivals,
+    /// What it sends.
+    pub work: Work,
+}
+
+/// Load that runs.
+#[derive(Debug)]
+pub struct Load {
+    shared: Arc<Shared>,
+    tasks: JoinSet<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    addresses: Vec<SocketAddr>,
+    stop: CancellationToken,
+    next_operation: AtomicU64,
+    records: Mutex<Vec<CallRecord>>,
+}
+
+impl Load {
+    /// Starts the load of some workspaces on the hosts at `addresses`.
+    pub fn start(
+        addresses: Vec<SocketAddr>,
+        client: &HttpClient,
+        loads: Vec<WorkspaceLoad>,
+        seed: u64,
+    ) -> Self {
+        let shared = Arc::new(Shared {
+            addresses,
+            stop: CancellationToken::new(),
+            next_operation: AtomicU64::new(0),
+            records: Mutex::default(),
+        });
+        let mut load = Self {
+            shared,
+            tasks: JoinSet::new(),
+        };
+        for (number, workspace) in loads.into_iter().enumerate() {
+            load.start_workspace(client, workspace, seed.wrapping_add(number as u64) << 16);
+        }
+        load
+    }
+
+    fn start_workspace(&mut self, client: &HttpClient, load: WorkspaceLoad, seed: u64) {
+        let caller = Caller {
+            client: client.clone(),
+            workspace: load.workspace.clone(),
+            key: load.key.clone(),
+            class: load.class.clone(),
+        };
+        let load = Arc::new(load);
+        match load.arrivals {
+            Arrivals::Closed(count) => {
+                for number in 0..count {
+                    let client = Client {
+                        shared: Arc::clone(&self.shared),
+                        caller: caller.clone(),
+                        load: Arc::clone(&load),
+                        rng: StdRng::seed_from_u64(seed + number as u64),
+                        next_host: number,
+                    };
+                    self.tasks.spawn(client.run_closed());
+                }
+            }
+            Arrivals::Open(rate) => {
+                let client = Client {
+                    shared: Arc::clone(&self.shared),
+                    caller,
+                    load,
+                    rng: StdRng::seed_from_u64(seed),
+                    next_host: 0,
+                };
+                self.tasks.spawn(client.run_open(rate));
+            }
+        }
+    }
+
+    /// Records of the calls that have ended.
+    pub fn records(&self) -> Vec<CallRecord> {
+        self.shared.records.lock().expect("records").clone()
+    }
+
+    /// Calls that have ended.
+    pub fn ended(&self) -> usize {
+        self.shared.records.lock().expect("records").len()
+    }
+
+    /// Sends nothing more, waits for open calls up to `patience`, and gives the records. Calls
+    /// that are open after it are not among them.
+    pub async fn finish(mut self, patience: Duration) -> Vec<CallRecord> {
+        self.shared.stop.cancel();
+        let all = async { while self.tasks.join_next().await.is_some() {} };
+        // Calls that outlast the patience are dropped with their tasks.
+        let _ = tokio::time::timeout(patience, all).await;
+        self.tasks.abort_all();
+        self.records()
+    }
+}
+
+impl Shared {
+    fn record(&self, record: CallRecord) {
+        self.records.lock().expect("records").push(record);
+    }
+}
+
+struct Client {
+    shared: Arc<Shared>,
+    caller: Caller,
+    load: Arc<WorkspaceLoad>,
+    rng: StdRng,
+    next_host: usize,
+}
+
+impl Client {
+    async fn run_closed(mut self) {
+        let stop = self.shared.stop.clone();
+        while !stop.is_cancelled() {
+            let request = self.next_request();
+            let host = self.next_host();
+            let pause = send(&self.shared, &self.caller, &self.load, &request, host).await;
+            if let Some(pause) = pause {
+                tokio::select! {
+                    () = stop.cancelled() => return,
+                    () = tokio::time::sleep(pause) => {}
+                }
+            }
+        }
+    }
+
+    async fn run_open(mut self, rate: f64) {
+        let stop = self.shared.stop.clone();
+        let mut calls = JoinSet::new();
+        let mut due = Instant::now();
+        loop {
+            // Exponential gaps make the arrivals a Poisson process.
+            let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+            due += Duration::from_secs_f64(-uniform.ln() / rate);
+            tokio::select! {
+                () = stop.cancelled() => break,
+                () = tokio::time::sleep_until(due.into()) => {}
+            }
+            let request = self.next_request();
+            let host = self.next_host();
+            let shared = Arc::clone(&self.shared);
+            let caller = self.caller.clone();
+            let load = Arc::clone(&self.load);
+            calls.spawn(async move {
+                send(&shared, &caller, &load, &request, host).await;
+            });
+            while calls.try_join_next().is_some() {}
+        }
+        while calls.join_next().await.is_some() {}
+    }
+
+    fn next_request(&mut self) -> Request {
+        let number = self.shared.next_operation.fetch_add(1, Ordering::Relaxed);
+        let operation = format!("{}-op-{number}", self.load.workspace);
+        let workspace = &self.load.workspace;
+        self.load.work.request(workspace, operation, &mut self.rng)
+    }
+
+    fn next_host(&mut self) -> usize {
+        let hosts = &self.load.hosts;
+        self.next_host += 1;
+        hosts[self.next_host % hosts.len()]
+    }
+}
+
+/// Sends a request, and repeats it through other hosts while its outcome is unknown and it may be
+/// repeated. Gives the pause before the next request, if there has to be one.
+async fn send(
+    shared: &Shared,
+    caller: &Caller,
+    load: &WorkspaceLoad,
+    request: &Request,
+    first_host: usize,
+) -> Option<Duration> {
+    let mut host = first_host;
+    let mut repeats = load.work.repeats();
+    loop {
+        let called = caller.call(host, shared.addresses[host], request).await;
+        let outcome = called.record.outcome.clone();
+        shared.record(called.record);
+        let pause = called
+            .retry_after_ms
+            .map_or(SHORT_PAUSE, Duration::from_millis);
+        if outcome == CallOutcome::Whole {
+            return None;
+        }
+        let open = matches!(outcome, CallOutcome::Unknown(_) | CallOutcome::Broken);
+        if !open || repeats == 0 || request.key.is_none() {
+            return Some(pause.min(LONGEST_PAUSE));
+        }
+        repeats -= 1;
+        host = (host + 1) % shared.addresses.len();
+        tokio::time::sleep(pause.min(LONGEST_PAUSE)).await;
+    }
+}
--- /dev/null
+++ b/bench/src/load/summary.rs
@@ -0,0 +1,100 @@
+//! Counts and percentiles of recorded calls.
+
+use std::collections::BTreeMap;
+
+use cardamomshift_testutils::history::CallOutcome;
+use cardamomshift_testutils::history::CallRecord;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Significant digits of a percentile.
+const DIGITS: u8 = 3;
+
+/// Percentiles of a latency, milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Latency {
+    /// Values that the percentiles are taken from.
+    pub count: u64,
+    /// Median.
+    pub p50: f64,
+    /// 95 in 100 are no larger.
+    pub p95: f64,
+    /// 99 in 100 are no larger.
+    pub p99: f64,
+    /// Largest.
+    pub max: f64,
+}
+
+impl Latency {
+    /// Percentiles of latencies in microseconds.
+    pub fn of(micros: impl IntoIterator<Item = u64>) -> Self {
+        let mut histogram = Histogram::<u64>::new(DIGITS).expect("histogram");
+        for value in micros {
+            // The histogram grows by itself, so that every value fits.
+            histogram.saturating_record(value);
+        }
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
+        Self {
+            count: histogram.len(),
+            p50: at(0.5),
+            p95: at(0.95),
+            p99: at(0.99),
+            max: histogram.max() as f64 / 1e3,
+        }
+    }
+}
+
+/// What became of the calls of one workspace.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct CallSummary {
+    /// Calls.
+    pub calls: u64,
+    /// Calls by how they ended.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Tokens of whole answers.
+    pub tokens: u64,
+    /// Time to the first byte of whole answers.
+    pub first_byte: Latency,
+    /// Time to the end of whole answers.
+    pub whole: Latency,
+}
+
+/// Sums up the calls of each workspace.
+pub fn summarize(calls: &[CallRecord]) -> BTreeMap<String, CallSummary> {
+    let mut of_workspace: BTreeMap<String, Vec<&CallRecord>> = BTreeMap::new();
+    for call in calls {
+        let workspace = call.workspace.clone();
+        of_workspace.entry(workspace).or_default().push(call);
+    }
+    of_workspace
+        .into_iter()
+        .map(|(workspace, calls)| (workspace, summarize_calls(&calls)))
+        .collect()
+}
+
+fn summarize_calls(calls: &[&CallRecord]) -> CallSummary {
+    let mut outcomes = BTreeMap::new();
+    for call in calls {
+        *outcomes.entry(outcome_name(&call.outcome)).or_default() += 1;
+    }
+    let whole = || calls.iter().filter(|c| c.outcome == CallOutcome::Whole);
+    CallSummary {
+        calls: calls.len() as u64,
+        outcomes,
+        tokens: whole().map(|call| u64::from(call.tokens)).sum(),
+        first_byte: Latency::of(whole().filter_map(|c| Some(c.first_byte? - c.sent))),
+        whole: Latency::of(whole().map(|call| call.end - call.sent)),
+    }
+}
+
+fn outcome_name(outcome: &CallOutcome) -> String {
+    match outcome {
+        CallOutcome::Whole => "whole".to_owned(),
+        CallOutcome::Foreign => "foreign".to_owned(),
+        CallOutcome::Partial => "partial".to_owned(),
+        CallOutcome::NotRun(code) => format!("not_run {code}"),
+        CallOutcome::Unknown(code) => format!("unknown {code}"),
+        CallOutcome::Rejected(status) => format!("rejected {status}"),
+        CallOutcome::Broken => "broken".to_owned(),
+    }
+}
--- /dev/null
+++ b/bench/src/load/work.rs
@@ -0,0 +1,139 @@
+//! What a workspace sends.
+
+use std::ops::RangeInclusive;
+
+use cardamomshift_testutils::answer_nonce;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use crate::fleet::MODEL;
+use crate::fleet::PLAIN_SERVICE;
+
+/// Requests of a workspace to the model.
+#[derive(Clone, Debug)]
+pub struct ModelWork {
+    /// Lengths of the answers, tokens.
+    pub tokens: RangeInclusive<u32>,
+    /// Factor by which the announced length may be too large or too small.
+    pub hint_error: u32,
+    /// Share of the requests whose answers are streamed, percent.
+    pub streamed_percent: u32,
+    /// Prompts that share their first part with others of the workspace.
+    pub prefixes: u32,
+}
+
+impl Default for ModelWork {
+    fn default() -> Self {
+        Self {
+            tokens: 40..=160,
+            hint_error: 1,
+            streamed_percent: 100,
+            prefixes: 4,
+        }
+    }
+}
+
+/// Requests of a workspace to the plain service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlainWork {
+    /// Whether requests carry an `Idempotency-Key`.
+    pub keyed: bool,
+    /// How many times a keyed request is repeated through another host while its outcome is
+    /// unknown.
+    pub repeats: u32,
+}
+
+/// What a workspace sends.
+#[derive(Clone, Debug)]
+pub enum Work {
+    /// Requests to the model.
+    Model(ModelWork),
+    /// Requests to the plain service that may not run twice.
+    Plain(PlainWork),
+}
+
+/// One request before it is sent.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Path and query.
+    pub path: String,
+    /// Body.
+    pub body: String,
+    /// Name of the operation.
+    pub operation: String,
+    /// Value of `Idempotency-Key`.
+    pub key: Option<String>,
+    /// Whether it goes to the model.
+    pub is_model: bool,
+    /// Whether the answer is streamed.
+    pub streamed: bool,
+    /// Nonce that the answer must repeat, zero for a plain service.
+    pub nonce: u64,
+    /// Tokens that the answer must have, zero for a plain service.
+    pub tokens: u32,
+}
+
+impl Work {
+    /// Makes the next request of a workspace. `operation` is unique over the run.
+    pub fn request(&self, workspace: &str, operation: String, rng: &mut StdRng) -> Request {
+        match self {
+            Self::Model(work) => work.request(workspace, operation, rng),
+            Self::Plain(work) => Request {
+                path: format!("/services/{PLAIN_SERVICE}/entries"),
+                body: format!("{{\"entry\":\"{operation}\"}}"),
+                key: work.keyed.then(|| operation.clone()),
+                operation,
+                is_model: false,
+                streamed: false,
+                nonce: 0,
+                tokens: 0,
+            },
+        }
+    }
+
+    /// How many times a request may be repeated.
+    pub fn repeats(&self) -> u32 {
+        match self {
+            Self::Model(_) => 0,
+            Self::Plain(work) => work.repeats,
+        }
+    }
+}
+
+impl ModelWork {
+    fn request(&self, workspace: &str, operation: String, rng: &mut StdRng) -> Request {
+        let tokens = rng.random_range(self.tokens.clone());
+        let streamed = rng.random_range(0..100) < self.streamed_percent;
+        let prefix = rng.random_range(0..self.prefixes.max(1));
+        let body = serde_json::json!({
+            "model": MODEL,
+            "messages": [
+                {"role": "system", "content": format!("{workspace} rules, part {prefix}")},
+                {"role": "user", "content": operation},
+            ],
+            "stream": streamed,
+            "max_tokens": self.hint(tokens, rng),
+            "x_output_tokens": tokens,
+            "user": workspace,
+        });
+        Request {
+            path: "/v1/chat/completions".to_owned(),
+            body: body.to_string(),
+            nonce: answer_nonce(&operation),
+            operation,
+            key: None,
+            is_model: true,
+            streamed,
+            tokens,
+        }
+    }
+
+    fn hint(&self, tokens: u32, rng: &mut StdRng) -> u32 {
+        let error = self.hint_error.max(1);
+        if rng.random_range(0..2) == 0 {
+            tokens * error
+        } else {
+            (tokens / error).max(1)
+        }
+    }
+}
--- /dev/null
+++ b/bench/tests/test_load.rs
@@ -0,0 +1,117 @@
+//! Judgement of answers, and load on the baseline.
+
+use std::time::Duration;
+
+use cardamomshift_bench::baseline::Baseline;
+use cardamomshift_bench::fleet::Fleet;
+use cardamomshift_bench::fleet::FleetPlan;
+use cardamomshift_bench::load::Arrivals;
+use cardamomshift_bench::load::Load;
+use cardamomshift_bench::load::ModelWork;
+use cardamomshift_bench::load::PlainWork;
+use cardamomshift_bench::load::StreamCheck;
+use cardamomshift_bench::load::Work;
+use cardamomshift_bench::load::WorkspaceLoad;
+use cardamomshift_bench::load::http_client;
+use cardamomshift_bench::load::judge_whole;
+use cardamomshift_testutils::EngineProfile;
+use cardamomshift_testutils::history::CallOutcome;
+use cardamomshift_testutils::history::check_answers;
+use cardamomshift_testutils::history::check_at_most_once;
+use cardamomshift_testutils::token_text;
+
+fn event(nonce: u64, index: u32) -> String {
+    let token = token_text(nonce, index);
+    format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{token}\"}}}}]}}\n\n")
+}
+
+fn judge_stream(text: &str) -> CallOutcome {
+    let mut check = StreamCheck::new(7, 2);
+    for part in text.as_bytes().chunks(3) {
+        check.feed(part);
+    }
+    check.outcome()
+}
+
+#[test]
+fn streams_are_judged_by_their_tokens_and_end() {
+    let (first, second, done) = (event(7, 0), event(7, 1), "data: [DONE]\n\n");
+    let foreign = event(8, 1);
+    let whole = judge_stream(&format!("{first}{second}{done}"));
+    assert_eq!(whole, CallOutcome::Whole);
+    let partial = CallOutcome::Partial;
+    assert_eq!(judge_stream(&format!("{first}{second}")), partial);
+    assert_eq!(judge_stream(&format!("{first}{done}")), partial);
+    let crossed = judge_stream(&format!("{first}{foreign}{done}"));
+    assert_eq!(crossed, CallOutcome::Foreign);
+    let surplus = judge_stream(&format!("{first}{second}{done}{foreign}"));
+    assert_eq!(surplus, CallOutcome::Foreign);
+    let repeated = judge_stream(&format!("{first}{first}{done}"));
+    assert_eq!(repeated, CallOutcome::Foreign);
+    let error = judge_stream(&format!("{first}event: error\ndata: {{}}\n\n"));
+    assert_eq!(error, CallOutcome::Broken);
+}
+
+#[test]
+fn whole_answers_are_judged_by_their_tokens() {
+    let answer = |text: String| {
+        let choice = serde_json::json!({"message": {"content": text}});
+        serde_json::json!({"choices": [choice]}).to_string()
+    };
+    let own = answer(token_text(7, 0) + &token_text(7, 1));
+    let judged = |body: &str| judge_whole(body.as_bytes(), 7, 2).0;
+    assert_eq!(judged(&own), CallOutcome::Whole);
+    assert_eq!(judged(&answer(token_text(7, 0))), CallOutcome::Partial);
+    assert_eq!(judged(&answer(token_text(8, 0))), CallOutcome::Foreign);
+    assert_eq!(judged(&own[..own.len() / 2]), CallOutcome::Partial);
+}
+
+fn workspace_load(plan: &FleetPlan, number: usize, work: Work) -> WorkspaceLoad {
+    WorkspaceLoad {
+        workspace: plan.workspace_name(number),
+        key: plan.workspace_key(number),
+        class: None,
+        hosts: vec![0, 1],
+        arrivals: Arrivals::Closed(2),
+        work,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn baseline_serves_whole_answers() {
+    let plan = FleetPlan {
+        domains: vec!["bern-a".to_owned()],
+        engine: EngineProfile {
+            cold_limit: usize::MAX,
+            ..EngineProfile::default()
+        },
+        ..FleetPlan::flipperliga()
+    };
+    let fleet = Fleet::start(plan.clone());
+    let _baseline = Baseline::start(&fleet).await.expect("baseline");
+    let loads = vec![
+        workspace_load(&plan, 0, Work::Model(ModelWork::default())),
+        workspace_load(
+            &plan,
+            1,
+            Work::Model(ModelWork {
+                streamed_percent: 0,
+                ..ModelWork::default()
+            }),
+        ),
+        workspace_load(&plan, 2, Work::Plain(PlainWork::default())),
+    ];
+    let load = Load::start(fleet.callers(), &http_client(), loads, 1);
+    while load.ended() < 50 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let records = load.finish(Duration::from_secs(60)).await;
+    assert!(records.iter().all(|r| r.outcome == CallOutcome::Whole));
+    assert_eq!(check_answers(&records), []);
+    let (_, plain) = &fleet.plain_services()[0];
+    let executions = plain.executions();
+    assert!(!executions.is_empty());
+    let plain_calls: Vec<_> = records.into_iter().filter(|r| r.nonce == 0).collect();
+    let runs = executions.iter().map(|e| e.operation.as_str());
+    assert_eq!(check_at_most_once(runs, &plain_calls), []);
+}
