request: check that the server is in service when its permit arrives

A failure domain may be taken out between a grant and its permit. The grant was checked, the permit was not, so a request could start on a cold server after the change. The new test failed before the check.

--- a/lib/src/node/inbox.rs
+++ b/lib/src/node/inbox.rs
@@ -39,9 +39,11 @@
             PeerMessage::Refusal(refusal) => self.on_requests(now, out, |table, _, actions| {
                 table.refused(from, refusal, actions);
             }),
-            PeerMessage::PermitAnswer(answer) => self.on_requests(now, out, |table, _, actions| {
-                table.permit_answered(now, from, answer, actions);
-            }),
+            PeerMessage::PermitAnswer(answer) => {
+                self.on_requests(now, out, |table, routing, actions| {
+                    table.permit_answered(now, routing, from, answer, actions);
+                })
+            }
             PeerMessage::PermitRequest(request) => {
                 self.permit(now, from, incarnation, request, out);
             }
--- a/lib/src/request/table.rs
+++ b/lib/src/request/table.rs
@@ -295,6 +295,7 @@
     pub fn permit_answered(
         &mut self,
         now: Timestamp,
+        routing: &Routing<'_>,
         from: HostId,
         answer: PermitAnswer,
         out: &mut Vec<RequestAction>,
@@ -313,7 +314,7 @@
         {
             if !answer.granted {
                 self.rest(now, ticket, grant, scheduler);
-            } else if lapses.has_passed(now) {
+            } else if lapses.has_passed(now) || (routing.usable)(grant.server).is_none() {
                 self.release(&grant, Some(home), out);
                 self.rest(now, ticket, grant, scheduler);
             } else {
--- a/lib/tests/test_request.rs
+++ b/lib/tests/test_request.rs
@@ -40,6 +40,8 @@
     table: RequestTable,
     now: Timestamp,
     actions: Vec<RequestAction>,
+    /// Whether the server is in service.
+    usable: bool,
 }
 
 impl Bench {
@@ -48,6 +50,7 @@
             table: RequestTable::new(OWN, Incarnation(1_000)),
             now: Timestamp::from_micros(1),
             actions: Vec::new(),
+            usable: true,
         }
     }
 
@@ -55,10 +58,11 @@
         &mut self,
         step: impl FnOnce(&mut RequestTable, Timestamp, &Routing<'_>, &mut Vec<RequestAction>),
     ) -> Vec<RequestAction> {
+        let usable = self.usable;
         let routing = Routing {
             place: &|_, _| Ok((POOL, SCHEDULER)),
             scheduler: &|_| Some(SCHEDULER),
-            usable: &|_| Some(DOMAIN),
+            usable: &|_| usable.then_some(DOMAIN),
             domain: &|_| Some(DOMAIN),
             slot_home: &|_, _| Some(HOME),
         };
@@ -103,7 +107,7 @@
             slot: 0,
             granted,
         };
-        self.step(|table, now, _, out| table.permit_answered(now, from, answer, out))
+        self.step(|table, now, routing, out| table.permit_answered(now, routing, from, answer, out))
     }
 
     fn tick(&mut self, span: Duration) -> Vec<RequestAction> {
@@ -186,6 +190,17 @@
     assert_eq!(sent(&end), [(HOME, "release"), (SCHEDULER, "finished")]);
 }
 
+#[test]
+fn server_taken_out_while_the_permit_was_asked_for_is_not_used() {
+    let mut bench = Bench::new();
+    bench.submit(1);
+    bench.grant(SCHEDULER, 1, ServerPhase::Cold);
+    bench.usable = false;
+    let actions = bench.answer(HOME, 1, true);
+    assert_eq!(sent(&actions), [(HOME, "release")]);
+    assert_eq!(dispatches(&actions), 0);
+}
+
 #[test]
 fn refused_permit_rests_before_the_next_bid() {
     let mut bench = Bench::new();
