configuration: test that a document no delta reaches travels whole

Of six mutations of the follower and its deltas, one passed the tests: the proof by application before a delta is sent could be left out. A document restored by hand, without a workspace that was there before, brings it about; the mutation now fails. Also, a refused name lists the known ones as plain text.

--- a/lib/src/operator/handler.rs
+++ b/lib/src/operator/handler.rs
@@ -209,7 +209,9 @@
         if listed.contains(name) {
             return Ok(());
         }
-        let message = format_compact!("{name} is not in the host list, which has: {listed:?}");
+        let listed: Vec<&str> = listed.iter().map(CompactString::as_str).collect();
+        let listed = listed.join(", ");
+        let message = format_compact!("{name} is not in the host list, which has: {listed}");
         Err(Failure::new(ErrorCode::NotListed, message))
     }
 
--- a/lib/tests/test_configuration_follower.rs
+++ b/lib/tests/test_configuration_follower.rs
@@ -94,6 +94,15 @@
     assert!(lagging.offer_document(3, update).unwrap().is_some());
 }
 
+#[test]
+fn document_that_no_delta_reaches_travels_whole() {
+    let with_workspace = revisions(&[create("arcade-a")]);
+    // Restored by hand: the workspace is gone.
+    let restored = revisions(&[set_class(1), set_class(2)]);
+    let relay = relay_of(&[with_workspace[0].clone(), restored[1].clone()]);
+    assert_eq!(relay.update_for(1).as_ref(), relay.document());
+}
+
 #[test]
 fn malformed_deltas_are_refused() {
     let stored = revisions(&[create("arcade-a"), create("arcade-b")]);
