gateway: time the head of a request from its first byte

Cause: the HTTP library counts the wait for a request towards the time of its head. With the default of 5 s a caller's idle connection was closed while balancers and clients keep theirs for a minute, so that requests met closed connections. A head is now timed from its first byte, and an idle connection is kept for 75 s.

Ruled out: a longer time for heads, which lets slow senders hold connections.

Figures: one test: 300 ms in service and 300 ms idle with 100 ms for a head are allowed, a second head that stops after 20 bytes gets 408.

Conclusion: slow heads and idle connections have limits of their own.

--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod code;
 mod dispatch;
 mod estimate;
+mod head_watch;
 mod headers;
 mod keyed;
 mod model;
--- a/lib/src/gateway/preface.rs
+++ b/lib/src/gateway/preface.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -14,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use super::head_watch::HeadWatch;
+
 /// What a client of HTTP/2 sends first (RFC 9113, section 3.4).
 const HTTP2_PREFACE: &[u8; 24] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 
@@ -35,12 +38,14 @@
 
 impl Start {
     /// Puts the bytes back before the stream that they were read from.
-    pub(crate) fn join(self, stream: TcpStream, write_timeout: Duration) -> StartedStream {
+    pub(crate) fn join(self, stream: TcpStream, timeouts: Timeouts) -> StartedStream {
         StartedStream {
             start: self,
             taken: 0,
             stream,
-            write_timeout,
+            timeouts,
+            head: None,
+            is_head_late: false,
             stall: None,
         }
     }
@@ -62,17 +67,68 @@
     Ok((Protocol::Http2, start))
 }
 
-/// A stream that gives its first bytes again, and fails if the caller takes none for too long.
+/// What a caller has time for.
+pub(crate) struct Timeouts {
+    /// Time for the head of a request, from its first byte.
+    pub(crate) head: Duration,
+    /// Tells when a head begins and ends. Without it heads are not timed.
+    pub(crate) watch: Option<Arc<HeadWatch>>,
+    /// Time in which the caller must take a byte of an answer.
+    pub(crate) write: Duration,
+}
+
+/// Runs from the first byte of a head.
+struct HeadTimer {
+    /// Requests that had begun before.
+    begun: u64,
+    sleep: Pin<Box<Sleep>>,
+}
+
+/// A stream that gives its first bytes again, and fails if the caller is too slow.
 pub(crate) struct StartedStream {
     start: Start,
     taken: usize,
     stream: TcpStream,
-    write_timeout: Duration,
+    timeouts: Timeouts,
+    head: Option<HeadTimer>,
+    is_head_late: bool,
     /// Runs while the socket takes no byte.
     stall: Option<Pin<Box<Sleep>>>,
 }
 
 impl StartedStream {
+    /// Whether the stream has failed because a head took too long.
+    pub(crate) fn is_head_late(&self) -> bool {
+        self.is_head_late
+    }
+
+    /// Starts the timer of a head with its first byte.
+    fn on_bytes(&mut self) {
+        let Some(watch) = &self.timeouts.watch else {
+            return;
+        };
+        let begun = watch.begun();
+        let is_timed = self.head.as_ref().is_some_and(|head| head.begun == begun);
+        if watch.is_idle() && !is_timed {
+            self.head = Some(HeadTimer {
+                begun,
+                sleep: Box::pin(tokio::time::sleep(self.timeouts.head)),
+            });
+        }
+    }
+
+    /// Waits for the time of a head that has begun and has not ended.
+    fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let (Some(watch), Some(head)) = (&self.timeouts.watch, &mut self.head) else {
+            return Poll::Pending;
+        };
+        if head.begun != watch.begun() {
+            self.head = None;
+            return Poll::Pending;
+        }
+        head.sleep.as_mut().poll(cx)
+    }
+
     fn watch_stall(
         &mut self,
         cx: &mut Context<'_>,
@@ -82,7 +138,7 @@
             self.stall = None;
             return written;
         }
-        let timeout = self.write_timeout;
+        let timeout = self.timeouts.write;
         let stall = self
             .stall
             .get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
@@ -98,8 +154,15 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.taken == self.start.len {
-            return Pin::new(&mut self.stream).poll_read(cx, buf);
+            if Pin::new(&mut self.stream).poll_read(cx, buf)?.is_ready() {
+                self.on_bytes();
+                return Poll::Ready(Ok(()));
+            }
+            ready!(self.poll_head(cx));
+            self.is_head_late = true;
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
+        self.on_bytes();
         let rest = &self.start.buf[self.taken..self.start.len];
         let n = rest.len().min(buf.remaining());
         buf.put_slice(&rest[..n]);
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -19,8 +19,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::head_watch::HeadWatch;
+use super::head_watch::WatchedRouter;
 use super::preface::Protocol;
 use super::preface::StartedStream;
+use super::preface::Timeouts;
 use super::preface::read_preface;
 use crate::metrics::Metrics;
 use crate::settings::LimitSettings;
@@ -29,6 +32,9 @@
 const HEAD_BUFFER_MIN: usize = 8192;
 /// Wait after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Time that a connection may be idle between two requests. It is longer than the usual time
+/// after which balancers and clients give up idle connections, so that they close first.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Time between pings to HTTP/2 callers, which show whether they are still there.
 const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(20);
 /// Answer to a connection beyond the limit.
@@ -167,9 +173,15 @@
         let preface = read_preface(&mut stream);
         match tokio::time::timeout(self.head_timeout, preface).await {
             Ok(Ok((protocol, start))) => {
-                let io = start.join(stream, self.write_timeout);
+                let watch = Arc::new(HeadWatch::default());
+                let timeouts = Timeouts {
+                    head: self.head_timeout,
+                    watch: (protocol == Protocol::Http1).then(|| watch.clone()),
+                    write: self.write_timeout,
+                };
+                let io = start.join(stream, timeouts);
                 match protocol {
-                    Protocol::Http1 => self.serve_http1(io).await,
+                    Protocol::Http1 => self.serve_http1(io, watch).await,
                     Protocol::Http2 => self.serve_http2(io).await,
                 }
             }
@@ -180,33 +192,34 @@
         }
     }
 
-    async fn serve_http1(mut self, io: StartedStream) {
-        let service = TowerToHyperService::new(self.router);
+    async fn serve_http1(mut self, io: StartedStream, watch: Arc<HeadWatch>) {
+        let service = WatchedRouter {
+            router: TowerToHyperService::new(self.router),
+            watch,
+        };
         // The library would close a connection without a request at once if it were told of the
         // stop, but a request is on its way here.
         let mut draining = *self.stop.borrow();
         let mut connection = http1::Builder::new()
             .keep_alive(!draining)
             .timer(TokioTimer::new())
-            .header_read_timeout(self.head_timeout)
+            .header_read_timeout(KEEP_ALIVE_TIMEOUT)
             .max_buf_size(self.header_bytes)
             .serve_connection(TokioIo::new(io), service);
-        let ended = loop {
+        loop {
             let driver = std::future::poll_fn(|cx| connection.poll_without_shutdown(cx));
             tokio::select! {
                 // What has arrived is read before the stop is looked at.
                 biased;
-                ended = driver => break ended,
+                _ = driver => break,
                 () = stopped(&mut self.stop), if !draining => {
                     draining = true;
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
             }
-        };
-        let parts = connection.into_parts();
-        let mut io = parts.io.into_inner();
-        let is_head_late = ended.is_err_and(|e| e.is_timeout()) && !parts.read_buf.is_empty();
-        if is_head_late {
+        }
+        let mut io = connection.into_parts().io.into_inner();
+        if io.is_head_late() {
             let _ = io.write_all(HEAD_TIMEOUT).await;
         }
         let _ = io.shutdown().await;
--- a/lib/tests/test_gateway_callers.rs
+++ b/lib/tests/test_gateway_callers.rs
@@ -310,14 +310,36 @@
 }
 
 #[tokio::test]
-async fn idle_connection_is_closed_without_an_answer() {
-    let rig = limited(LimitSettings {
-        header_timeout_ms: 300,
-        ..common::limits()
+async fn slow_second_head_is_refused_and_an_idle_or_running_connection_is_not() {
+    let timeout = std::time::Duration::from_millis(100);
+    let release = Arc::new(tokio::sync::Notify::new());
+    let wait = release.clone();
+    let backend = Backend::start(move |req, mut stream| {
+        let wait = wait.clone();
+        Box::pin(async move {
+            wait.notified().await;
+            let text = req.answer("200 OK", "", "booked");
+            stream.write_all(text.as_bytes()).await.ok()?;
+            Some(stream)
+        })
     })
     .await;
-    let text = request("GET", "/v1/models", "", "").replace("connection: close\r\n", "");
+    let limits = LimitSettings {
+        header_timeout_ms: 100,
+        ..common::limits()
+    };
+    let rig = Rig::with(vec![order(backend.address)], limits, common::view()).await;
+    let text = post().replace("connection: close\r\n", "");
     let mut caller = rig.open(&text).await;
-    let answers = read_to_end(&mut caller).await;
-    assert_eq!(answers.matches("HTTP/1.1").count(), 1, "{answers}");
+    // Three times as long as a head may take: once in service, once idle.
+    tokio::time::sleep(3 * timeout).await;
+    release.notify_one();
+    read_until(&mut caller, "booked").await;
+    tokio::time::sleep(3 * timeout).await;
+    caller.write_all(text.as_bytes()).await.unwrap();
+    release.notify_one();
+    read_until(&mut caller, "booked").await;
+    caller.write_all(&text.as_bytes()[..20]).await.unwrap();
+    let answer = read_to_end(&mut caller).await;
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
 }
