--- a/lib/src/node/event.rs
+++ b/lib/src/node/event.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
+
 use crate::configuration::Configuration;
 use crate::control::EndReport;
 use crate::control::FleetView;
@@ -70,8 +72,15 @@
     LinkDown(HostId),
     /// The host list was read.
     HostList(HostList),
-    /// A configuration was read from the platform or stored on it by this host.
-    Configuration(Arc<Configuration>),
+    /// The configuration was read from the platform.
+    ConfigurationRead {
+        /// Version of the object.
+        revision: u64,
+        /// The object, JSON text.
+        document: Bytes,
+    },
+    /// This host has stored a configuration on the platform.
+    ConfigurationStored(Arc<Configuration>),
     /// Time has passed.
     Tick,
     /// An operator or the platform stops this host.
--- a/lib/src/node/inbox.rs
+++ b/lib/src/node/inbox.rs
@@ -5,8 +5,6 @@
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::ServiceId;
-use crate::message::ConfigurationRequest;
-use crate::message::ConfigurationUpdate;
 use crate::message::Heartbeat;
 use crate::message::PeerMessage;
 use crate::message::PermitRequest;
@@ -120,13 +118,7 @@
         out: &mut Vec<NodeAction>,
     ) {
         self.note_clock(now, from, heartbeat.clock_us);
-        let have = self.follower.revision();
-        if heartbeat.revision <= have || !self.next_configuration_request.has_passed(now) {
-            return;
-        }
-        self.next_configuration_request = now + super::roles::CONFIGURATION_REQUEST_INTERVAL;
-        let message = PeerMessage::ConfigurationRequest(ConfigurationRequest { have });
-        self.send(now, from, message, out);
+        self.ask_for_newer(now, from, heartbeat.revision, out);
     }
 
     fn permit(
@@ -142,25 +134,4 @@
         let answer = self.slots.request(now, from, incarnation, request, is_home);
         self.send(now, from, PeerMessage::PermitAnswer(answer), out);
     }
-
-    fn send_configuration(
-        &mut self,
-        now: Timestamp,
-        to: HostId,
-        have: u64,
-        out: &mut Vec<NodeAction>,
-    ) {
-        let revision = self.follower.revision();
-        if revision <= have {
-            return;
-        }
-        let Some(document) = self.follower.document() else {
-            return;
-        };
-        let message = PeerMessage::ConfigurationUpdate(ConfigurationUpdate {
-            revision,
-            document: document.to_vec(),
-        });
-        self.send(now, to, message, out);
-    }
 }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod event;
 mod inbox;
+mod relay;
 mod roles;
 mod routes;
 mod state;
--- /dev/null
+++ b/lib/src/node/relay.rs
@@ -0,0 +1,128 @@
+//! The configuration's way from the platform, through this host, to the others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::warn;
+
+use super::Node;
+use super::NodeAction;
+use crate::configuration::Configuration;
+use crate::configuration::DocumentError;
+use crate::id::HostId;
+use crate::message::ConfigurationRequest;
+use crate::message::ConfigurationUpdate;
+use crate::message::PeerMessage;
+use crate::time::Timestamp;
+
+/// Least time between two requests for a newer configuration.
+const CONFIGURATION_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
+
+impl Node {
+    /// Takes the document of a configuration that was read from the platform.
+    pub(super) fn configuration_read(
+        &mut self,
+        now: Timestamp,
+        revision: u64,
+        document: Bytes,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let taken = self.follower.offer_document(revision, document);
+        if self.is_new(taken) {
+            self.relay_configuration(now, out);
+            self.rebuild_catalog(now, out);
+        }
+    }
+
+    /// Takes a configuration that this host has stored on the platform.
+    pub(super) fn configuration_stored(
+        &mut self,
+        now: Timestamp,
+        configuration: &Arc<Configuration>,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let taken = self.follower.offer(configuration);
+        if self.is_new(taken) {
+            self.relay_configuration(now, out);
+            self.rebuild_catalog(now, out);
+        }
+    }
+
+    /// Takes a configuration that another host passes on.
+    pub(super) fn configuration_told(
+        &mut self,
+        now: Timestamp,
+        update: ConfigurationUpdate,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let taken = self
+            .follower
+            .offer_document(update.revision, update.document);
+        if self.is_new(taken) {
+            self.rebuild_catalog(now, out);
+        }
+    }
+
+    /// Asks a host for its configuration if that is newer than the one in force here.
+    pub(super) fn ask_for_newer(
+        &mut self,
+        now: Timestamp,
+        host: HostId,
+        revision: u64,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let have = self.follower.revision();
+        if revision <= have || !self.next_configuration_request.has_passed(now) {
+            return;
+        }
+        self.next_configuration_request = now + CONFIGURATION_REQUEST_INTERVAL;
+        let message = PeerMessage::ConfigurationRequest(ConfigurationRequest { have });
+        self.send(now, host, message, out);
+    }
+
+    /// Sends a host what it lacks of the configuration in force here.
+    pub(super) fn send_configuration(
+        &mut self,
+        now: Timestamp,
+        to: HostId,
+        have: u64,
+        out: &mut Vec<NodeAction>,
+    ) {
+        let Some(document) = self.follower.update_for(have) else {
+            return;
+        };
+        let message = PeerMessage::ConfigurationUpdate(ConfigurationUpdate {
+            revision: self.follower.revision(),
+            document: document.to_vec(),
+        });
+        self.send(now, to, message, out);
+    }
+
+    /// Passes a new configuration on: to the hosts of the own failure domain, and to those of the
+    /// others that watch the platform, which may be cut off from it.
+    fn relay_configuration(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        let revision = self.follower.revision();
+        let mut receivers = self.members.alive_hosts(self.own_domain);
+        for domain in self.members.domains() {
+            if domain != self.own_domain {
+                receivers.extend(self.members.watchers(domain));
+            }
+        }
+        receivers.retain(|host| *host != self.own && self.members.revision(*host) < revision);
+        for host in receivers {
+            self.send_configuration(now, host, self.members.revision(host), out);
+        }
+    }
+
+    fn is_new(&self, taken: Result<Option<Arc<Configuration>>, DocumentError>) -> bool {
+        match taken {
+            Ok(taken) => taken.is_some(),
+            Err(err) => {
+                let revision = self.follower.revision();
+                warn!("a configuration newer than {revision} cannot be read: {err}");
+                false
+            }
+        }
+    }
+}
--- a/lib/src/node/roles.rs
+++ b/lib/src/node/roles.rs
@@ -1,19 +1,16 @@
 //! The roles that the node plays as membership, host list and configuration change.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::Node;
 use super::NodeAction;
 use super::state::SLOT_QUARANTINE;
-use crate::configuration::Configuration;
 use crate::host::HostList;
 use crate::host::MembershipChange;
 use crate::id::DomainId;
 use crate::id::HostId;
 use crate::id::Incarnation;
-use crate::message::ConfigurationUpdate;
 use crate::message::Heartbeat;
 use crate::message::PeerMessage;
 use crate::message::PermitHoldings;
@@ -24,9 +21,6 @@
 use crate::request::RequestAction;
 use crate::time::Timestamp;
 
-/// Least time between two requests for a newer configuration.
-pub(super) const CONFIGURATION_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Time after which the state of a shard is announced again, which heals lost messages.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -80,51 +74,6 @@
         self.announce_holdings(now, out);
     }
 
-    /// Takes a configuration that the platform holds.
-    pub(super) fn configuration_read(
-        &mut self,
-        now: Timestamp,
-        configuration: Arc<Configuration>,
-        out: &mut Vec<NodeAction>,
-    ) {
-        if let Ok(Some(_)) = self.follower.offer(&configuration) {
-            self.relay_configuration(now, out);
-            self.rebuild_catalog(now, out);
-        }
-    }
-
-    /// Takes a configuration that another host passes on.
-    pub(super) fn configuration_told(
-        &mut self,
-        now: Timestamp,
-        update: ConfigurationUpdate,
-        out: &mut Vec<NodeAction>,
-    ) {
-        let taken = self
-            .follower
-            .offer_document(update.revision, update.document);
-        if let Ok(Some(_)) = taken {
-            self.rebuild_catalog(now, out);
-        }
-    }
-
-    /// Passes a new configuration on to every host that is not known to have it.
-    fn relay_configuration(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
-        let revision = self.follower.revision();
-        let Some(document) = self.follower.document().map(|document| document.to_vec()) else {
-            return;
-        };
-        let mut lagging = self.other_alive_hosts();
-        lagging.retain(|host| self.members.revision(*host) < revision);
-        for host in lagging {
-            let message = PeerMessage::ConfigurationUpdate(ConfigurationUpdate {
-                revision,
-                document: document.clone(),
-            });
-            self.send(now, host, message, out);
-        }
-    }
-
     /// Acts on the passage of time.
     pub(super) fn tick(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
         let step = self.members.tick(now);
@@ -232,7 +181,7 @@
         hosts
     }
 
-    fn other_alive_hosts(&self) -> Vec<HostId> {
+    pub(super) fn other_alive_hosts(&self) -> Vec<HostId> {
         let mut hosts = self.alive_hosts();
         hosts.retain(|host| *host != self.own);
         hosts
--- a/lib/src/node/state.rs
+++ b/lib/src/node/state.rs
@@ -154,8 +154,11 @@
             NodeEvent::LinkUp { host, incarnation } => self.link_up(now, host, incarnation, out),
             NodeEvent::LinkDown(host) => self.link_down(now, host),
             NodeEvent::HostList(list) => self.list_read(now, list, out),
-            NodeEvent::Configuration(configuration) => {
-                self.configuration_read(now, configuration, out);
+            NodeEvent::ConfigurationRead { revision, document } => {
+                self.configuration_read(now, revision, document, out);
+            }
+            NodeEvent::ConfigurationStored(configuration) => {
+                self.configuration_stored(now, &configuration, out);
             }
             NodeEvent::Tick => self.tick(now, out),
             NodeEvent::Stop => self.stop(now, out),
--- a/lib/src/runtime/control_loop.rs
+++ b/lib/src/runtime/control_loop.rs
@@ -8,7 +8,6 @@
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
-use crate::configuration::Configuration;
 use crate::control::ControlRequest;
 use crate::control::FleetView;
 use crate::control::TicketKey;
@@ -19,6 +18,7 @@
 use crate::node::NodeEvent;
 use crate::peer::LinkEvent;
 use crate::peer::Links;
+use crate::platform::Object;
 use crate::time::Clock;
 
 /// Time between two ticks of the node.
@@ -29,8 +29,8 @@
 pub(super) enum PlatformEvent {
     /// A reading of the host list.
     HostList(HostList),
-    /// A reading of the configuration.
-    Configuration(Arc<Configuration>),
+    /// A reading of the configuration object.
+    Configuration(Object),
 }
 
 /// The channels of the control thread.
@@ -118,7 +118,7 @@
                 return;
             }
             ControlRequest::OfferConfiguration { configuration } => {
-                NodeEvent::Configuration(configuration)
+                NodeEvent::ConfigurationStored(configuration)
             }
             ControlRequest::Stop => NodeEvent::Stop,
         };
@@ -145,7 +145,10 @@
     fn told(&mut self, event: PlatformEvent) {
         let event = match event {
             PlatformEvent::HostList(list) => NodeEvent::HostList(list),
-            PlatformEvent::Configuration(configuration) => NodeEvent::Configuration(configuration),
+            PlatformEvent::Configuration(object) => NodeEvent::ConfigurationRead {
+                revision: object.version,
+                document: object.bytes,
+            },
         };
         self.feed(event);
     }
--- a/lib/src/runtime/platform_watch.rs
+++ b/lib/src/runtime/platform_watch.rs
@@ -1,6 +1,5 @@
 //! Tasks that follow the platform for the control thread.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use log::warn;
@@ -8,7 +7,6 @@
 use tokio::sync::watch;
 
 use super::control_loop::PlatformEvent;
-use crate::configuration::Configuration;
 use crate::host::HostList;
 use crate::platform::Backoff;
 use crate::platform::CONFIGURATION_KIND;
@@ -69,13 +67,7 @@
             Ok(Some(object)) => {
                 health.succeeded();
                 version = object.version;
-                match Configuration::parse(object.version, &object.bytes) {
-                    Ok(configuration) => {
-                        let configuration = Arc::new(configuration);
-                        let _ = events.send(PlatformEvent::Configuration(configuration));
-                    }
-                    Err(err) => warn!("configuration {version} cannot be read: {err}"),
-                }
+                let _ = events.send(PlatformEvent::Configuration(object));
             }
             Ok(None) => health.succeeded(),
             Err(err) => {
