--- /dev/null
+++ b/bench/src/command/measure.rs
@@ -0,0 +1,40 @@
+//! `measure`: one measurement with its target.
+
+use std::process::ExitCode;
+
+use cardamomshift_bench::measure::Measure;
+use clap::Args;
+
+use super::CommandError;
+
+#[derive(Debug, Args)]
+pub(crate) struct MeasureArgs {
+    /// The measurement.
+    #[arg(value_enum, value_name = "NAME")]
+    measure: Measure,
+    /// Prints JSON.
+    #[arg(long)]
+    json: bool,
+    /// Seed of the load and the failures.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+impl MeasureArgs {
+    pub(crate) async fn run(self) -> Result<ExitCode, CommandError> {
+        let result = self.measure.run(self.seed).await?;
+        if self.json {
+            println!(
+                "{}",
+                serde_json::to_string(&result).expect("result as JSON")
+            );
+        } else {
+            println!("{result}");
+        }
+        Ok(if result.holds {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        })
+    }
+}
--- /dev/null
+++ b/bench/src/demo/show.rs
@@ -0,0 +1,142 @@
+//! One fleet of the demonstration with its traffic.
+
+use std::time::Duration;
+
+use cardamomshift_testutils::history::CallRecord;
+use cardamomshift_testutils::history::Interval;
+use cardamomshift_testutils::now_us;
+
+use super::DemoError;
+use crate::fleet::Fleet;
+use crate::fleet::FleetPlan;
+use crate::fleet::InProcessHosts;
+use crate::load::Arrivals;
+use crate::load::Load;
+use crate::load::ModelWork;
+use crate::load::PlainWork;
+use crate::load::Work;
+use crate::load::WorkspaceLoad;
+use crate::load::http_client;
+use crate::measure::record::ModelHistory;
+use crate::operator::Operator;
+
+/// Open requests of the workspace that floods.
+const FLOOD: usize = 60;
+/// Open model requests of each other workspace.
+const STEADY: usize = 24;
+/// Open requests of a workspace to the plain service.
+const PLAIN: usize = 4;
+/// Time that open calls have to end.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A fleet with its traffic.
+pub(super) struct Show {
+    name: &'static str,
+    hosts: InProcessHosts,
+    fleet: Fleet,
+    load: Load,
+    start: u64,
+}
+
+/// What came of a show.
+pub(super) struct Ended {
+    pub(super) name: &'static str,
+    pub(super) calls: Vec<CallRecord>,
+    pub(super) history: ModelHistory,
+    pub(super) window: Interval,
+    pub(super) hosts: usize,
+    pub(super) control_bytes: u64,
+    pub(super) cold_overloads: usize,
+}
+
+impl Show {
+    pub(super) async fn start(
+        name: &'static str,
+        plan: FleetPlan,
+        seed: u64,
+    ) -> Result<Self, DemoError> {
+        let loads = loads(&plan);
+        let fleet = Fleet::start(plan);
+        let hosts = InProcessHosts::start(&fleet).await?;
+        let load = Load::start(fleet.callers(), &http_client(), loads, seed);
+        Ok(Self {
+            name,
+            hosts,
+            fleet,
+            load,
+            start: now_us(),
+        })
+    }
+
+    pub(super) fn name(&self) -> &'static str {
+        self.name
+    }
+
+    pub(super) fn ended(&self) -> usize {
+        self.load.ended()
+    }
+
+    pub(super) fn second_domain(&self) -> &str {
+        &self.fleet.plan().domains[1]
+    }
+
+    pub(super) fn operator(&self) -> Operator {
+        Operator::new(http_client(), self.fleet.hosts()[0].operators)
+    }
+
+    /// Ends the traffic, stops the hosts as planned, and gives the records.
+    pub(super) async fn end(self) -> Ended {
+        let end = now_us();
+        let control_bytes = self.fleet.control_bytes();
+        let calls = self.load.finish(PATIENCE).await;
+        self.hosts.stop().await;
+        let engines = self.fleet.engines();
+        Ended {
+            name: self.name,
+            calls,
+            history: ModelHistory::read(&self.fleet),
+            window: Interval {
+                from: self.start,
+                to: end,
+            },
+            hosts: self.fleet.hosts().len(),
+            control_bytes,
+            cold_overloads: engines.iter().map(|(_, e)| e.violations().len()).sum(),
+        }
+    }
+}
+
+fn loads(plan: &FleetPlan) -> Vec<WorkspaceLoad> {
+    let hosts = plan.domains.len() * plan.hosts_per_domain;
+    let model = |streamed_percent| {
+        Work::Model(ModelWork {
+            streamed_percent,
+            hint_error: 4,
+            ..ModelWork::default()
+        })
+    };
+    let plain = |keyed| Work::Plain(PlainWork { keyed, repeats: 3 });
+    let works = [
+        (model(100), FLOOD),
+        (model(100), STEADY),
+        (model(50), STEADY),
+        (model(0), STEADY),
+        (plain(false), PLAIN),
+        (plain(true), PLAIN),
+    ];
+    works
+        .into_iter()
+        .enumerate()
+        .map(|(number, (work, outstanding))| WorkspaceLoad {
+            workspace: plan.workspace_name(number),
+            key: plan.workspace_key(number),
+            class: Some("ruling".to_owned()),
+            hosts: match number {
+                0 => vec![0],
+                _ => (0..hosts).collect(),
+            },
+            arrivals: Arrivals::Closed(outstanding),
+            work,
+        })
+        .collect()
+}
--- a/bench/src/fleet/mod.rs
+++ b/bench/src/fleet/mod.rs
@@ -1,17 +1,22 @@
 //! A fleet on loopback: stand-ins around it, addresses, settings and the hosts themselves.
 
 mod backend;
+mod in_process;
 mod link;
 mod plan;
 mod platform;
+mod process;
+mod running;
 mod settings;
 mod subnet;
+mod usage;
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use cardamomshift_lib::configuration::Configuration;
 use cardamomshift_testutils::EngineHandle;
+use cardamomshift_testutils::Link;
 use cardamomshift_testutils::LinkState;
 use cardamomshift_testutils::Network;
 use cardamomshift_testutils::PlainServiceHandle;
@@ -19,12 +24,19 @@
 use self::link::HostLinks;
 pub use backend::Backend;
 pub use backend::BackendKind;
+pub use in_process::InProcessHosts;
 pub use plan::FleetPlan;
 pub use plan::HostPlan;
 pub use plan::MODEL;
 pub use plan::PLAIN_SERVICE;
 pub use platform::Platform;
+pub use process::HostProcess;
+pub use process::Signal;
+pub use running::HostProcesses;
+pub use running::RunError;
+pub use running::wait_ready;
 pub use subnet::Subnet;
+pub use usage::ProcessUse;
 
 /// The systems around a fleet, and the places of its hosts.
 #[derive(Debug)]
@@ -186,4 +198,20 @@
         let platform = [self.subnet.platform()];
         self.network.set_between(&inside, &platform, to);
     }
+
+    /// Bytes of all links between hosts and to the platform so far, counted at each end that is a
+    /// host.
+    pub fn control_bytes(&self) -> u64 {
+        let hosts: Vec<IpAddr> = self.hosts.iter().map(|host| host.peers.ip()).collect();
+        let platform = self.subnet.platform();
+        let ends = |link: &Link| {
+            if link.destination == platform {
+                return 1;
+            }
+            // Links to backend servers carry requests.
+            2 * u64::from(hosts.contains(&link.destination))
+        };
+        let links = self.network.bytes();
+        links.iter().map(|(link, bytes)| ends(link) * bytes).sum()
+    }
 }
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,5 +4,8 @@
 //! the fleet, and callers. Figures come from what stand-ins and callers recorded.
 
 pub mod baseline;
+pub mod demo;
 pub mod fleet;
 pub mod load;
+pub mod measure;
+pub mod operator;
--- a/bench/src/load/generator.rs
+++ b/bench/src/load/generator.rs
@@ -1,5 +1,6 @@
 //! Many callers at once.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -10,6 +11,7 @@
 
 use cardamomshift_testutils::history::CallOutcome;
 use cardamomshift_testutils::history::CallRecord;
+use cardamomshift_testutils::now_us;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -64,7 +66,10 @@
     addresses: Vec<SocketAddr>,
     stop: CancellationToken,
     next_operation: AtomicU64,
+    next_call: AtomicU64,
     records: Mutex<Vec<CallRecord>>,
+    /// Calls that have not ended, by their numbers.
+    open: Mutex<BTreeMap<u64, CallRecord>>,
 }
 
 impl Load {
@@ -79,7 +84,9 @@
             addresses,
             stop: CancellationToken::new(),
             next_operation: AtomicU64::new(0),
+            next_call: AtomicU64::new(0),
             records: Mutex::default(),
+            open: Mutex::default(),
         });
         let mut load = Self {
             shared,
@@ -136,20 +143,49 @@
     }
 
     /// Sends nothing more, waits for open calls up to `patience`, and gives the records. Calls
-    /// that are open after it are not among them.
+    /// that are open after it are unfinished.
     pub async fn finish(mut self, patience: Duration) -> Vec<CallRecord> {
         self.shared.stop.cancel();
         let all = async { while self.tasks.join_next().await.is_some() {} };
         // Calls that outlast the patience are dropped with their tasks.
         let _ = tokio::time::timeout(patience, all).await;
-        self.tasks.abort_all();
-        self.records()
+        let unfinished = std::mem::take(&mut *self.shared.open.lock().expect("open calls"));
+        self.tasks.shutdown().await;
+        let mut records = self.records();
+        records.extend(unfinished.into_values().map(|call| CallRecord {
+            end: now_us(),
+            ..call
+        }));
+        records
     }
 }
 
 impl Shared {
-    fn record(&self, record: CallRecord) {
-        self.records.lock().expect("records").push(record);
+    /// Notes that a call is sent, and gives its number.
+    fn begin(&self, workspace: &str, host: usize, request: &Request) -> u64 {
+        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let sent = now_us();
+        let record = CallRecord {
+            workspace: workspace.to_owned(),
+            host,
+            operation: request.operation.clone(),
+            nonce: request.nonce,
+            sent,
+            first_byte: None,
+            end: sent,
+            tokens: 0,
+            outcome: CallOutcome::Unfinished,
+        };
+        self.open.lock().expect("open calls").insert(number, record);
+        number
+    }
+
+    fn end(&self, number: u64, record: CallRecord) {
+        // A call that ends while the run does is recorded once: as unfinished.
+        let open = self.open.lock().expect("open calls").remove(&number);
+        if open.is_some() {
+            self.records.lock().expect("records").push(record);
+        }
     }
 }
 
@@ -228,9 +264,10 @@
     let mut host = first_host;
     let mut repeats = load.work.repeats();
     loop {
+        let number = shared.begin(&caller.workspace, host, request);
         let called = caller.call(host, shared.addresses[host], request).await;
         let outcome = called.record.outcome.clone();
-        shared.record(called.record);
+        shared.end(number, called.record);
         let pause = called
             .retry_after_ms
             .map_or(SHORT_PAUSE, Duration::from_millis);
--- a/bench/src/load/summary.rs
+++ b/bench/src/load/summary.rs
@@ -30,8 +30,9 @@
     pub fn of(micros: impl IntoIterator<Item = u64>) -> Self {
         let mut histogram = Histogram::<u64>::new(DIGITS).expect("histogram");
         for value in micros {
-            // The histogram grows by itself, so that every value fits.
-            histogram.saturating_record(value);
+            histogram
+                .record(value)
+                .expect("a histogram that grows by itself");
         }
         let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
         Self {
@@ -96,5 +97,6 @@
         CallOutcome::Unknown(code) => format!("unknown {code}"),
         CallOutcome::Rejected(status) => format!("rejected {status}"),
         CallOutcome::Broken => "broken".to_owned(),
+        CallOutcome::Unfinished => "unfinished".to_owned(),
     }
 }
--- /dev/null
+++ b/bench/src/measure/at_most_once.rs
@@ -0,0 +1,278 @@
+//! Runs of operations and truth of answers under kills, freezes and lost answers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use cardamomshift_testutils::AnswerFault;
+use cardamomshift_testutils::Outage;
+use cardamomshift_testutils::history::CallOutcome;
+use cardamomshift_testutils::history::CallRecord;
+use cardamomshift_testutils::history::Violation;
+use cardamomshift_testutils::history::check_answers;
+use cardamomshift_testutils::history::check_at_most_once;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::MeasureError;
+use super::MeasureResult;
+use super::Rig;
+use super::RouterKind;
+use super::rig::pass;
+use crate::fleet::FleetPlan;
+use crate::fleet::Signal;
+use crate::load::Arrivals;
+use crate::load::Load;
+use crate::load::ModelWork;
+use crate::load::PlainWork;
+use crate::load::Work;
+use crate::load::WorkspaceLoad;
+
+/// Operations of plain services that the figure needs at least.
+const OPERATIONS: usize = 2_000;
+/// Shortest and longest time of the run.
+const SHORTEST: Duration = Duration::from_secs(18);
+const LONGEST: Duration = Duration::from_secs(26);
+const BASELINE_RUN: Duration = Duration::from_secs(5);
+/// Time that open calls have to end.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Pause between two failures.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+/// Time that a killed host stays away.
+const AWAY: Duration = Duration::from_millis(400);
+/// Time that a host stays frozen: longer than every lease and loan.
+const FROZEN: Duration = Duration::from_millis(2_500);
+const OUTAGE: Duration = Duration::from_millis(500);
+/// Answers that get a fault at once.
+const FAULTY_ANSWERS: usize = 5;
+
+/// Faults of backend servers' answers.
+const FAULTS: [AnswerFault; 9] = [
+    AnswerFault::Lost,
+    AnswerFault::Truncated,
+    AnswerFault::EndsEarly,
+    AnswerFault::Crossed,
+    AnswerFault::Late(Duration::from_millis(300)),
+    AnswerFault::Surplus,
+    AnswerFault::Malformed,
+    AnswerFault::ServerError,
+    AnswerFault::Unavailable,
+];
+
+struct Figures {
+    violations: Vec<Violation>,
+    operations: usize,
+    whole: usize,
+}
+
+pub(super) async fn measure(seed: u64) -> Result<MeasureResult, MeasureError> {
+    let baseline = run(RouterKind::Baseline, seed).await?;
+    let fleet = run(RouterKind::Fleet, seed).await?;
+    for violation in &fleet.violations {
+        log::warn!("{violation}");
+    }
+    let count = |wanted: fn(&Violation) -> bool| {
+        fleet.violations.iter().filter(|v| wanted(v)).count() as f64
+    };
+    let details = BTreeMap::from([
+        ("operations", fleet.operations as f64),
+        ("whole_answers", fleet.whole as f64),
+        (
+            "second_runs",
+            count(|v| matches!(v, Violation::SecondRun { .. })),
+        ),
+        (
+            "false_not_run",
+            count(|v| matches!(v, Violation::FalseNotRun { .. })),
+        ),
+        (
+            "foreign_answers",
+            count(|v| matches!(v, Violation::ForeignAnswer { .. })),
+        ),
+        (
+            "partial_answers",
+            count(|v| matches!(v, Violation::PartialAnswer { .. })),
+        ),
+        (
+            "answers_without_run",
+            count(|v| matches!(v, Violation::AnswerWithoutRun { .. })),
+        ),
+    ]);
+    Ok(MeasureResult {
+        measure: "at-most-once",
+        value: fleet.violations.len() as f64,
+        unit: "second runs, false refusals, foreign or partial answers",
+        target: 0.0,
+        holds: fleet.violations.is_empty() && fleet.operations >= OPERATIONS,
+        baseline: Some(baseline.violations.len() as f64),
+        seed,
+        runs: 1,
+        details,
+    })
+}
+
+fn loads(plan: &FleetPlan) -> Vec<WorkspaceLoad> {
+    let model = |streamed_percent| {
+        Work::Model(ModelWork {
+            tokens: 10..=40,
+            streamed_percent,
+            ..ModelWork::default()
+        })
+    };
+    let plain = |keyed| Work::Plain(PlainWork { keyed, repeats: 5 });
+    let works = [
+        (plain(false), 12),
+        (plain(false), 12),
+        (plain(true), 12),
+        (plain(true), 12),
+        (model(100), 4),
+        (model(0), 4),
+    ];
+    let hosts = plan.domains.len() * plan.hosts_per_domain;
+    works
+        .into_iter()
+        .enumerate()
+        .map(|(number, (work, outstanding))| WorkspaceLoad {
+            workspace: plan.workspace_name(number),
+            key: plan.workspace_key(number),
+            class: None,
+            hosts: (0..hosts).collect(),
+            arrivals: Arrivals::Closed(outstanding),
+            work,
+        })
+        .collect()
+}
+
+async fn run(kind: RouterKind, seed: u64) -> Result<Figures, MeasureError> {
+    let plan = FleetPlan {
+        engines_per_domain: 1,
+        ..FleetPlan::flipperliga()
+    };
+    let loads = loads(&plan);
+    let mut rig = Rig::start(plan, kind).await?;
+    rig.warm_engines();
+    let load = rig.load(loads, seed);
+    fail_at_random(&mut rig, &load, seed).await?;
+    heal(&mut rig)?;
+    let calls = load.finish(PATIENCE).await;
+    Ok(figures(&rig, &calls))
+}
+
+async fn fail_at_random(rig: &mut Rig, load: &Load, seed: u64) -> Result<(), MeasureError> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let shortest = match rig.is_fleet() {
+        true => SHORTEST,
+        false => BASELINE_RUN,
+    };
+    loop {
+        let elapsed = start.elapsed();
+        let enough = load.ended() >= OPERATIONS * 2 || !rig.is_fleet();
+        if elapsed >= LONGEST || (elapsed >= shortest && enough) {
+            return Ok(());
+        }
+        fail(rig, &mut rng).await?;
+        thaw(rig)?;
+        pass(FAILURE_PAUSE).await;
+    }
+}
+
+async fn fail(rig: &mut Rig, rng: &mut StdRng) -> Result<(), MeasureError> {
+    let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+    let number = rng.random_range(0..rig.fleet().hosts().len());
+    let objects = rig.fleet().platform().objects();
+    match rng.random_range(0..8) {
+        0 | 1 => {
+            let plains = rig.fleet().plain_services();
+            let (_, plain) = &plains[number % plains.len()];
+            plain.inject(fault, FAULTY_ANSWERS);
+        }
+        2 => {
+            let engines = rig.fleet().engines();
+            let (_, engine) = &engines[number % engines.len()];
+            engine.inject(fault, FAULTY_ANSWERS);
+        }
+        3 => {
+            let plains = rig.fleet().plain_services();
+            plains[number % plains.len()].1.restart();
+        }
+        4 => objects.lose_answers(FAULTY_ANSWERS as u64),
+        5 => {
+            objects.set_outage(Outage::Broken);
+            pass(OUTAGE).await;
+            objects.set_outage(Outage::None);
+        }
+        6 => freeze(rig, number)?,
+        _ => kill(rig, number).await?,
+    }
+    Ok(())
+}
+
+/// Freezes a host, until [`thaw`] finds its time to be over.
+fn freeze(rig: &mut Rig, number: usize) -> Result<(), MeasureError> {
+    let Some(hosts) = rig.hosts() else {
+        return Ok(());
+    };
+    hosts.host_mut(number).freeze(FROZEN)?;
+    Ok(())
+}
+
+fn thaw(rig: &mut Rig) -> Result<(), MeasureError> {
+    let count = rig.fleet().hosts().len();
+    if let Some(hosts) = rig.hosts() {
+        for number in 0..count {
+            hosts.host_mut(number).thaw_if_due()?;
+        }
+    }
+    Ok(())
+}
+
+async fn kill(rig: &mut Rig, number: usize) -> Result<(), MeasureError> {
+    let Some(hosts) = rig.hosts() else {
+        return Ok(());
+    };
+    hosts.host_mut(number).kill()?;
+    pass(AWAY).await;
+    hosts.host_mut(number).start_again()?;
+    Ok(())
+}
+
+/// Lets every host go on.
+fn heal(rig: &mut Rig) -> Result<(), MeasureError> {
+    let count = rig.fleet().hosts().len();
+    if let Some(hosts) = rig.hosts() {
+        for number in 0..count {
+            hosts.host_mut(number).signal(Signal::Continue)?;
+        }
+    }
+    Ok(())
+}
+
+fn figures(rig: &Rig, calls: &[CallRecord]) -> Figures {
+    let executions: Vec<_> = rig
+        .fleet()
+        .plain_services()
+        .iter()
+        .flat_map(|(_, plain)| plain.executions())
+        .collect();
+    let runs = executions.iter().map(|run| run.operation.as_str());
+    let plain: Vec<_> = calls
+        .iter()
+        .filter(|call| call.nonce == 0)
+        .cloned()
+        .collect();
+    let mut violations = check_at_most_once(runs, &plain);
+    violations.extend(check_answers(calls));
+    let mut operations: Vec<_> = plain.iter().map(|call| &call.operation).collect();
+    operations.sort_unstable();
+    operations.dedup();
+    Figures {
+        violations,
+        operations: operations.len(),
+        whole: calls
+            .iter()
+            .filter(|call| call.outcome == CallOutcome::Whole)
+            .count(),
+    }
+}
--- /dev/null
+++ b/bench/src/measure/configuration.rs
@@ -0,0 +1,245 @@
+//! Time until an accepted change is in force on every host.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cardamomshift_lib::configuration::Change;
+use cardamomshift_lib::configuration::hash_key;
+use cardamomshift_testutils::Outage;
+use cardamomshift_testutils::history::Effect;
+use cardamomshift_testutils::history::Violation;
+use cardamomshift_testutils::history::check_configuration;
+use cardamomshift_testutils::now_us;
+use http_body_util::Full;
+use hyper::StatusCode;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::MeasureError;
+use super::MeasureResult;
+use super::Rig;
+use super::RouterKind;
+use super::rig::pass;
+use crate::fleet::FleetPlan;
+use crate::load::HttpClient;
+use crate::load::Latency;
+
+/// Changes under each kind of failure.
+const CHANGES_EACH: usize = 5;
+/// Pause between two changes.
+const CHANGE_PAUSE: Duration = Duration::from_millis(700);
+/// Pause between two questions to the same host.
+const QUESTION_PAUSE: Duration = Duration::from_millis(10);
+/// Time in which a change has to be accepted.
+const ACCEPT_PATIENCE: Duration = Duration::from_secs(6);
+/// Time that the last change has to be in force.
+const SETTLE: Duration = Duration::from_secs(4);
+const SLOW: Duration = Duration::from_millis(200);
+const STALE: Duration = Duration::from_secs(1);
+const OUTAGE: Duration = Duration::from_secs(1);
+const TARGET_S: f64 = 2.0;
+
+/// Failures of the platform around a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    None,
+    Slow,
+    LostAnswer,
+    StaleReads,
+    Outage,
+    HostRestarted,
+}
+
+const FAILURES: [Failure; 6] = [
+    Failure::None,
+    Failure::Slow,
+    Failure::LostAnswer,
+    Failure::StaleReads,
+    Failure::Outage,
+    Failure::HostRestarted,
+];
+
+/// Keys of the workspaces that the changes create, in order.
+type Keys = Arc<Mutex<Vec<String>>>;
+
+pub(super) async fn measure(seed: u64) -> Result<MeasureResult, MeasureError> {
+    let plan = FleetPlan {
+        engines_per_domain: 1,
+        ..FleetPlan::flipperliga()
+    };
+    let mut rig = Rig::start(plan, RouterKind::Fleet).await?;
+    let keys = Keys::default();
+    let stop = CancellationToken::new();
+    let mut watchers = JoinSet::new();
+    for host in rig.fleet().hosts() {
+        let watcher = Watcher {
+            client: rig.client().clone(),
+            host: host.name.clone(),
+            address: host.callers,
+            keys: Arc::clone(&keys),
+            effects: Vec::new(),
+        };
+        watchers.spawn(watcher.run(stop.clone()));
+    }
+    let mut accepted = Vec::new();
+    for failure in FAILURES {
+        for _ in 0..CHANGES_EACH {
+            accepted.push(change_under(&mut rig, failure, &keys, seed).await?);
+            pass(CHANGE_PAUSE).await;
+        }
+    }
+    pass(SETTLE).await;
+    stop.cancel();
+    let effects: Vec<_> = watchers.join_all().await.into_iter().flatten().collect();
+    Ok(result(&rig, &accepted, &effects, seed))
+}
+
+fn result(rig: &Rig, accepted: &[u64], effects: &[Effect], seed: u64) -> MeasureResult {
+    let hosts: Vec<&str> = rig.fleet().hosts().iter().map(|h| &*h.name).collect();
+    let (delays, violations) = check_configuration(accepted, &hosts, effects);
+    let latency = Latency::of(delays);
+    let reversions = violations
+        .iter()
+        .filter(|violation| matches!(violation, Violation::Reverted { .. }))
+        .count();
+    let missing = violations.len() - reversions;
+    let value = latency.max / 1e3;
+    let details = BTreeMap::from([
+        ("changes", accepted.len() as f64),
+        ("p50_s", latency.p50 / 1e3),
+        ("p99_s", latency.p99 / 1e3),
+        ("reversions", reversions as f64),
+        ("never_in_force", missing as f64),
+    ]);
+    MeasureResult {
+        measure: "configuration",
+        value,
+        unit: "s until in force everywhere",
+        target: TARGET_S,
+        holds: violations.is_empty() && value <= TARGET_S,
+        baseline: None,
+        seed,
+        runs: 1,
+        details,
+    }
+}
+
+/// Creates a workspace under a failure, and gives the time of acceptance.
+async fn change_under(
+    rig: &mut Rig,
+    failure: Failure,
+    keys: &Keys,
+    seed: u64,
+) -> Result<u64, MeasureError> {
+    let objects = rig.fleet().platform().objects();
+    match failure {
+        Failure::None => {}
+        Failure::Slow => objects.set_delay(SLOW),
+        Failure::LostAnswer => objects.lose_answers(1),
+        Failure::StaleReads => objects.serve_stale(STALE),
+        Failure::Outage => {
+            objects.set_outage(Outage::Broken);
+            let objects = objects.clone();
+            tokio::spawn(async move {
+                pass(OUTAGE).await;
+                objects.set_outage(Outage::None);
+            });
+        }
+        Failure::HostRestarted => restart_last_host(rig).await?,
+    }
+    let number = {
+        let mut keys = keys.lock().expect("keys");
+        let number = keys.len();
+        keys.push(format!("audit-key-{seed}-{number}-0123456789abcdef"));
+        number
+    };
+    let key = keys.lock().expect("keys")[number].clone();
+    let change = Change::CreateWorkspace {
+        name: format!("audit-{number}").into(),
+        key_hash: hash_key(key.as_bytes()),
+    };
+    let at = accept(rig, number, &change).await?;
+    objects.set_delay(Duration::ZERO);
+    Ok(at)
+}
+
+async fn restart_last_host(rig: &mut Rig) -> Result<(), MeasureError> {
+    let last = rig.fleet().hosts().len() - 1;
+    if let Some(hosts) = rig.hosts() {
+        hosts.host_mut(last).kill()?;
+        hosts.host_mut(last).start_again()?;
+        hosts.wait_ready(last).await?;
+    }
+    Ok(())
+}
+
+/// Sends a change through one host after another, with the same identifier, until it is accepted.
+async fn accept(rig: &Rig, number: usize, change: &Change) -> Result<u64, MeasureError> {
+    let id = format!("change-{number}");
+    let hosts = rig.fleet().hosts().len();
+    let give_up = Instant::now() + ACCEPT_PATIENCE;
+    let mut host = number % hosts;
+    loop {
+        match rig.operator(host).change(&id, change).await {
+            Ok(()) => return Ok(now_us()),
+            Err(err) if Instant::now() >= give_up => return Err(err.into()),
+            Err(_) => pass(QUESTION_PAUSE).await,
+        };
+        host = (host + 1) % hosts;
+    }
+}
+
+/// Asks one host again and again which of the new keys it knows.
+struct Watcher {
+    client: HttpClient,
+    host: String,
+    address: SocketAddr,
+    keys: Keys,
+    effects: Vec<Effect>,
+}
+
+impl Watcher {
+    async fn run(mut self, stop: CancellationToken) -> Vec<Effect> {
+        let mut older = 0;
+        while !stop.is_cancelled() {
+            let count = self.keys.lock().expect("keys").len();
+            if count > 0 {
+                self.ask(count - 1).await;
+                older = (older + 1) % count;
+                self.ask(older).await;
+            }
+            tokio::time::sleep(QUESTION_PAUSE).await;
+        }
+        self.effects
+    }
+
+    async fn ask(&mut self, change: usize) {
+        let key = self.keys.lock().expect("keys")[change].clone();
+        let request = hyper::Request::get(format!("http://{}/v1/models", self.address))
+            .header("authorization", format!("Bearer {key}"))
+            .body(Full::<Bytes>::default())
+            .expect("question about a key");
+        let asked = now_us();
+        let Ok(response) = self.client.request(request).await else {
+            return;
+        };
+        let in_force = match response.status() {
+            StatusCode::OK => true,
+            StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => false,
+            // A host without any configuration says neither.
+            _ => return,
+        };
+        self.effects.push(Effect {
+            change,
+            host: self.host.clone(),
+            asked,
+            seen: now_us(),
+            in_force,
+        });
+    }
+}
--- /dev/null
+++ b/bench/src/measure/fairness.rs
@@ -0,0 +1,120 @@
+//! Gap of service between workspaces that are backlogged at the same time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cardamomshift_testutils::LinkState;
+use cardamomshift_testutils::history::CallRecord;
+use cardamomshift_testutils::history::Interval;
+use cardamomshift_testutils::history::largest_gap;
+use cardamomshift_testutils::now_us;
+
+use super::MeasureError;
+use super::MeasureResult;
+use super::Rig;
+use super::RouterKind;
+use super::record::ModelHistory;
+use super::rig::pass;
+use super::traffic::one_floods;
+use crate::fleet::FleetPlan;
+
+const WARM_UP: Duration = Duration::from_secs(4);
+const STEADY: Duration = Duration::from_secs(6);
+const CUT: Duration = Duration::from_secs(3);
+/// Time that the fleet has after a rejoin.
+const REJOIN: Duration = Duration::from_secs(5);
+const AFTER_REJOIN: Duration = Duration::from_secs(5);
+/// Time that open calls have to end.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Interval of the exchange of service between hosts that the target grants, seconds.
+const EXCHANGE_S: f64 = 1.0;
+
+/// Gap over one window, and the gap that the target allows over it.
+struct Gap {
+    tokens: f64,
+    bound: f64,
+}
+
+pub(super) async fn measure(seed: u64) -> Result<MeasureResult, MeasureError> {
+    let plan = FleetPlan::flipperliga();
+    let baseline = run_baseline(plan.clone(), seed).await?;
+    let [steady, rejoined] = run_fleet(plan, seed).await?;
+    let holds = [&steady, &rejoined]
+        .iter()
+        .all(|gap| gap.tokens <= gap.bound);
+    let details = BTreeMap::from([
+        ("gap_steady_tokens", steady.tokens),
+        ("bound_steady_tokens", steady.bound),
+        ("gap_after_rejoin_tokens", rejoined.tokens),
+        ("bound_after_rejoin_tokens", rejoined.bound),
+    ]);
+    Ok(MeasureResult {
+        measure: "fairness",
+        value: steady.tokens.max(rejoined.tokens),
+        unit: "tokens",
+        target: steady.bound.min(rejoined.bound),
+        holds,
+        baseline: Some(baseline.tokens),
+        seed,
+        runs: 1,
+        details,
+    })
+}
+
+async fn run_baseline(plan: FleetPlan, seed: u64) -> Result<Gap, MeasureError> {
+    let loads = one_floods(&plan);
+    let rig = Rig::start(plan, RouterKind::Baseline).await?;
+    rig.warm_engines();
+    let load = rig.load(loads, seed);
+    let from = pass(WARM_UP).await;
+    let to = pass(STEADY).await;
+    let calls = load.finish(PATIENCE).await;
+    gap(&ModelHistory::read(rig.fleet()), &calls, from, to)
+}
+
+async fn run_fleet(plan: FleetPlan, seed: u64) -> Result<[Gap; 2], MeasureError> {
+    let loads = one_floods(&plan);
+    let domain = plan.domains[1].clone();
+    let rig = Rig::start(plan, RouterKind::Fleet).await?;
+    rig.warm_engines();
+    let load = rig.load(loads, seed);
+    let steady_from = pass(WARM_UP).await;
+    let steady_to = pass(STEADY).await;
+    rig.fleet().set_domain_links(&domain, LinkState::Silent);
+    pass(CUT).await;
+    rig.fleet().network().heal();
+    let rejoined_from = pass(REJOIN).await;
+    pass(AFTER_REJOIN).await;
+    let rejoined_to = now_us();
+    let calls = load.finish(PATIENCE).await;
+    let history = ModelHistory::read(rig.fleet());
+    Ok([
+        gap(&history, &calls, steady_from, steady_to)?,
+        gap(&history, &calls, rejoined_from, rejoined_to)?,
+    ])
+}
+
+fn gap(
+    history: &ModelHistory,
+    calls: &[CallRecord],
+    from: u64,
+    to: u64,
+) -> Result<Gap, MeasureError> {
+    let window = Interval { from, to };
+    let service = history.service();
+    let given: u64 = service
+        .iter()
+        .filter(|sample| from <= sample.at && sample.at < to)
+        .map(|sample| sample.cost)
+        .sum();
+    if given == 0 {
+        let what = "no token was given in the window";
+        return Err(MeasureError::Nothing { what });
+    }
+    let rate = given as f64 / (window.length() as f64 / 1e6);
+    let tokens = largest_gap(&service, &history.backlog(calls), window);
+    Ok(Gap {
+        tokens: tokens as f64,
+        bound: 2.0 * history.largest_cost() as f64 + rate * EXCHANGE_S,
+    })
+}
--- /dev/null
+++ b/bench/src/measure/overhead.rs
@@ -0,0 +1,171 @@
+//! Added latency and throughput of one host.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cardamomshift_testutils::EngineProfile;
+use cardamomshift_testutils::PlainProfile;
+use cardamomshift_testutils::history::CallOutcome;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::MeasureError;
+use super::MeasureResult;
+use super::Rig;
+use super::RouterKind;
+use super::rig::pass;
+use crate::fleet::FleetPlan;
+use crate::load::Arrivals;
+use crate::load::Caller;
+use crate::load::Latency;
+use crate::load::ModelWork;
+use crate::load::PlainWork;
+use crate::load::Work;
+use crate::load::WorkspaceLoad;
+
+const WARM_UP: Duration = Duration::from_secs(3);
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time that open calls have to end.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Calls for the latency, on each way.
+const LATENCY_CALLS: usize = 2_000;
+/// Open requests for the throughput.
+const OUTSTANDING: usize = 128;
+/// Tokens of a streamed answer for the throughput, each in a chunk of its own.
+const STREAM_TOKENS: u32 = 1_000;
+/// Open streams for the throughput.
+const STREAMS: usize = 64;
+const TARGET_P50_MS: f64 = 0.5;
+const TARGET_P99_MS: f64 = 3.0;
+const TARGET_REQUESTS_PER_S: f64 = 10_000.0;
+const TARGET_CHUNKS_PER_S: f64 = 100_000.0;
+
+struct Figures {
+    added_p50_ms: f64,
+    added_p99_ms: f64,
+    requests_per_s: f64,
+    chunks_per_s: f64,
+}
+
+pub(super) async fn measure(seed: u64) -> Result<MeasureResult, MeasureError> {
+    let baseline = run(RouterKind::Baseline, seed).await?;
+    let fleet = run(RouterKind::Fleet, seed).await?;
+    let holds = fleet.added_p50_ms <= TARGET_P50_MS
+        && fleet.added_p99_ms <= TARGET_P99_MS
+        && fleet.requests_per_s >= TARGET_REQUESTS_PER_S
+        && fleet.chunks_per_s >= TARGET_CHUNKS_PER_S;
+    let details = BTreeMap::from([
+        ("added_p99_ms", fleet.added_p99_ms),
+        ("plain_requests_per_s", fleet.requests_per_s),
+        ("streamed_chunks_per_s", fleet.chunks_per_s),
+        ("baseline_added_p99_ms", baseline.added_p99_ms),
+        ("baseline_plain_requests_per_s", baseline.requests_per_s),
+        ("baseline_streamed_chunks_per_s", baseline.chunks_per_s),
+    ]);
+    Ok(MeasureResult {
+        measure: "overhead",
+        value: fleet.added_p50_ms,
+        unit: "ms added at the median",
+        target: TARGET_P50_MS,
+        holds,
+        baseline: Some(baseline.added_p50_ms),
+        seed,
+        runs: 1,
+        details,
+    })
+}
+
+fn one_host() -> FleetPlan {
+    FleetPlan {
+        domains: vec!["bern-a".to_owned()],
+        hosts_per_domain: 1,
+        engines_per_domain: 1,
+        engine: EngineProfile::unpaced(),
+        plain: PlainProfile {
+            latency: Duration::ZERO,
+            limit: usize::MAX,
+        },
+        relays: false,
+        ..FleetPlan::flipperliga()
+    }
+}
+
+async fn run(kind: RouterKind, seed: u64) -> Result<Figures, MeasureError> {
+    let plan = one_host();
+    let rig = Rig::start(plan, kind).await?;
+    let plain = Work::Plain(PlainWork::default());
+    let streams = Work::Model(ModelWork {
+        tokens: STREAM_TOKENS..=STREAM_TOKENS,
+        ..ModelWork::default()
+    });
+    let requests_per_s = throughput(&rig, plain, OUTSTANDING, seed).await;
+    let chunks_per_s = throughput(&rig, streams, STREAMS, seed).await * f64::from(STREAM_TOKENS);
+    let (direct, routed) = latency(&rig, seed).await?;
+    Ok(Figures {
+        added_p50_ms: routed.p50 - direct.p50,
+        added_p99_ms: routed.p99 - direct.p99,
+        requests_per_s,
+        chunks_per_s,
+    })
+}
+
+/// Whole answers a second.
+async fn throughput(rig: &Rig, work: Work, outstanding: usize, seed: u64) -> f64 {
+    let plan = rig.fleet().plan();
+    let workspace = WorkspaceLoad {
+        workspace: plan.workspace_name(0),
+        key: plan.workspace_key(0),
+        class: Some("bulletin".to_owned()),
+        hosts: vec![0],
+        arrivals: Arrivals::Closed(outstanding),
+        work,
+    };
+    let load = rig.load(vec![workspace], seed);
+    let from = pass(WARM_UP).await;
+    let to = pass(WINDOW).await;
+    let calls = load.finish(PATIENCE).await;
+    let whole = calls
+        .iter()
+        .filter(|call| call.outcome == CallOutcome::Whole)
+        .filter(|call| from <= call.end && call.end < to)
+        .count();
+    whole as f64 / ((to - from) as f64 / 1e6)
+}
+
+/// Latency of whole answers straight from the engine and through the router, in turns.
+async fn latency(rig: &Rig, seed: u64) -> Result<(Latency, Latency), MeasureError> {
+    let plan = rig.fleet().plan();
+    let caller = Caller {
+        client: rig.client().clone(),
+        workspace: plan.workspace_name(1),
+        key: plan.workspace_key(1),
+        class: None,
+    };
+    let work = Work::Model(ModelWork {
+        tokens: 10..=10,
+        streamed_percent: 0,
+        ..ModelWork::default()
+    });
+    let ways = [
+        rig.fleet().backends()[0].address,
+        rig.fleet().hosts()[0].callers,
+    ];
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut taken = [Vec::new(), Vec::new()];
+    for number in 0..LATENCY_CALLS {
+        for (way, address) in ways.into_iter().enumerate() {
+            let operation = format!("latency-{way}-{number}");
+            let request = work.request(&caller.workspace, operation, &mut rng);
+            let record = caller.call(0, address, &request).await.record;
+            if record.outcome == CallOutcome::Whole {
+                taken[way].push(record.end - record.sent);
+            }
+        }
+    }
+    if taken.iter().any(|taken| taken.len() < LATENCY_CALLS / 2) {
+        let what = "too few whole answers";
+        return Err(MeasureError::Nothing { what });
+    }
+    let [direct, routed] = taken.map(Latency::of);
+    Ok((direct, routed))
+}
--- /dev/null
+++ b/bench/src/measure/traffic.rs
@@ -0,0 +1,35 @@
+//! Load that several measurements share.
+
+use crate::fleet::FleetPlan;
+use crate::load::Arrivals;
+use crate::load::ModelWork;
+use crate::load::Work;
+use crate::load::WorkspaceLoad;
+
+/// Open requests of the workspace that floods.
+const FLOOD: usize = 200;
+/// Open requests of each other workspace: more than its share of the slots.
+const STEADY: usize = 24;
+/// Factor by which announced lengths are wrong.
+const HINT_ERROR: u32 = 4;
+
+/// One workspace floods through one host, the others send through many; all have work waiting.
+pub(super) fn one_floods(plan: &FleetPlan) -> Vec<WorkspaceLoad> {
+    let hosts = plan.domains.len() * plan.hosts_per_domain;
+    (0..plan.workspaces)
+        .map(|number| WorkspaceLoad {
+            workspace: plan.workspace_name(number),
+            key: plan.workspace_key(number),
+            class: Some("bulletin".to_owned()),
+            hosts: match number {
+                0 => vec![0],
+                _ => (0..hosts).map(|host| (host + number) % hosts).collect(),
+            },
+            arrivals: Arrivals::Closed(if number == 0 { FLOOD } else { STEADY }),
+            work: Work::Model(ModelWork {
+                hint_error: HINT_ERROR,
+                ..ModelWork::default()
+            }),
+        })
+        .collect()
+}
--- /dev/null
+++ b/bench/src/measure/utilisation.rs
@@ -0,0 +1,77 @@
+//! Share of the warm slots that is busy while work waits.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cardamomshift_testutils::history::Interval;
+
+use super::MeasureError;
+use super::MeasureResult;
+use super::Rig;
+use super::RouterKind;
+use super::record::ModelHistory;
+use super::rig::pass;
+use super::traffic::one_floods;
+use crate::fleet::FleetPlan;
+
+const WARM_UP: Duration = Duration::from_secs(6);
+const WINDOW: Duration = Duration::from_secs(8);
+/// Time that open calls have to end.
+const PATIENCE: Duration = Duration::from_secs(2);
+const TARGET_PERCENT: f64 = 95.0;
+
+/// Busy share, and tokens a second, over the window.
+struct Figures {
+    busy_percent: f64,
+    tokens_per_s: f64,
+    largest_batch: f64,
+}
+
+pub(super) async fn measure(seed: u64) -> Result<MeasureResult, MeasureError> {
+    let baseline = run(RouterKind::Baseline, seed).await?;
+    let fleet = run(RouterKind::Fleet, seed).await?;
+    let details = BTreeMap::from([
+        ("tokens_per_s", fleet.tokens_per_s),
+        ("largest_batch", fleet.largest_batch),
+        ("baseline_tokens_per_s", baseline.tokens_per_s),
+    ]);
+    Ok(MeasureResult {
+        measure: "utilisation",
+        value: fleet.busy_percent,
+        unit: "% of warm slots",
+        target: TARGET_PERCENT,
+        holds: fleet.busy_percent >= TARGET_PERCENT,
+        baseline: Some(baseline.busy_percent),
+        seed,
+        runs: 1,
+        details,
+    })
+}
+
+async fn run(kind: RouterKind, seed: u64) -> Result<Figures, MeasureError> {
+    let plan = FleetPlan::teranga();
+    let loads = one_floods(&plan);
+    let rig = Rig::start(plan, kind).await?;
+    rig.warm_engines();
+    let load = rig.load(loads, seed);
+    let from = pass(WARM_UP).await;
+    let to = pass(WINDOW).await;
+    let calls = load.finish(PATIENCE).await;
+    let history = ModelHistory::read(rig.fleet());
+    let window = Interval { from, to };
+    let waiting = history.waiting(&calls, window);
+    let share = history.busy_share(&waiting, |_| true);
+    let what = "no request waited in the window";
+    let share = share.ok_or(MeasureError::Nothing { what })?;
+    let given: u64 = history
+        .service()
+        .iter()
+        .filter(|sample| from <= sample.at && sample.at < to)
+        .map(|sample| sample.cost)
+        .sum();
+    Ok(Figures {
+        busy_percent: share * 100.0,
+        largest_batch: history.largest_batch() as f64,
+        tokens_per_s: given as f64 / (window.length() as f64 / 1e6),
+    })
+}
--- /dev/null
+++ b/bench/tests/test_hosts.rs
@@ -0,0 +1,79 @@
+//! Hosts as processes: traffic through them, a kill, and a planned stop.
+
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use cardamomshift_bench::fleet::Fleet;
+use cardamomshift_bench::fleet::FleetPlan;
+use cardamomshift_bench::fleet::HostProcesses;
+use cardamomshift_bench::fleet::Signal;
+use cardamomshift_bench::load::Arrivals;
+use cardamomshift_bench::load::Load;
+use cardamomshift_bench::load::ModelWork;
+use cardamomshift_bench::load::Work;
+use cardamomshift_bench::load::WorkspaceLoad;
+use cardamomshift_bench::load::http_client;
+use cardamomshift_testutils::history::CallOutcome;
+use cardamomshift_testutils::history::check_answers;
+
+fn loads(plan: &FleetPlan, hosts: &[usize]) -> Vec<WorkspaceLoad> {
+    let work = Work::Model(ModelWork {
+        tokens: 8..=16,
+        streamed_percent: 50,
+        ..ModelWork::default()
+    });
+    vec![WorkspaceLoad {
+        workspace: plan.workspace_name(0),
+        key: plan.workspace_key(0),
+        class: None,
+        hosts: hosts.to_vec(),
+        arrivals: Arrivals::Closed(4),
+        work,
+    }]
+}
+
+async fn whole_answers(fleet: &Fleet, hosts: &[usize], count: usize) {
+    let loads = loads(fleet.plan(), hosts);
+    let load = Load::start(fleet.callers(), &http_client(), loads, 1);
+    let whole = || {
+        let records = load.records();
+        assert_eq!(check_answers(&records), []);
+        let whole = records.iter().filter(|r| r.outcome == CallOutcome::Whole);
+        whole.count()
+    };
+    while whole() < count {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    load.finish(Duration::from_secs(30)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn processes_serve_survive_a_kill_and_stop_as_planned() {
+    let plan = FleetPlan {
+        hosts_per_domain: 1,
+        ..FleetPlan::teranga()
+    };
+    let fleet = Fleet::start(plan);
+    let program = Path::new(env!("CARGO_BIN_EXE_cardamomshift-bench"));
+    let mut hosts = HostProcesses::start(&fleet, program).await.expect("hosts");
+    whole_answers(&fleet, &[0, 1, 2], 30).await;
+    hosts.host_mut(0).kill().expect("kill");
+    whole_answers(&fleet, &[1, 2], 10).await;
+    hosts.host_mut(0).start_again().expect("start");
+    hosts.wait_ready(0).await.expect("ready");
+    whole_answers(&fleet, &[0], 10).await;
+    let host = hosts.host_mut(1);
+    host.signal(Signal::Terminate).expect("signal");
+    let status = host.wait(Instant::now() + Duration::from_secs(60)).await;
+    let status = status.expect("wait").expect("ended");
+    assert!(status.success());
+    assert_eq!(
+        fleet
+            .engines()
+            .iter()
+            .map(|(_, e)| e.violations().len())
+            .sum::<usize>(),
+        0
+    );
+}
--- a/bench/tests/test_load.rs
+++ b/bench/tests/test_load.rs
@@ -6,6 +6,7 @@
 use cardamomshift_bench::fleet::Fleet;
 use cardamomshift_bench::fleet::FleetPlan;
 use cardamomshift_bench::load::Arrivals;
+use cardamomshift_bench::load::Latency;
 use cardamomshift_bench::load::Load;
 use cardamomshift_bench::load::ModelWork;
 use cardamomshift_bench::load::PlainWork;
@@ -66,6 +67,15 @@
     assert_eq!(judged(&own[..own.len() / 2]), CallOutcome::Partial);
 }
 
+#[test]
+fn percentiles_of_latencies() {
+    let latency = Latency::of((1..=100).map(|i| i * 1_000_000));
+    assert_eq!(latency.count, 100);
+    assert_eq!(latency.p50.round(), 50_004.0);
+    assert_eq!(latency.max.round(), 100_008.0);
+    assert_eq!(Latency::of([]), Latency::default());
+}
+
 fn workspace_load(plan: &FleetPlan, number: usize, work: Work) -> WorkspaceLoad {
     WorkspaceLoad {
         workspace: plan.workspace_name(number),
--- a/testutils/src/history/call.rs
+++ b/testutils/src/history/call.rs
@@ -19,6 +19,8 @@
     Rejected(u16),
     /// The connection broke or the answer ended in an error.
     Broken,
+    /// The caller itself gave up at the end of the run.
+    Unfinished,
 }
 
 /// One call of a caller.
--- a/testutils/src/history/capacity.rs
+++ b/testutils/src/history/capacity.rs
@@ -51,11 +51,17 @@
         .collect()
 }
 
-/// Share of `slots` that was busy over the time of `waiting`, from 0 to 1; none if nothing waited.
+/// Share of `slots` that was in use over the time of `waiting`, from 0 to 1; none if nothing
+/// waited.
 ///
-/// `busy` holds one span for each request of one server; more requests than slots count as all
-/// slots busy.
-pub fn busy_share(busy: &[Interval], slots: usize, waiting: &Intervals) -> Option<f64> {
+/// `busy` holds one span for each request of one server, and `used` gives the slots that so many
+/// requests at once use: a server with more requests than it bears does less than a full one.
+pub fn busy_share(
+    busy: &[Interval],
+    slots: usize,
+    waiting: &Intervals,
+    used: impl Fn(usize) -> f64,
+) -> Option<f64> {
     let total = waiting.length() as f64 * slots as f64;
     if total == 0.0 {
         return None;
@@ -66,20 +72,19 @@
         edges.push((span.to, false));
     }
     edges.sort_unstable();
-    let mut used = 0.0;
+    let mut sum = 0.0;
     let mut running = 0_usize;
     let mut since = 0;
     for (at, starts) in edges {
-        let counted = running.min(slots);
-        if counted > 0 && at > since {
+        if running > 0 && at > since {
             let part = waiting.within(Interval {
                 from: since,
                 to: at,
             });
-            used += part.length() as f64 * counted as f64;
+            sum += part.length() as f64 * used(running);
         }
         since = at;
         running = if starts { running + 1 } else { running - 1 };
     }
-    Some(used / total)
+    Some(sum / total)
 }
--- a/testutils/src/model_engine/batch.rs
+++ b/testutils/src/model_engine/batch.rs
@@ -172,11 +172,7 @@
             return Admission::Down;
         }
         let cached = state.touch_prefix(completion.prefix, self.profile.cached_prefixes);
-        let prefill = if cached {
-            self.profile.cached_prefill
-        } else {
-            self.profile.prefill
-        };
+        let prefill = self.profile.prefill_of(running, state.warm, cached);
         let record = EngineRecord {
             request_id: completion.request_id.clone().unwrap_or_default(),
             tag: completion.tag.clone(),
--- a/testutils/src/model_engine/profile.rs
+++ b/testutils/src/model_engine/profile.rs
@@ -20,12 +20,12 @@
     pub cached_prefixes: usize,
     /// Requests that the cold engine bears at once.
     pub cold_limit: usize,
-    /// Requests that the warm engine bears at once; above it, steps lengthen with the square of
-    /// the excess.
+    /// Requests that the warm engine bears at once; above it, prompts and steps take longer with
+    /// the square of the excess.
     pub warm_limit: usize,
     /// Completions that make a cold engine warm.
     pub warm_after: u32,
-    /// Factor by which a cold engine's steps are longer.
+    /// Factor by which a cold engine's prompts and steps take longer.
     pub cold_slowdown: f64,
     /// Time that the engine answers 503 after it fell over.
     pub fall: Duration,
@@ -69,15 +69,40 @@
         }
     }
 
+    /// Slots that a warm batch of `running` requests uses: as many as it has, or, above the limit,
+    /// the part of the full engine's pace that it still reaches.
+    pub fn used_slots(&self, running: usize) -> f64 {
+        if running <= self.warm_limit {
+            return running as f64;
+        }
+        let pace = |running| running as f64 / self.step_of(running, true).as_secs_f64();
+        self.warm_limit as f64 * pace(running) / pace(self.warm_limit)
+    }
+
+    /// Time to the first token of a prompt that joins a batch, which it then is part of.
+    pub(super) fn prefill_of(&self, running: usize, warm: bool, cached: bool) -> Duration {
+        let base = if cached {
+            self.cached_prefill
+        } else {
+            self.prefill
+        };
+        base.mul_f64(self.slowdown(running, warm))
+    }
+
     /// Length of a step of a batch.
     pub(super) fn step_of(&self, running: usize, warm: bool) -> Duration {
         let base = self.step + self.step_per_request * u32::try_from(running).unwrap_or(u32::MAX);
+        base.mul_f64(self.slowdown(running, warm))
+    }
+
+    /// Factor by which everything takes longer than on a warm engine within its limit.
+    fn slowdown(&self, running: usize, warm: bool) -> f64 {
         let excess = if running > self.warm_limit {
             running as f64 / self.warm_limit as f64
         } else {
             1.0
         };
         let slowdown = if warm { 1.0 } else { self.cold_slowdown };
-        base.mul_f64(excess * excess * slowdown)
+        excess * excess * slowdown
     }
 }
--- a/testutils/src/plain_service/mod.rs
+++ b/testutils/src/plain_service/mod.rs
@@ -147,7 +147,11 @@
     let Some(running) = shared.begin(&operation, request_id.as_deref(), &method, &path) else {
         return Ok(not_run());
     };
-    tokio::time::sleep(shared.latency()).await;
+    let latency = shared.latency();
+    // Even a sleep of no length waits for the next tick of the timer.
+    if !latency.is_zero() {
+        tokio::time::sleep(latency).await;
+    }
     let text = serde_json::json!({
         "operation": operation,
         "times": running.times(),
--- a/testutils/tests/test_history.rs
+++ b/testutils/tests/test_history.rs
@@ -158,14 +158,18 @@
 fn busy_share_counts_only_time_with_waiting_work() {
     let waiting = Intervals::union([span(0, 100)]);
     let full = [span(0, 100), span(0, 50), span(50, 100)];
-    assert_eq!(busy_share(&full, 2, &waiting), Some(1.0));
+    let share = |busy: &[Interval], waiting: &Intervals| {
+        let used = |running| if running > 2 { 1.0 } else { running as f64 };
+        busy_share(busy, 2, waiting, used)
+    };
+    assert_eq!(share(&full, &waiting), Some(1.0));
     let more_than_slots = [span(0, 100), span(0, 100), span(0, 100)];
-    assert_eq!(busy_share(&more_than_slots, 2, &waiting), Some(1.0));
+    assert_eq!(share(&more_than_slots, &waiting), Some(0.5));
     let idle = [span(0, 100), span(0, 50)];
-    assert_eq!(busy_share(&idle, 2, &waiting), Some(0.75));
+    assert_eq!(share(&idle, &waiting), Some(0.75));
     let waiting = Intervals::union([span(0, 50)]);
-    assert_eq!(busy_share(&idle, 2, &waiting), Some(1.0));
-    assert_eq!(busy_share(&idle, 2, &Intervals::default()), None);
+    assert_eq!(share(&idle, &waiting), Some(1.0));
+    assert_eq!(share(&idle, &Intervals::default()), None);
 }
 
 #[test]
--- a/testutils/tests/test_model_engine.rs
+++ b/testutils/tests/test_model_engine.rs
@@ -208,3 +208,12 @@
     chat(engine.address(), "x", false).await.expect("answer");
     assert_eq!(get(engine.address(), "/load").await.json()["running"], 0);
 }
+
+#[test]
+fn overfull_engine_uses_fewer_slots() {
+    let profile = EngineProfile::default();
+    let full = profile.warm_limit;
+    assert_eq!(profile.used_slots(full - 1), (full - 1) as f64);
+    assert_eq!(profile.used_slots(full), full as f64);
+    assert!(profile.used_slots(full * 2) < full as f64);
+}
