peer: test the protocol against ends that do not keep to it

Cause: the link had only been tested against itself, and an end without the key could send whole frames and hold connections open.

A link that cannot be established at first is reported as down, too, so that a host which is heard but cannot be reached loses its roles from the start.

Ruled out: telling too large a frame from other unreadable ones (the RPC library gives both the same kind of error): both count as malformed.

--- a/lib/src/peer/counters.rs
+++ b/lib/src/peer/counters.rs
@@ -14,7 +14,8 @@
     Key,
     /// A message or batch exceeds its limit.
     Size,
-    /// A message could not be read.
+    /// A message could not be read, or a connection sent what is no frame, too large a frame, or
+    /// too much before the proof.
     Malformed,
     /// The oldest message gave way because the queue to a host was full.
     QueueFull,
--- a/lib/src/peer/dial.rs
+++ b/lib/src/peer/dial.rs
@@ -76,7 +76,7 @@
     queue: Rc<Queue>,
 ) {
     let mut backoff = FIRST_BACKOFF;
-    let mut failing = false;
+    let mut is_down = false;
     loop {
         let mut link = Link {
             local: &local,
@@ -88,13 +88,13 @@
             Err(err) => err,
         };
         if link.established {
-            info!("link to host {host} at {address} lost: {err}");
-            local.emit(LinkEvent::Down { host });
             backoff = FIRST_BACKOFF;
-        } else if !failing {
+        }
+        if link.established || !is_down {
             info!("no link to host {host} at {address}: {err}");
+            local.emit(LinkEvent::Down { host });
+            is_down = true;
         }
-        failing = !link.established;
         tokio::time::sleep(jittered(backoff)).await;
         backoff = (backoff * 2).min(LAST_BACKOFF);
         add(&local.counters.reconnects, 1);
@@ -122,7 +122,7 @@
             .await
             .context(TimeoutSnafu)?
             .context(ConnectSnafu)?;
-        let (_guard, reader, writer) =
+        let (guard, reader, writer) =
             socket::wrap(stream, self.local.counters.clone()).context(ConnectSnafu)?;
         let network = VatNetwork::new(
             futures::io::BufReader::new(reader),
@@ -134,7 +134,7 @@
         let gate: peer_capnp::gate::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
         tokio::select! {
             result = system => result.context(CallSnafu),
-            result = self.talk(gate, queue) => result,
+            result = self.talk(gate, queue, &guard) => result,
         }
     }
 
@@ -157,10 +157,12 @@
         &mut self,
         gate: peer_capnp::gate::Client,
         queue: &Queue,
+        guard: &socket::Guard,
     ) -> Result<(), DialError> {
         let (peer, identity) = timeout(HANDSHAKE_TIMEOUT, self.shake_hands(&gate))
             .await
             .context(TimeoutSnafu)??;
+        guard.limit().lift();
         self.established = true;
         add(&self.local.counters.connects, 1);
         self.local.emit(LinkEvent::Up {
--- a/lib/src/peer/gate.rs
+++ b/lib/src/peer/gate.rs
@@ -23,21 +23,24 @@
 use super::proof::Transcript;
 use super::proof::draw_nonce;
 use super::queue::BATCH_MESSAGES;
+use super::socket::Limit;
 use crate::id::HostId;
 use crate::id::Incarnation;
 
 /// Bootstrap capability for one accepted connection.
 pub(crate) struct Gate {
     local: Rc<Local>,
+    limit: Limit,
     transcript: Cell<Option<Transcript>>,
     proved: RefCell<Option<oneshot::Sender<HostId>>>,
 }
 
 impl Gate {
     /// Makes the gate of one connection; `proved` is told the caller once it has proved the key.
-    pub(crate) fn new(local: Rc<Local>, proved: oneshot::Sender<HostId>) -> Self {
+    pub(crate) fn new(local: Rc<Local>, limit: Limit, proved: oneshot::Sender<HostId>) -> Self {
         Self {
             local,
+            limit,
             transcript: Cell::new(None),
             proved: RefCell::new(Some(proved)),
         }
@@ -91,6 +94,7 @@
         if !transcript.verify(key, Side::Caller, params.get()?.get_proof()?) {
             return Err(self.refuse(LinkRefusal::Key));
         }
+        self.limit.lift();
         let inbox = Inbox {
             local: self.local.clone(),
             from: transcript.caller,
--- a/lib/src/peer/links.rs
+++ b/lib/src/peer/links.rs
@@ -17,6 +17,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -41,6 +42,8 @@
 
 /// Accepted connections at once at most.
 const CONNECTIONS: usize = 2048;
+/// Accepted connections at once at most that have not proved the key.
+const UNPROVED_CONNECTIONS: usize = 256;
 /// Wait after the system has refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Bytes of a received frame at most: a message of the largest size with room for its framing.
@@ -95,7 +98,7 @@
         /// Its life.
         incarnation: Incarnation,
     },
-    /// The outgoing link to a host is lost.
+    /// The outgoing link to a host is lost, or the first attempt to establish it failed.
     Down {
         /// The host.
         host: HostId,
@@ -234,6 +237,7 @@
 async fn accept(local: Rc<Local>, listener: TcpListener, mut closed: watch::Receiver<()>) {
     let incoming = Incoming::default();
     let slots = Arc::new(Semaphore::new(CONNECTIONS));
+    let unproved = Arc::new(Semaphore::new(UNPROVED_CONNECTIONS));
     loop {
         let accepted = tokio::select! {
             _ = closed.changed() => return,
@@ -243,11 +247,13 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let Ok(slot) = slots.clone().try_acquire_owned() else {
+        let slot = slots.clone().try_acquire_owned();
+        let handshake = unproved.clone().try_acquire_owned();
+        let (Ok(slot), Ok(handshake)) = (slot, handshake) else {
             local.counters.refuse(LinkRefusal::Connections);
             continue;
         };
-        let connection = serve(local.clone(), stream, incoming.clone());
+        let connection = serve(local.clone(), stream, incoming.clone(), handshake);
         let mut closed = closed.clone();
         spawn_local(async move {
             let _slot = slot;
@@ -260,12 +266,17 @@
 }
 
 /// Serves one accepted connection to its end.
-async fn serve(local: Rc<Local>, stream: TcpStream, incoming: Incoming) {
-    let Ok((_guard, reader, writer)) = socket::wrap(stream, local.counters.clone()) else {
+async fn serve(
+    local: Rc<Local>,
+    stream: TcpStream,
+    incoming: Incoming,
+    handshake: OwnedSemaphorePermit,
+) {
+    let Ok((guard, reader, writer)) = socket::wrap(stream, local.counters.clone()) else {
         return;
     };
     let (proved_tx, proved_rx) = oneshot::channel();
-    let gate = Gate::new(local.clone(), proved_tx);
+    let gate = Gate::new(local.clone(), guard.limit(), proved_tx);
     let gate: peer_capnp::gate::Client = capnp_rpc::new_client(gate);
     let network = VatNetwork::new(
         futures::io::BufReader::new(reader),
@@ -276,15 +287,22 @@
     let system = RpcSystem::new(Box::new(network), Some(gate.client));
     tokio::select! {
         result = system => note_end(&local, result),
-        () = until_replaced(proved_rx, &incoming) => {}
+        () = until_replaced(&local, proved_rx, &incoming, handshake) => {}
     }
 }
 
 /// Waits until the caller fails to prove the key in time, or opens a newer connection.
-async fn until_replaced(proved: oneshot::Receiver<HostId>, incoming: &Incoming) {
+async fn until_replaced(
+    local: &Local,
+    proved: oneshot::Receiver<HostId>,
+    incoming: &Incoming,
+    handshake: OwnedSemaphorePermit,
+) {
     let Ok(Ok(host)) = timeout(HANDSHAKE_TIMEOUT, proved).await else {
+        local.counters.refuse(LinkRefusal::Key);
         return;
     };
+    drop(handshake);
     let (current, replaced) = oneshot::channel();
     // Dropping the former entry ends the former connection.
     incoming.borrow_mut().insert(host, current);
@@ -295,10 +313,6 @@
     let Err(err) = result else {
         return;
     };
-    let kind = match err.kind {
-        capnp::ErrorKind::MessageTooLarge(_) => LinkRefusal::Size,
-        _ => LinkRefusal::Malformed,
-    };
-    local.counters.refuse(kind);
+    local.counters.refuse(LinkRefusal::Malformed);
     warn!("connection from a host closed: {err}");
 }
--- a/lib/src/peer/socket.rs
+++ b/lib/src/peer/socket.rs
@@ -1,8 +1,10 @@
-//! A TCP connection whose bytes are counted and which closes when its guard is dropped.
+//! A TCP connection whose bytes are counted and which closes when its guard is dropped. Until the
+//! other end has proved the key, little is read from it.
 //!
 //! The RPC system keeps its streams in reference-counted structures that may outlive it, so the
 //! socket is closed explicitly.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
@@ -29,20 +31,44 @@
 /// Unanswered probes after which the connection ends.
 const KEEPALIVE_RETRIES: u32 = 3;
 
-type Shared = Rc<RefCell<Option<TcpStream>>>;
+/// Bytes read at most from an end that has not proved the key.
+const UNPROVED_BYTES: u64 = 4096;
+
+struct Shared {
+    stream: RefCell<Option<TcpStream>>,
+    /// Bytes that may still be read.
+    allowed: Cell<u64>,
+}
 
 /// Closes the connection when it is dropped.
-pub(crate) struct Guard(Shared);
+pub(crate) struct Guard(Rc<Shared>);
+
+impl Guard {
+    /// The limit on what is read before the other end has proved the key.
+    pub(crate) fn limit(&self) -> Limit {
+        Limit(self.0.clone())
+    }
+}
+
+/// The limit on what is read before the other end has proved the key.
+pub(crate) struct Limit(Rc<Shared>);
+
+impl Limit {
+    /// Reads on without limit.
+    pub(crate) fn lift(&self) {
+        self.0.allowed.set(u64::MAX);
+    }
+}
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.borrow_mut().take();
+        self.0.stream.borrow_mut().take();
     }
 }
 
 /// One of the handles on a connection; all of them read and write the same socket.
 pub(crate) struct Stream {
-    shared: Shared,
+    shared: Rc<Shared>,
     counters: Arc<LinkCounters>,
 }
 
@@ -57,7 +83,10 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
     SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
-    let shared = Rc::new(RefCell::new(Some(stream)));
+    let shared = Rc::new(Shared {
+        stream: RefCell::new(Some(stream)),
+        allowed: Cell::new(UNPROVED_BYTES),
+    });
     let reader = Stream {
         shared: shared.clone(),
         counters: counters.clone(),
@@ -69,13 +98,21 @@
     Ok((Guard(shared), reader, writer))
 }
 
+impl Shared {
+    fn take_allowance(&self, count: u64) -> io::Result<()> {
+        let left = self.allowed.get().checked_sub(count);
+        self.allowed.set(left.ok_or(io::ErrorKind::QuotaExceeded)?);
+        Ok(())
+    }
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let mut shared = self.shared.borrow_mut();
+        let mut shared = self.shared.stream.borrow_mut();
         let Some(stream) = shared.as_mut() else {
             return Poll::Ready(Ok(0));
         };
@@ -86,6 +123,7 @@
             Poll::Ready(Ok(())) => {
                 let count = buf.filled().len();
                 add(&self.counters.bytes_in, count as u64);
+                self.shared.take_allowance(count as u64)?;
                 Poll::Ready(Ok(count))
             }
         }
@@ -98,7 +136,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let mut shared = self.shared.borrow_mut();
+        let mut shared = self.shared.stream.borrow_mut();
         let Some(stream) = shared.as_mut() else {
             return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
         };
@@ -114,7 +152,7 @@
     }
 
     fn poll_close(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.shared.borrow_mut().take();
+        self.shared.stream.borrow_mut().take();
         Poll::Ready(Ok(()))
     }
 }
--- /dev/null
+++ b/lib/tests/test_peer_protocol.rs
@@ -0,0 +1,435 @@
+//! The protocol between hosts against ends that do not keep to it.
+
+mod peer;
+
+use std::cell::Cell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::dynamic_struct;
+use capnp::dynamic_value;
+use capnp::introspect::Introspect;
+use capnp::introspect::TypeVariant;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use cardamomshift_lib::id::HostId;
+use cardamomshift_lib::id::Incarnation;
+use cardamomshift_lib::message::Bid;
+use cardamomshift_lib::message::Heartbeat;
+use cardamomshift_lib::message::PeerMessage;
+use cardamomshift_lib::peer::LinkEvent;
+use cardamomshift_lib::peer::LinkRefusal;
+use cardamomshift_lib::peer::Links;
+use cardamomshift_lib::peer::PeerOptions;
+use cardamomshift_lib::settings::Secret;
+use hmac::Hmac;
+use hmac::KeyInit;
+use hmac::Mac;
+use peer::peer_capnp::ServerPhase;
+use peer::peer_capnp::gate;
+use peer::peer_capnp::grant;
+use peer::peer_capnp::peer as inbox;
+use sha2::Sha256;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+/// Time after which a test gives up waiting.
+const GIVE_UP: Duration = Duration::from_secs(30);
+const VERSION: u16 = 1;
+const KEY: &[u8] = b"key of the fleet";
+/// The host under test and the end that does not keep to the protocol.
+const HOST: (u64, u64) = (1, 100);
+const OTHER: (u64, u64) = (2, 200);
+
+fn run(test: impl Future<Output = ()>) {
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&rt, async {
+        timeout(GIVE_UP, test).await.expect("test hangs");
+    });
+}
+
+fn start() -> (Links, UnboundedReceiver<LinkEvent>) {
+    let (tx, rx) = mpsc::unbounded_channel();
+    let options = PeerOptions {
+        own: HostId(HOST.0),
+        incarnation: Incarnation(HOST.1),
+        key: Secret::new(std::str::from_utf8(KEY).unwrap()),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        source: None,
+    };
+    (Links::start(options, tx).unwrap(), rx)
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// What the design page says of a proof, written down a second time.
+fn proof(key: &[u8], label: &[u8], ends: [(u64, u64); 2], nonces: [&[u8]; 2]) -> Vec<u8> {
+    let mut mac = <Hmac<Sha256> as KeyInit>::new_from_slice(key).unwrap();
+    mac.update(&(label.len() as u64).to_le_bytes());
+    mac.update(label);
+    mac.update(&VERSION.to_le_bytes());
+    for (host, incarnation) in ends {
+        mac.update(&host.to_le_bytes());
+        mac.update(&incarnation.to_le_bytes());
+    }
+    for nonce in nonces {
+        mac.update(nonce);
+    }
+    mac.finalize().into_bytes().to_vec()
+}
+
+const CALLER: &[u8] = b"cardamomshift peer caller";
+const LISTENER: &[u8] = b"cardamomshift peer listener";
+
+/// Calls the gate of a host.
+async fn call(address: SocketAddr) -> gate::Client {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (reader, writer) = stream.into_split();
+    let network = VatNetwork::new(
+        futures::io::BufReader::new(tokio_util::compat::TokioAsyncReadCompatExt::compat(reader)),
+        futures::io::BufWriter::new(tokio_util::compat::TokioAsyncWriteCompatExt::compat_write(
+            writer,
+        )),
+        Side::Client,
+        capnp::message::ReaderOptions::new(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let gate = system.bootstrap(Side::Server);
+    spawn_local(system);
+    gate
+}
+
+/// Greets a host and returns its nonce.
+async fn greet(
+    gate: &gate::Client,
+    version: u16,
+    identity: (u64, u64),
+    nonce: &[u8],
+) -> Result<Vec<u8>, capnp::Error> {
+    let mut request = gate.greet_request();
+    let mut params = request.get();
+    params.set_version(version);
+    let mut to = params.reborrow().init_identity();
+    to.set_host(identity.0);
+    to.set_incarnation(identity.1);
+    params.set_nonce(nonce);
+    let answer = request.send().promise.await?;
+    Ok(answer.get()?.get_nonce()?.to_vec())
+}
+
+async fn prove(gate: &gate::Client, proof: &[u8]) -> Result<inbox::Client, capnp::Error> {
+    let mut request = gate.prove_request();
+    request.get().set_proof(proof);
+    let answer = request.send().promise.await?;
+    answer.get()?.get_peer()
+}
+
+/// Greets and proves as the protocol wants it.
+async fn enter(address: SocketAddr) -> inbox::Client {
+    let gate = call(address).await;
+    let mine = [7; 32];
+    let theirs = greet(&gate, VERSION, OTHER, &mine).await.unwrap();
+    let right = proof(KEY, CALLER, [OTHER, HOST], [&mine, &theirs]);
+    prove(&gate, &right).await.unwrap()
+}
+
+#[test]
+fn right_proof_opens_the_gate() {
+    run(async {
+        let (links, mut rx) = start();
+        let peer = enter(links.local_addr()).await;
+        let mut request = peer.deliver_request();
+        let messages = request.get().init_messages(1);
+        messages.get(0).init_heartbeat().set_revision(5);
+        request.send().promise.await.unwrap();
+        let message = PeerMessage::Heartbeat(Heartbeat {
+            revision: 5,
+            ..Heartbeat::default()
+        });
+        let expected = LinkEvent::Message {
+            from: HostId(OTHER.0),
+            incarnation: Incarnation(OTHER.1),
+            message,
+        };
+        assert_eq!(rx.recv().await, Some(expected));
+    });
+}
+
+#[test]
+fn wrong_version_and_own_name_are_refused() {
+    run(async {
+        let (links, _rx) = start();
+        let counters = links.counters();
+        let gate = call(links.local_addr()).await;
+        assert!(greet(&gate, VERSION + 1, OTHER, &[7; 32]).await.is_err());
+        assert_eq!(counters.refused(LinkRefusal::Version), 1);
+        assert!(greet(&gate, VERSION, HOST, &[7; 32]).await.is_err());
+        assert_eq!(counters.refused(LinkRefusal::Identity), 1);
+        assert!(greet(&gate, VERSION, OTHER, &[7; 31]).await.is_err());
+    });
+}
+
+#[test]
+fn every_wrong_proof_is_refused() {
+    run(async {
+        let (links, _rx) = start();
+        let counters = links.counters();
+        let mine: &[u8] = &[7; 32];
+        let other_life = (OTHER.0, OTHER.1 + 1);
+        type Forgery = Box<dyn Fn(&[u8]) -> Vec<u8>>;
+        let ends = [OTHER, HOST];
+        let forgeries: Vec<Forgery> = vec![
+            Box::new(|_| Vec::new()),
+            Box::new(move |theirs| proof(b"wrong", CALLER, ends, [mine, theirs])),
+            Box::new(move |theirs| proof(KEY, LISTENER, ends, [mine, theirs])),
+            Box::new(move |theirs| proof(KEY, CALLER, [HOST, OTHER], [mine, theirs])),
+            Box::new(move |theirs| proof(KEY, CALLER, [other_life, HOST], [mine, theirs])),
+            Box::new(move |theirs| proof(KEY, CALLER, ends, [theirs, mine])),
+            Box::new(move |_| proof(KEY, CALLER, ends, [mine, mine])),
+            Box::new(move |theirs| proof(KEY, CALLER, ends, [mine, theirs])[..31].to_vec()),
+        ];
+        for (i, forge) in forgeries.iter().enumerate() {
+            let gate = call(links.local_addr()).await;
+            let theirs = greet(&gate, VERSION, OTHER, mine).await.unwrap();
+            assert!(prove(&gate, &forge(&theirs)).await.is_err(), "forgery {i}");
+            // A greeting allows one attempt: the right proof comes too late.
+            let right = proof(KEY, CALLER, ends, [mine, &theirs]);
+            assert!(prove(&gate, &right).await.is_err(), "forgery {i}");
+            assert_eq!(counters.refused(LinkRefusal::Key), 2 * (i as u64 + 1));
+        }
+    });
+}
+
+#[test]
+fn proof_is_of_no_use_on_another_connection() {
+    run(async {
+        let (links, _rx) = start();
+        let mine = [7; 32];
+        let first = call(links.local_addr()).await;
+        let theirs = greet(&first, VERSION, OTHER, &mine).await.unwrap();
+        let right = proof(KEY, CALLER, [OTHER, HOST], [&mine, &theirs]);
+        let second = call(links.local_addr()).await;
+        greet(&second, VERSION, OTHER, &mine).await.unwrap();
+        assert!(prove(&second, &right).await.is_err());
+        assert!(prove(&first, &right).await.is_ok());
+    });
+}
+
+#[test]
+fn batch_over_the_limit_is_refused_and_the_link_goes_on() {
+    run(async {
+        let (links, mut rx) = start();
+        let peer = enter(links.local_addr()).await;
+        let mut request = peer.deliver_request();
+        request.get().init_messages(513);
+        assert!(request.send().promise.await.is_err());
+        assert_eq!(links.counters().refused(LinkRefusal::Size), 1);
+        assert!(rx.try_recv().is_err());
+        let mut request = peer.deliver_request();
+        request.get().init_messages(512);
+        request.send().promise.await.unwrap();
+        assert_eq!(links.counters().read().messages_in, 512);
+    });
+}
+
+#[test]
+fn message_that_cannot_be_read_does_not_spoil_the_others() {
+    run(async {
+        let (links, mut rx) = start();
+        let peer = enter(links.local_addr()).await;
+        let mut request = peer.deliver_request();
+        let mut messages = request.get().init_messages(2);
+        let grant = messages.reborrow().get(0).init_grant();
+        set_unknown_phase(grant);
+        messages.reborrow().get(1).init_bid().set_estimate(9);
+        request.send().promise.await.unwrap();
+        let first = rx.recv().await.unwrap();
+        let expected = PeerMessage::Bid(Bid {
+            estimate: 9,
+            ..Bid::default()
+        });
+        assert!(matches!(first, LinkEvent::Message { message, .. } if message == expected));
+        assert_eq!(links.counters().refused(LinkRefusal::Malformed), 1);
+    });
+}
+
+/// Writes a phase that no version knows.
+fn set_unknown_phase(grant: grant::Builder<'_>) {
+    let TypeVariant::Enum(phase) = ServerPhase::introspect().which() else {
+        unreachable!("a phase is an enumeration");
+    };
+    let unknown = dynamic_value::Enum::new(99, phase.into());
+    let grant: dynamic_value::Builder<'_> = grant.into();
+    let mut grant: dynamic_struct::Builder<'_> = grant.downcast();
+    grant.set_named("phase", unknown.into()).unwrap();
+}
+
+/// Sends raw bytes and waits until the host closes the connection.
+async fn send_raw(address: SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    // The host may close before all is written.
+    let _ = stream.write_all(bytes).await;
+    let mut buf = [0; 256];
+    while matches!(stream.read(&mut buf).await, Ok(count) if count > 0) {}
+}
+
+#[test]
+fn frame_over_the_limit_closes_the_connection() {
+    run(async {
+        let (links, _rx) = start();
+        // One segment of 2^28 words.
+        let head = [0, 0, 0, 0, 0, 0, 0, 0x10];
+        send_raw(links.local_addr(), &head).await;
+        let counters = links.counters();
+        // The RPC library does not say why it cannot read a frame.
+        until(|| counters.refused(LinkRefusal::Malformed) == 1).await;
+        assert_eq!(counters.read().bytes_in, 8);
+    });
+}
+
+#[test]
+fn much_data_before_the_proof_closes_the_connection() {
+    run(async {
+        let (links, _rx) = start();
+        // One segment of 4,096 words, within the limit of a frame.
+        let mut frame = vec![0, 0, 0, 0, 0, 0x10, 0, 0];
+        frame.resize(8 + 8 * 4096, 0);
+        send_raw(links.local_addr(), &frame).await;
+        let counters = links.counters();
+        until(|| counters.refused(LinkRefusal::Malformed) == 1).await;
+        assert!(counters.read().bytes_in < 16 << 10);
+    });
+}
+
+#[test]
+fn callers_without_proof_do_not_exhaust_the_host() {
+    run(async {
+        let (links, mut rx) = start();
+        let mut silent = Vec::new();
+        for _ in 0..300 {
+            silent.push(TcpStream::connect(links.local_addr()).await.unwrap());
+        }
+        let counters = links.counters();
+        until(|| counters.refused(LinkRefusal::Connections) >= 44).await;
+        // They are closed after a while, and others are served again.
+        until(|| counters.refused(LinkRefusal::Key) == 256).await;
+        let peer = enter(links.local_addr()).await;
+        let mut request = peer.deliver_request();
+        request.get().init_messages(1);
+        request.send().promise.await.unwrap();
+        assert!(rx.recv().await.is_some());
+    });
+}
+
+/// A listening end that proves what it is told to and acknowledges nothing.
+struct FakeGate {
+    key: &'static [u8],
+    seen: Cell<Option<([u8; 32], [u8; 32])>>,
+}
+
+impl gate::Server for FakeGate {
+    async fn greet(
+        self: Rc<Self>,
+        params: gate::GreetParams,
+        mut results: gate::GreetResults,
+    ) -> Result<(), capnp::Error> {
+        let theirs: [u8; 32] = params.get()?.get_nonce()?.try_into().unwrap();
+        let mine = [9; 32];
+        self.seen.set(Some((theirs, mine)));
+        let mut results = results.get();
+        let mut identity = results.reborrow().init_identity();
+        identity.set_host(OTHER.0);
+        identity.set_incarnation(OTHER.1);
+        results.set_nonce(&mine);
+        Ok(())
+    }
+
+    async fn prove(
+        self: Rc<Self>,
+        _params: gate::ProveParams,
+        mut results: gate::ProveResults,
+    ) -> Result<(), capnp::Error> {
+        let (theirs, mine) = self.seen.get().unwrap();
+        let proof = proof(self.key, LISTENER, [HOST, OTHER], [&theirs, &mine]);
+        let mut results = results.get();
+        results.set_proof(&proof);
+        results.set_peer(capnp_rpc::new_client(SilentInbox));
+        Ok(())
+    }
+}
+
+struct SilentInbox;
+
+impl inbox::Server for SilentInbox {
+    async fn deliver(
+        self: Rc<Self>,
+        _params: inbox::DeliverParams,
+        _results: inbox::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        std::future::pending().await
+    }
+}
+
+async fn listen(key: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let seen = Cell::new(None);
+            let gate: gate::Client = capnp_rpc::new_client(FakeGate { key, seen });
+            let (reader, writer) = futures::AsyncReadExt::split(stream.compat());
+            let options = capnp::message::ReaderOptions::new();
+            let network = VatNetwork::new(reader, writer, Side::Server, options);
+            spawn_local(RpcSystem::new(Box::new(network), Some(gate.client)));
+        }
+    });
+    address
+}
+
+#[test]
+fn host_that_cannot_prove_the_key_gets_no_message() {
+    run(async {
+        let (links, mut rx) = start();
+        links.set_peers(vec![(HostId(OTHER.0), listen(b"wrong").await)]);
+        let down = LinkEvent::Down {
+            host: HostId(OTHER.0),
+        };
+        assert_eq!(rx.recv().await, Some(down));
+        assert!(links.counters().refused(LinkRefusal::Key) >= 1);
+        assert_eq!(links.counters().read().connects, 0);
+    });
+}
+
+#[test]
+fn link_that_acknowledges_nothing_is_closed() {
+    run(async {
+        let (links, mut rx) = start();
+        let host = HostId(OTHER.0);
+        links.set_peers(vec![(host, listen(KEY).await)]);
+        let up = LinkEvent::Up {
+            host,
+            incarnation: Incarnation(OTHER.1),
+        };
+        assert_eq!(rx.recv().await, Some(up));
+        links.send(host, PeerMessage::Heartbeat(Heartbeat::default()));
+        assert_eq!(rx.recv().await, Some(LinkEvent::Down { host }));
+        assert_eq!(links.counters().read().messages_out, 0);
+    });
+}
