gateway: count engine errors against the server, charge no rejected request

Cause: a model engine that answers 500 at once was reported as complete, so that its limit grew and it drew more requests. Its errors are now reported as failed, while the answer still passes on. A plain service's errors stay complete: one workspace could otherwise turn a server cold for all with requests that provoke them. A request that the server refused was charged its prompt.

Ruled out: turning error answers into refusals, since they are whole and the server's own.

Figures: one test for both kinds of service; a refused request is charged 0.

Conclusion: only errors that a caller cannot easily provoke lower a server's limit.

--- a/lib/src/gateway/answer.rs
+++ b/lib/src/gateway/answer.rs
@@ -51,10 +51,11 @@
 pub(crate) async fn receive(
     shared: &Arc<Shared>,
     call: &Call,
-    running: Running,
+    mut running: Running,
     answer: Response<Incoming>,
 ) -> Result<Response<Body>, Failure> {
     let (parts, incoming) = answer.into_parts();
+    running.account.on_head(&parts);
     let fail = |running: Running, outcome, fault: Option<Fault>| {
         if let Some(fault) = fault {
             shared.metrics.count_fault(fault);
@@ -223,7 +224,7 @@
         return Err(Failure::unknown(call, Code::ServerFailed));
     }
     let usage = is_model.then(|| Usage::parse(&body)).flatten();
-    let connection = running.end(EndOutcome::Complete, usage);
+    let connection = running.complete(usage);
     shared.pool.put_back(connection);
     parts.headers = headers::for_caller(&parts.headers);
     Ok(Response::from_parts(parts, Body::from(body)))
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -15,7 +15,6 @@
 use axum::http::header;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 
 use super::answer;
 use super::backend::BackendPool;
@@ -234,24 +233,15 @@
         let req = self.backend_request(order);
         let answer = running.connection.sender.send_request(req);
         match tokio::time::timeout(self.shared.answer_timeout(), answer).await {
-            Ok(Ok(answer)) => Tried::Sent(self.on_answer(running, answer).await),
+            Ok(Ok(answer)) => {
+                let received = answer::receive(self.shared, self.call, running, answer);
+                Tried::Sent(received.await)
+            }
             Ok(Err(e)) => self.on_no_answer(running, fault_of(&e)),
             Err(_) => self.on_no_answer(running, Fault::Late),
         }
     }
 
-    async fn on_answer(
-        &self,
-        mut running: Running,
-        answer: Response<Incoming>,
-    ) -> Result<Response<Body>, Failure> {
-        if let Some(instance) = answer.headers().get(headers::INSTANCE) {
-            let hash = xxhash_rust::xxh3::xxh3_64(instance.as_bytes());
-            running.account.set_instance(hash);
-        }
-        answer::receive(self.shared, self.call, running, answer).await
-    }
-
     /// Decides from the bytes written what became of a request without an answer.
     fn on_no_answer(&self, mut running: Running, fault: Fault) -> Tried {
         let written = running.connection.gate.close();
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -136,7 +136,7 @@
 
     fn complete(&mut self) {
         if let Some(running) = self.running.take() {
-            let connection = running.end(EndOutcome::Complete, None);
+            let connection = running.complete(None);
             self.shared.pool.put_back(connection);
         }
     }
--- a/lib/src/gateway/running.rs
+++ b/lib/src/gateway/running.rs
@@ -3,10 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::http::response::Parts;
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::backend::Connection;
 use super::backend::WriteGate;
 use super::backend::Written;
 use super::estimate::Estimates;
+use super::headers;
 use super::request::Call;
 use super::run_mark::RunMark;
 use super::scan::StreamScan;
@@ -52,6 +56,16 @@
         }
     }
 
+    /// Reports the end of a whole answer and returns the connection.
+    pub(crate) fn complete(self, usage: Option<Usage>) -> Connection {
+        let outcome = if self.account.is_engine_error {
+            EndOutcome::Failed
+        } else {
+            EndOutcome::Complete
+        };
+        self.end(outcome, usage)
+    }
+
     /// Reports the end and returns the connection.
     pub(crate) fn end(mut self, outcome: EndOutcome, usage: Option<Usage>) -> Connection {
         self.account.report(outcome, usage);
@@ -75,6 +89,7 @@
     last_event: Timestamp,
     reported: u64,
     instance: u64,
+    is_engine_error: bool,
     scan: StreamScan,
 }
 
@@ -96,6 +111,7 @@
             last_event: now,
             reported: 0,
             instance: 0,
+            is_engine_error: false,
             scan: StreamScan::default(),
         }
     }
@@ -105,9 +121,15 @@
         self.ticket.take()
     }
 
-    /// Notes the hash of the server's instance name.
-    pub(crate) fn set_instance(&mut self, instance: u64) {
-        self.instance = instance;
+    /// Notes what the head of the answer says of the server.
+    ///
+    /// An error of a model engine is a failure of the server. One of a plain service may be the
+    /// service's answer to this caller, who must not turn the server cold for others.
+    pub(crate) fn on_head(&mut self, head: &Parts) {
+        self.is_engine_error = self.kind == ServiceKind::Model && head.status.is_server_error();
+        if let Some(instance) = head.headers.get(headers::INSTANCE) {
+            self.instance = xxh3_64(instance.as_bytes());
+        }
     }
 
     /// Whether a stream has brought its end mark.
@@ -154,7 +176,10 @@
             return;
         };
         let now = self.with.clock.now();
-        let cost = self.cost(now.since(self.dispatched), usage);
+        let cost = match outcome {
+            EndOutcome::Rejected => 0,
+            _ => self.cost(now.since(self.dispatched), usage),
+        };
         if outcome == EndOutcome::Complete {
             let whole = now.since(self.arrived);
             self.with.pair.whole.observe(whole.as_secs_f64());
--- a/lib/tests/test_gateway_faults.rs
+++ b/lib/tests/test_gateway_faults.rs
@@ -315,7 +315,9 @@
     let mut rig = Rig::start(vec![order(silent.address)]).await;
     let answer = rig.call(&post()).await;
     assert_refused(&answer, 502, "server_unavailable", "unknown");
-    assert_eq!(rig.end().await.outcome, EndOutcome::Rejected);
+    let report = rig.end().await;
+    assert_eq!(report.outcome, EndOutcome::Rejected);
+    assert_eq!(report.cost, 0);
     assert_eq!(silent.runs(), 1);
 }
 
@@ -383,3 +385,18 @@
     }
     assert_eq!(gave_back, 1);
 }
+
+#[tokio::test]
+async fn error_of_an_engine_is_passed_on_and_counts_against_the_server() {
+    for (text, outcome) in [
+        (chat(false), EndOutcome::Failed),
+        (post(), EndOutcome::Complete),
+    ] {
+        let backend = Backend::answering(|req| req.answer("500 Error", "", "broken")).await;
+        let mut rig = Rig::start(vec![order(backend.address)]).await;
+        let answer = rig.call(&text).await;
+        assert!(answer.starts_with("HTTP/1.1 500 "), "{answer}");
+        assert!(answer.ends_with("broken"), "{answer}");
+        assert_eq!(rig.end().await.outcome, outcome);
+    }
+}
