pool: do not charge bids that wait elsewhere, and settle after a cut

A bid handed to another shard was charged until it came back, so the workspace that waited longest looked served. A request that costs more than a shard serves in an interval is told at once.

After a cut the peers had lost the totals of that time until the next full exchange, and each lifted workspaces by what it did not know: the workspace that was behind got 236 units in 1.5 s. A peer that was silent is now told everything at once, and its summary is acted on 300 ms later.

No check of safety changed.

--- a/lib/src/pool/exchange.rs
+++ b/lib/src/pool/exchange.rs
@@ -14,6 +14,8 @@
 
 /// Time after which a summary is no longer believed.
 const SUMMARY_TERM: Duration = Duration::from_secs(3);
+/// Time within which a shard that was silent tells all its totals.
+const TOTALS_GRACE: Duration = Duration::from_millis(300);
 /// Time for which a shard that had free slots is held to have capacity.
 const CAPACITY_TERM: Duration = Duration::from_secs(10);
 /// Time for which the answer to a pull is awaited.
@@ -28,6 +30,7 @@
     pub(crate) next_full: Timestamp,
     summary: Option<Summary>,
     charges: BTreeMap<WorkspaceId, u64>,
+    summary_from: Timestamp,
     summary_until: Timestamp,
     capable_until: Timestamp,
     pull_until: Timestamp,
@@ -42,6 +45,7 @@
             next_full: Timestamp::ZERO,
             summary: None,
             charges: BTreeMap::new(),
+            summary_from: Timestamp::ZERO,
             summary_until: Timestamp::ZERO,
             capable_until: Timestamp::ZERO,
             pull_until: Timestamp::ZERO,
@@ -53,6 +57,7 @@
     pub(crate) fn summary(&self, now: Timestamp) -> Option<&Summary> {
         self.summary
             .as_ref()
+            .filter(|_| self.summary_from.has_passed(now))
             .filter(|_| !self.summary_until.has_passed(now))
     }
 
@@ -115,12 +120,19 @@
         self.peers.values_mut()
     }
 
-    /// Takes in a summary, unless it comes from a host that does not schedule that shard.
-    pub(crate) fn summarize(&mut self, now: Timestamp, from: HostId, summary: Summary) {
+    /// Takes in a summary, unless it comes from a host that does not schedule that shard. Returns
+    /// whether the peer was silent before: it has to be told everything, and its summary is not
+    /// acted on until it has told its totals.
+    pub(crate) fn summarize(&mut self, now: Timestamp, from: HostId, summary: Summary) -> bool {
         let peer = self.peers.get_mut(&summary.domain);
         let Some(peer) = peer.filter(|peer| peer.host == from) else {
-            return;
+            return false;
         };
+        let silent = peer.summary_until.has_passed(now);
+        if silent {
+            peer.next_full = Timestamp::ZERO;
+            peer.summary_from = now + TOTALS_GRACE;
+        }
         if summary.free_slots > 0 {
             peer.capable_until = now + CAPACITY_TERM;
         }
@@ -131,12 +143,13 @@
             .map(|entry| (entry.workspace, entry.counter))
             .collect();
         peer.summary = Some(summary);
+        silent
     }
 
     /// Forgets the charges of summaries that are too old.
     pub(crate) fn expire(&mut self, now: Timestamp) {
         for peer in self.peers.values_mut() {
-            if peer.summary(now).is_none() {
+            if peer.summary_until.has_passed(now) {
                 peer.charges.clear();
             }
         }
--- a/lib/src/pool/fairness.rs
+++ b/lib/src/pool/fairness.rs
@@ -22,7 +22,7 @@
     /// Lifts a workspace that becomes backlogged to the least counter among the backlogged, or to
     /// the counter that was served last if there is none: idleness earns no credit.
     pub(super) fn lift_newcomer(&mut self, now: Timestamp, workspace: WorkspaceId) {
-        if self.queue.is_backlogged(workspace) || self.loans.charge(workspace) > 0 {
+        if self.queue.is_backlogged(workspace) || self.loans.has_workspace(workspace) {
             return;
         }
         let mut others = self.exchange.backlogged(now);
--- a/lib/src/pool/loan.rs
+++ b/lib/src/pool/loan.rs
@@ -18,11 +18,11 @@
     pub(crate) until: Timestamp,
 }
 
-/// Bids handed over to other shards. They are charged like granted requests.
+/// Bids handed over to other shards. They are not charged: a workspace whose bids wait elsewhere
+/// has not been served.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Loans {
     loans: BTreeMap<RequestId, Loan>,
-    charges: BTreeMap<WorkspaceId, u64>,
 }
 
 impl Loans {
@@ -30,33 +30,17 @@
         self.loans.contains_key(&request)
     }
 
-    pub(crate) fn charge(&self, workspace: WorkspaceId) -> u64 {
-        self.charges.get(&workspace).copied().unwrap_or_default()
-    }
-
-    /// Workspaces with loans, in ascending order.
-    pub(crate) fn workspaces(&self) -> impl Iterator<Item = WorkspaceId> {
-        self.charges.keys().copied()
+    pub(crate) fn has_workspace(&self, workspace: WorkspaceId) -> bool {
+        let mut loans = self.loans.values();
+        loans.any(|loan| loan.waiting.bid.workspace == workspace)
     }
 
     pub(crate) fn insert(&mut self, loan: Loan) {
-        let bid = loan.waiting.bid;
-        self.remove(bid.request);
-        let charge = self.charges.entry(bid.workspace).or_default();
-        *charge = charge.saturating_add(bid.estimate);
-        self.loans.insert(bid.request, loan);
+        self.loans.insert(loan.waiting.bid.request, loan);
     }
 
     pub(crate) fn remove(&mut self, request: RequestId) -> Option<Loan> {
-        let loan = self.loans.remove(&request)?;
-        let bid = loan.waiting.bid;
-        if let Some(charge) = self.charges.get_mut(&bid.workspace) {
-            *charge = charge.saturating_sub(bid.estimate);
-            if *charge == 0 {
-                self.charges.remove(&bid.workspace);
-            }
-        }
-        Some(loan)
+        self.loans.remove(&request)
     }
 
     /// Removes the loans whose deadline has passed.
@@ -74,15 +58,9 @@
     }
 
     fn take(&mut self, select: impl Fn(&Loan) -> bool) -> Vec<Loan> {
-        let taken: Vec<_> = self
-            .loans
-            .iter()
-            .filter(|(_, loan)| select(loan))
-            .map(|(request, _)| *request)
-            .collect();
-        taken
-            .into_iter()
-            .filter_map(|request| self.remove(request))
+        self.loans
+            .extract_if(.., |_, loan| select(loan))
+            .map(|(_, loan)| loan)
             .collect()
     }
 }
--- a/lib/src/pool/meter.rs
+++ b/lib/src/pool/meter.rs
@@ -68,6 +68,15 @@
         Some(busy / u32::try_from(departures).unwrap_or(u32::MAX))
     }
 
+    /// Average cost of ended requests within `span`.
+    pub(crate) fn cost_within(&self, span: Duration) -> u64 {
+        let cost: u64 = self.buckets.iter().map(|bucket| bucket.cost).sum();
+        let buckets = u64::try_from(self.buckets.len()).unwrap_or(u64::MAX);
+        let observed = buckets.saturating_mul(BUCKET.as_millis() as u64);
+        let span = span.as_millis() as u64;
+        cost.saturating_mul(span) / observed.max(1)
+    }
+
     /// Highest cost per second among the latest buckets.
     pub(crate) fn peak_rate(&self) -> u64 {
         let peak = self.buckets.iter().map(|bucket| bucket.cost).max();
--- a/lib/src/pool/scheduler.rs
+++ b/lib/src/pool/scheduler.rs
@@ -112,7 +112,7 @@
             } => self.on_announcement(now, from, incarnation, announcement, out),
             PoolEvent::GatewayLost(gateway) => self.on_gateway_lost(gateway),
             PoolEvent::Totals(totals) => self.on_totals(&totals),
-            PoolEvent::Summary { from, summary } => self.exchange.summarize(now, from, summary),
+            PoolEvent::Summary { from, summary } => self.on_summary(now, from, summary),
             PoolEvent::Pull { from, pull } => self.on_pull(now, from, pull, out),
             PoolEvent::Handover(handover) => self.on_handover(now, handover),
             PoolEvent::Tick => self.on_tick(now, out),
@@ -140,16 +140,10 @@
     pub(super) fn counter(&self, workspace: WorkspaceId) -> u64 {
         self.ledger
             .counter(workspace)
-            .saturating_add(self.own_charge(workspace))
+            .saturating_add(self.flights.load(workspace).charge)
             .saturating_add(self.exchange.charge(workspace))
     }
 
-    /// What this shard has charged for requests that have not ended.
-    pub(super) fn own_charge(&self, workspace: WorkspaceId) -> u64 {
-        let granted = self.flights.load(workspace).charge;
-        granted.saturating_add(self.loans.charge(workspace))
-    }
-
     pub(super) fn send(&self, to: HostId, message: PeerMessage, out: &mut Vec<PoolAction>) {
         out.push(PoolAction::Send { to, message });
     }
--- a/lib/src/pool/sharing.rs
+++ b/lib/src/pool/sharing.rs
@@ -38,7 +38,7 @@
 /// Bids handed over at once.
 const HANDOVER_BOUND: u32 = 64;
 /// Bids of one workspace that are pulled at least to even out the counters.
-const LEAST_FAIR_PULL: u64 = 2;
+const LEAST_FAIR_PULL: u64 = 1;
 
 /// The summary that was sent last.
 #[derive(Clone, Debug, Default)]
@@ -58,6 +58,12 @@
         }
     }
 
+    pub(super) fn on_summary(&mut self, now: Timestamp, from: HostId, summary: Summary) {
+        if self.exchange.summarize(now, from, summary) {
+            self.summary.next_repeat = now;
+        }
+    }
+
     /// Hands the first bids of the fair order over to another shard. Bids of a third shard stay:
     /// they would wander.
     pub(super) fn on_pull(
@@ -71,10 +77,12 @@
             self.exchange.note_capacity(now, pull.domain);
         }
         let mut bids = Vec::new();
+        let mut lent = BTreeMap::new();
         for _ in 0..pull.count.min(HANDOVER_BOUND) {
-            let Some(waiting) = self.next_to_lend(now, pull.workspace) else {
+            let Some(waiting) = self.next_to_lend(now, pull.workspace, &lent) else {
                 break;
             };
+            *lent.entry(waiting.bid.workspace).or_default() += waiting.bid.estimate;
             self.queue.remove(waiting.bid.request);
             self.meter.depart(now);
             bids.push(waiting.bid_at(now));
@@ -156,6 +164,7 @@
         state.next_repeat.has_passed(now)
             || (changed && state.next_change.has_passed(now))
             || (is_urgent(sent, summary) && state.next_urgent.has_passed(now))
+            || most_moved(sent, summary) > self.meter.cost_within(CHANGE_INTERVAL)
     }
 
     fn send_totals(&mut self, now: Timestamp, out: &mut Vec<PoolAction>) {
@@ -180,7 +189,6 @@
     fn summarize(&self, now: Timestamp) -> Summary {
         let mut workspaces: BTreeSet<_> = self.queue.workspaces().collect();
         workspaces.extend(self.flights.workspaces());
-        workspaces.extend(self.loans.workspaces());
         let mut backlog: Vec<_> = workspaces
             .into_iter()
             .map(|workspace| self.backlog_of(workspace))
@@ -208,11 +216,21 @@
         BacklogEntry {
             workspace,
             queued: u32::try_from(own.count()).unwrap_or(u32::MAX),
-            counter: self.own_charge(workspace),
+            counter: self.flights.load(workspace).charge,
         }
     }
 
-    fn next_to_lend(&self, now: Timestamp, only: Option<WorkspaceId>) -> Option<Waiting> {
+    /// The next bid of the fair order, counting the bids that were picked before.
+    fn next_to_lend(
+        &self,
+        now: Timestamp,
+        only: Option<WorkspaceId>,
+        lent: &BTreeMap<WorkspaceId, u64>,
+    ) -> Option<Waiting> {
+        let counter = |workspace| {
+            let picked = lent.get(&workspace).copied().unwrap_or_default();
+            self.counter(workspace).saturating_add(picked)
+        };
         let heads = self
             .queue
             .workspaces()
@@ -220,7 +238,7 @@
             .filter_map(|workspace| self.queue.line(workspace).find(|w| !w.is_guest()))
             .filter(|waiting| !waiting.deadline.has_passed(now));
         heads
-            .min_by_key(|waiting| (self.counter(waiting.bid.workspace), waiting.bid.workspace))
+            .min_by_key(|waiting| (counter(waiting.bid.workspace), waiting.bid.workspace))
             .copied()
     }
 
@@ -306,6 +324,25 @@
     full(sent) != full(new) || waiting(sent) != waiting(new)
 }
 
+/// The largest change of a workspace's charges. A request that costs more than the shard serves
+/// in an interval is told at once, or every shard would start one before it hears of the others.
+fn most_moved(sent: &Summary, new: &Summary) -> u64 {
+    let before: BTreeMap<_, _> = sent
+        .backlog
+        .iter()
+        .map(|entry| (entry.workspace, entry.counter))
+        .collect();
+    new.backlog
+        .iter()
+        .map(|entry| {
+            entry
+                .counter
+                .abs_diff(before.get(&entry.workspace).copied().unwrap_or(0))
+        })
+        .max()
+        .unwrap_or(0)
+}
+
 fn waiting(summary: &Summary) -> BTreeSet<WorkspaceId> {
     let entries = summary.backlog.iter().filter(|entry| entry.queued > 0);
     entries.map(|entry| entry.workspace).collect()
