--- /dev/null
+++ b/lib/examples/peer_bytes.rs
@@ -0,0 +1,207 @@
+//! Measures what links cost: bytes at the socket by batch size, and memory of idle links.
+//!
+//! `cargo run --release -p cardamomshift-lib --example peer_bytes`
+
+use std::time::Duration;
+use std::time::Instant;
+
+use cardamomshift_lib::id::HostId;
+use cardamomshift_lib::id::Incarnation;
+use cardamomshift_lib::id::RequestId;
+use cardamomshift_lib::id::ServerId;
+use cardamomshift_lib::id::ServiceId;
+use cardamomshift_lib::id::WorkspaceId;
+use cardamomshift_lib::message::Bid;
+use cardamomshift_lib::message::Grant;
+use cardamomshift_lib::message::Heartbeat;
+use cardamomshift_lib::message::PeerMessage;
+use cardamomshift_lib::peer::LinkEvent;
+use cardamomshift_lib::peer::Links;
+use cardamomshift_lib::peer::PeerOptions;
+use cardamomshift_lib::settings::Secret;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Bids for each batch size.
+const BIDS: usize = 10_000;
+/// Hosts that are all linked to one another to measure memory.
+const MESH_HOSTS: u64 = 20;
+
+struct Host {
+    id: HostId,
+    links: Links,
+    rx: UnboundedReceiver<LinkEvent>,
+}
+
+impl Host {
+    fn start(id: u64) -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let options = PeerOptions {
+            own: HostId(id),
+            incarnation: Incarnation(id),
+            key: Secret::new("key of the measurement"),
+            listen: "127.0.0.1:0".parse().expect("an address"),
+            source: None,
+        };
+        let links = Links::start(options, tx).expect("a free port");
+        let id = HostId(id);
+        Self { id, links, rx }
+    }
+
+    async fn until_up(&mut self) {
+        while !matches!(self.rx.recv().await, Some(LinkEvent::Up { .. })) {}
+    }
+
+    /// Waits for messages to arrive.
+    async fn receive(&mut self, mut count: usize) {
+        while count > 0 {
+            if let Some(LinkEvent::Message { .. }) = self.rx.recv().await {
+                count -= 1;
+            }
+        }
+    }
+
+    /// Waits until all that was sent is acknowledged.
+    async fn until_acknowledged(&self, messages: u64) {
+        while self.links.counters().read().messages_out < messages {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Bytes in both directions at the sockets of this host.
+    fn bytes(&self) -> u64 {
+        let figures = self.links.counters().read();
+        figures.bytes_in + figures.bytes_out
+    }
+}
+
+fn bid(sequence: usize) -> PeerMessage {
+    PeerMessage::Bid(Bid {
+        request: request(sequence),
+        service: ServiceId(u64::MAX / 3),
+        workspace: WorkspaceId(17),
+        estimate: 700,
+        remaining_us: 1_900_000,
+        prefix: u64::MAX / 5,
+    })
+}
+
+fn grant(sequence: usize) -> PeerMessage {
+    PeerMessage::Grant(Grant {
+        request: request(sequence),
+        service: ServiceId(u64::MAX / 3),
+        server: ServerId(u64::MAX / 7),
+        limit: 8,
+        remaining_us: 500_000,
+        ..Grant::default()
+    })
+}
+
+fn heartbeat(_: usize) -> PeerMessage {
+    PeerMessage::Heartbeat(Heartbeat {
+        revision: 4_000,
+        clock_us: 1 << 40,
+        ..Heartbeat::default()
+    })
+}
+
+fn request(sequence: usize) -> RequestId {
+    RequestId {
+        gateway: HostId(u64::MAX / 11),
+        sequence: (1 << 50) + sequence as u64,
+    }
+}
+
+/// Bytes per message in both directions, of messages sent `batch` at a time.
+async fn one_way(batch: usize, message: fn(usize) -> PeerMessage) -> f64 {
+    let (a, mut b) = (Host::start(1), Host::start(2));
+    let count = BIDS / batch * batch;
+    let mut a = linked(a, &b).await;
+    let before = a.bytes();
+    for start in (0..count).step_by(batch) {
+        for sequence in start..start + batch {
+            a.links.send(b.id, message(sequence));
+        }
+        b.receive(batch).await;
+        a.until_acknowledged((start + batch) as u64).await;
+    }
+    a.rx.close();
+    (a.bytes() - before) as f64 / count as f64
+}
+
+async fn linked(mut a: Host, b: &Host) -> Host {
+    a.links.set_peers(vec![(b.id, b.links.local_addr())]);
+    a.until_up().await;
+    a
+}
+
+/// Bytes per bid and grant in both directions, and time per pair, of bids sent `batch` at a time.
+async fn bid_and_grant(batch: usize) -> (f64, Duration) {
+    let (a, b) = (Host::start(1), Host::start(2));
+    let mut a = linked(a, &b).await;
+    let mut b = linked(b, &a).await;
+    let count = BIDS / batch * batch;
+    let before = a.bytes();
+    let started = Instant::now();
+    for start in (0..count).step_by(batch) {
+        for sequence in start..start + batch {
+            a.links.send(b.id, bid(sequence));
+        }
+        b.receive(batch).await;
+        for sequence in start..start + batch {
+            b.links.send(a.id, grant(sequence));
+        }
+        a.receive(batch).await;
+        a.until_acknowledged((start + batch) as u64).await;
+        b.until_acknowledged((start + batch) as u64).await;
+    }
+    let bytes = (a.bytes() - before) as f64 / count as f64;
+    (bytes, started.elapsed() / count as u32)
+}
+
+/// Resident memory of this process, bytes.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
+/// Resident memory of one idle link, both ends together, bytes.
+async fn idle_link() -> u64 {
+    let mut hosts: Vec<_> = (1..=MESH_HOSTS).map(Host::start).collect();
+    let peers: Vec<_> = hosts
+        .iter()
+        .map(|host| (host.id, host.links.local_addr()))
+        .collect();
+    let before = resident();
+    for host in &hosts {
+        host.links.set_peers(peers.clone());
+    }
+    for host in &mut hosts {
+        for _ in 1..MESH_HOSTS {
+            host.until_up().await;
+        }
+    }
+    resident().saturating_sub(before) / (MESH_HOSTS * (MESH_HOSTS - 1))
+}
+
+/// Prints the figures.
+async fn peer_bytes() {
+    println!("idle link, both ends: {} bytes resident", idle_link().await);
+    println!("heartbeat alone: {:.1} bytes", one_way(1, heartbeat).await);
+    println!("batch | bid, bytes | bid and grant, bytes | bid and grant, time");
+    for batch in [1, 4, 16, 64] {
+        let alone = one_way(batch, bid).await;
+        let (pair, time) = bid_and_grant(batch).await;
+        println!("{batch} | {alone:.1} | {pair:.1} | {time:.1?}");
+    }
+}
+
+fn main() {
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&rt, peer_bytes());
+}
