peer: pack batches within the call

Cause: a bid took 80 bytes in a large batch, half of them zeros, because RPC frames are not packed.

A batch now travels as packed data within the call. Ruled out: a transport of our own around the RPC system, which would pack the frames as well but replace what the library gives.

One more test: four batches that cannot be unpacked.

--- a/lib/schema/peer.capnp
+++ b/lib/schema/peer.capnp
@@ -18,7 +18,12 @@
 interface Peer {
   # A host that has proved the key of the fleet may deliver messages.
 
-  deliver @0 (messages :List(Message)) -> ();
+  deliver @0 (batch :Data) -> ();
+  # A `Batch` in packed encoding: most numbers are small, and RPC frames are not packed.
+}
+
+struct Batch {
+  messages @0 :List(Message);
 }
 
 struct Identity {
--- a/lib/src/peer/dial.rs
+++ b/lib/src/peer/dial.rs
@@ -18,7 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::codec::encode;
+use super::batch::encode_batch;
 use super::counters::LinkRefusal;
 use super::counters::add;
 use super::gate::read_identity;
@@ -221,10 +221,8 @@
         batch: &[PeerMessage],
     ) -> Result<(), DialError> {
         let mut request = peer.deliver_request();
-        let mut messages = request.get().init_messages(batch.len() as u32);
-        for (i, message) in batch.iter().enumerate() {
-            encode(message, messages.reborrow().get(i as u32));
-        }
+        let packed = encode_batch(batch).context(CallSnafu)?;
+        request.get().set_batch(&packed);
         timeout(DELIVER_TIMEOUT, request.send().promise)
             .await
             .context(TimeoutSnafu)?
--- a/lib/src/peer/gate.rs
+++ b/lib/src/peer/gate.rs
@@ -5,11 +5,10 @@
 use std::rc::Rc;
 
 use capnp::Error;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use super::codec::decode;
-use super::counters::LinkCounters;
+use super::batch::BatchError;
+use super::batch::decode_batch;
 use super::counters::LinkRefusal;
 use super::counters::add;
 use super::links::LinkEvent;
@@ -22,7 +21,6 @@
 use super::proof::Side;
 use super::proof::Transcript;
 use super::proof::draw_nonce;
-use super::queue::BATCH_MESSAGES;
 use super::socket::Limit;
 use crate::id::HostId;
 use crate::id::Incarnation;
@@ -137,39 +135,26 @@
 impl Inbox {
     fn deliver(&self, params: &peer_capnp::peer::DeliverParams) -> Result<(), Error> {
         let counters = &self.local.counters;
-        let messages = params.get()?.get_messages()?;
-        if messages.len() as usize > BATCH_MESSAGES {
-            counters.refuse(LinkRefusal::Size);
-            return Err(Error::failed("batch is too large".to_owned()));
-        }
-        for reader in messages {
-            self.take_in(reader, counters, &self.local.events)?;
+        let unpacked = decode_batch(params.get()?.get_batch()?).map_err(|err| self.refuse(err))?;
+        add(&counters.messages_in, unpacked.messages.len() as u64);
+        counters.refuse_many(LinkRefusal::Malformed, unpacked.malformed);
+        for message in unpacked.messages {
+            self.local.emit(LinkEvent::Message {
+                from: self.from.host,
+                incarnation: self.from.incarnation,
+                message,
+            });
         }
         Ok(())
     }
 
-    fn take_in(
-        &self,
-        reader: peer_capnp::message::Reader<'_>,
-        counters: &LinkCounters,
-        events: &mpsc::UnboundedSender<LinkEvent>,
-    ) -> Result<(), Error> {
-        let message = match decode(reader) {
-            Ok(message) => message,
-            Err(_) => {
-                // One message that cannot be read does not spoil the others.
-                counters.refuse(LinkRefusal::Malformed);
-                return Ok(());
-            }
+    fn refuse(&self, err: BatchError) -> Error {
+        let (kind, err) = match err {
+            BatchError::TooMany => (LinkRefusal::Size, Error::failed("too large".to_owned())),
+            BatchError::Malformed(err) => (LinkRefusal::Malformed, err),
         };
-        add(&counters.messages_in, 1);
-        events
-            .send(LinkEvent::Message {
-                from: self.from.host,
-                incarnation: self.from.incarnation,
-                message,
-            })
-            .map_err(|_| Error::disconnected("stopping".to_owned()))
+        self.local.counters.refuse(kind);
+        err
     }
 }
 
--- a/lib/src/peer/mod.rs
+++ b/lib/src/peer/mod.rs
@@ -4,6 +4,7 @@
 //! batches; answers travel over the peer's own outgoing connection. Before anything else both
 //! ends prove the key of the fleet. Messages may be lost at any point.
 
+mod batch;
 mod codec;
 mod counters;
 mod dial;
--- a/lib/src/peer/peer_capnp.rs
+++ b/lib/src/peer/peer_capnp.rs
@@ -1954,18 +1954,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_messages(
-                self,
-            ) -> ::capnp::Result<
-                ::capnp::struct_list::Reader<'a, crate::peer::peer_capnp::message::Owned>,
-            > {
+            pub fn get_batch(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_messages(&self) -> bool {
+            pub fn has_batch(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -2065,40 +2061,22 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_messages(
-                self,
-            ) -> ::capnp::Result<
-                ::capnp::struct_list::Builder<'a, crate::peer::peer_capnp::message::Owned>,
-            > {
+            pub fn get_batch(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_messages(
-                &mut self,
-                value: ::capnp::struct_list::Reader<'_, crate::peer::peer_capnp::message::Owned>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
+            pub fn set_batch(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_messages(
-                self,
-                size: u32,
-            ) -> ::capnp::struct_list::Builder<'a, crate::peer::peer_capnp::message::Owned>
-            {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    size,
-                )
+            pub fn init_batch(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_messages(&self) -> bool {
+            pub fn has_batch(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -2115,7 +2093,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(46, 71, 250, 241, 56, 210, 180, 247),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
@@ -2136,27 +2114,22 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(40, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 97, 116, 99, 104, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(150, 127, 137, 188, 238, 225, 176, 197),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::message::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2443,6 +2416,332 @@
     }
 }
 
+pub mod batch {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_messages(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peer::peer_capnp::message::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_messages(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 0,
+                pointers: 1,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_messages(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer::peer_capnp::message::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_messages(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer::peer_capnp::message::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_messages(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer::peer_capnp::message::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_messages(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(187, 78, 59, 109, 212, 50, 235, 235),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(3, 94, 212, 169, 194, 241, 230, 183),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 66, 97, 116, 99, 104),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(109, 101, 115, 115, 97, 103, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(150, 127, 137, 188, 238, 225, 176, 197),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::message::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+        pub(crate) const TYPE_ID: u64 = 0xebeb_32d4_6d3b_4ebb;
+    }
+}
+
 pub mod identity {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/lib/src/peer/queue.rs
+++ b/lib/src/peer/queue.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::batch::BATCH_MESSAGES;
 use super::codec::encoded_bytes;
 use super::counters::LinkCounters;
 use super::counters::LinkRefusal;
@@ -19,8 +20,6 @@
 const QUEUE_BYTES: usize = 8 << 20;
 /// Time within which a message must be sent: times in it lose their meaning while it waits.
 const MESSAGE_LIFETIME: Duration = Duration::from_secs(2);
-/// Messages in a batch at most.
-pub(crate) const BATCH_MESSAGES: usize = 512;
 /// Bytes in a batch at most, as estimated, unless one message alone is larger.
 const BATCH_BYTES: usize = 256 << 10;
 /// Bytes in a message at most, as estimated. Holds a configuration of a megabyte.
--- a/lib/tests/test_peer_protocol.rs
+++ b/lib/tests/test_peer_protocol.rs
@@ -12,6 +12,7 @@
 use capnp::dynamic_value;
 use capnp::introspect::Introspect;
 use capnp::introspect::TypeVariant;
+use capnp::struct_list;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
@@ -29,8 +30,10 @@
 use hmac::KeyInit;
 use hmac::Mac;
 use peer::peer_capnp::ServerPhase;
+use peer::peer_capnp::batch;
 use peer::peer_capnp::gate;
 use peer::peer_capnp::grant;
+use peer::peer_capnp::message;
 use peer::peer_capnp::peer as inbox;
 use sha2::Sha256;
 use tokio::io::AsyncReadExt;
@@ -141,6 +144,29 @@
     answer.get()?.get_peer()
 }
 
+/// Delivers a batch of `count` messages.
+async fn deliver(
+    peer: &inbox::Client,
+    count: u32,
+    fill: impl FnOnce(struct_list::Builder<'_, message::Owned>),
+) -> Result<(), capnp::Error> {
+    let mut builder = capnp::message::Builder::new_default();
+    fill(
+        builder
+            .init_root::<batch::Builder<'_>>()
+            .init_messages(count),
+    );
+    let mut packed = Vec::new();
+    capnp::serialize_packed::write_message(&mut packed, &builder)?;
+    deliver_packed(peer, &packed).await
+}
+
+async fn deliver_packed(peer: &inbox::Client, packed: &[u8]) -> Result<(), capnp::Error> {
+    let mut request = peer.deliver_request();
+    request.get().set_batch(packed);
+    request.send().promise.await.map(|_| ())
+}
+
 /// Greets and proves as the protocol wants it.
 async fn enter(address: SocketAddr) -> inbox::Client {
     let gate = call(address).await;
@@ -155,10 +181,10 @@
     run(async {
         let (links, mut rx) = start();
         let peer = enter(links.local_addr()).await;
-        let mut request = peer.deliver_request();
-        let messages = request.get().init_messages(1);
-        messages.get(0).init_heartbeat().set_revision(5);
-        request.send().promise.await.unwrap();
+        let sent = deliver(&peer, 1, |messages| {
+            messages.get(0).init_heartbeat().set_revision(5);
+        });
+        sent.await.unwrap();
         let message = PeerMessage::Heartbeat(Heartbeat {
             revision: 5,
             ..Heartbeat::default()
@@ -237,14 +263,10 @@
     run(async {
         let (links, mut rx) = start();
         let peer = enter(links.local_addr()).await;
-        let mut request = peer.deliver_request();
-        request.get().init_messages(513);
-        assert!(request.send().promise.await.is_err());
+        assert!(deliver(&peer, 513, |_| ()).await.is_err());
         assert_eq!(links.counters().refused(LinkRefusal::Size), 1);
         assert!(rx.try_recv().is_err());
-        let mut request = peer.deliver_request();
-        request.get().init_messages(512);
-        request.send().promise.await.unwrap();
+        deliver(&peer, 512, |_| ()).await.unwrap();
         assert_eq!(links.counters().read().messages_in, 512);
     });
 }
@@ -254,12 +276,11 @@
     run(async {
         let (links, mut rx) = start();
         let peer = enter(links.local_addr()).await;
-        let mut request = peer.deliver_request();
-        let mut messages = request.get().init_messages(2);
-        let grant = messages.reborrow().get(0).init_grant();
-        set_unknown_phase(grant);
-        messages.reborrow().get(1).init_bid().set_estimate(9);
-        request.send().promise.await.unwrap();
+        let sent = deliver(&peer, 2, |mut messages| {
+            set_unknown_phase(messages.reborrow().get(0).init_grant());
+            messages.get(1).init_bid().set_estimate(9);
+        });
+        sent.await.unwrap();
         let first = rx.recv().await.unwrap();
         let expected = PeerMessage::Bid(Bid {
             estimate: 9,
@@ -270,6 +291,25 @@
     });
 }
 
+#[test]
+fn batch_that_cannot_be_unpacked_is_refused_and_the_link_goes_on() {
+    run(async {
+        let (links, _rx) = start();
+        let peer = enter(links.local_addr()).await;
+        // Nothing; a head that is cut off; one segment of 2^31 words; zeros without end.
+        let zeros = [0, 255].repeat(1 << 16);
+        let wrong: [&[u8]; 4] = [&[], &[0x11], &[0x80, 0x80], &zeros];
+        for (i, packed) in wrong.into_iter().enumerate() {
+            let refused = links.counters().refused(LinkRefusal::Malformed);
+            let _ = deliver_packed(&peer, packed).await;
+            let now = links.counters().refused(LinkRefusal::Malformed);
+            assert_eq!(now, refused + 1, "batch {i}");
+        }
+        deliver(&peer, 1, |_| ()).await.unwrap();
+        assert_eq!(links.counters().read().messages_in, 1);
+    });
+}
+
 /// Writes a phase that no version knows.
 fn set_unknown_phase(grant: grant::Builder<'_>) {
     let TypeVariant::Enum(phase) = ServerPhase::introspect().which() else {
@@ -331,9 +371,7 @@
         // They are closed after a while, and others are served again.
         until(|| counters.refused(LinkRefusal::Key) == 256).await;
         let peer = enter(links.local_addr()).await;
-        let mut request = peer.deliver_request();
-        request.get().init_messages(1);
-        request.send().promise.await.unwrap();
+        deliver(&peer, 1, |_| ()).await.unwrap();
         assert!(rx.recv().await.is_some());
     });
 }
