--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -8,10 +8,13 @@
 mod backend;
 mod code;
 mod dispatch;
+mod estimate;
+mod head_watch;
 mod headers;
 mod keyed;
 mod model;
 mod preface;
+mod pump;
 mod refusal;
 mod relay;
 mod request;
@@ -79,6 +82,7 @@
             clock: parts.clock,
             metrics: parts.metrics.clone(),
             pool: BackendPool::new(parts.clock),
+            estimates: Arc::default(),
             waiting: WaitingLimit::new(parts.limits.waiting_per_workspace),
         });
         let front = Front {
--- a/lib/src/gateway/preface.rs
+++ b/lib/src/gateway/preface.rs
@@ -2,14 +2,20 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+use super::head_watch::HeadWatch;
 
 /// What a client of HTTP/2 sends first (RFC 9113, section 3.4).
 const HTTP2_PREFACE: &[u8; 24] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
@@ -32,11 +38,15 @@
 
 impl Start {
     /// Puts the bytes back before the stream that they were read from.
-    pub(crate) fn join(self, stream: TcpStream) -> StartedStream {
+    pub(crate) fn join(self, stream: TcpStream, timeouts: Timeouts) -> StartedStream {
         StartedStream {
             start: self,
             taken: 0,
             stream,
+            timeouts,
+            head: None,
+            is_head_late: false,
+            stall: None,
         }
     }
 }
@@ -57,11 +67,84 @@
     Ok((Protocol::Http2, start))
 }
 
-/// A stream that gives its first bytes again.
+/// What a caller has time for.
+pub(crate) struct Timeouts {
+    /// Time for the head of a request, from its first byte.
+    pub(crate) head: Duration,
+    /// Tells when a head begins and ends. Without it heads are not timed.
+    pub(crate) watch: Option<Arc<HeadWatch>>,
+    /// Time in which the caller must take a byte of an answer.
+    pub(crate) write: Duration,
+}
+
+/// Runs from the first byte of a head.
+struct HeadTimer {
+    /// Requests that had begun before.
+    begun: u64,
+    sleep: Pin<Box<Sleep>>,
+}
+
+/// A stream that gives its first bytes again, and fails if the caller is too slow.
 pub(crate) struct StartedStream {
     start: Start,
     taken: usize,
     stream: TcpStream,
+    timeouts: Timeouts,
+    head: Option<HeadTimer>,
+    is_head_late: bool,
+    /// Runs while the socket takes no byte.
+    stall: Option<Pin<Box<Sleep>>>,
+}
+
+impl StartedStream {
+    /// Whether the stream has failed because a head took too long.
+    pub(crate) fn is_head_late(&self) -> bool {
+        self.is_head_late
+    }
+
+    /// Starts the timer of a head with its first byte.
+    fn on_bytes(&mut self) {
+        let Some(watch) = &self.timeouts.watch else {
+            return;
+        };
+        let begun = watch.begun();
+        let is_timed = self.head.as_ref().is_some_and(|head| head.begun == begun);
+        if watch.is_idle() && !is_timed {
+            self.head = Some(HeadTimer {
+                begun,
+                sleep: Box::pin(tokio::time::sleep(self.timeouts.head)),
+            });
+        }
+    }
+
+    /// Waits for the time of a head that has begun and has not ended.
+    fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let (Some(watch), Some(head)) = (&self.timeouts.watch, &mut self.head) else {
+            return Poll::Pending;
+        };
+        if head.begun != watch.begun() {
+            self.head = None;
+            return Poll::Pending;
+        }
+        head.sleep.as_mut().poll(cx)
+    }
+
+    fn watch_stall(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.stall = None;
+            return written;
+        }
+        let timeout = self.timeouts.write;
+        let stall = self
+            .stall
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+        ready!(stall.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl AsyncRead for StartedStream {
@@ -71,8 +154,15 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.taken == self.start.len {
-            return Pin::new(&mut self.stream).poll_read(cx, buf);
+            if Pin::new(&mut self.stream).poll_read(cx, buf)?.is_ready() {
+                self.on_bytes();
+                return Poll::Ready(Ok(()));
+            }
+            ready!(self.poll_head(cx));
+            self.is_head_late = true;
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
+        self.on_bytes();
         let rest = &self.start.buf[self.taken..self.start.len];
         let n = rest.len().min(buf.remaining());
         buf.put_slice(&rest[..n]);
@@ -87,7 +177,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.watch_stall(cx, written)
     }
 
     fn poll_write_vectored(
@@ -95,7 +186,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.watch_stall(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -19,8 +19,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::head_watch::HeadWatch;
+use super::head_watch::WatchedRouter;
 use super::preface::Protocol;
 use super::preface::StartedStream;
+use super::preface::Timeouts;
 use super::preface::read_preface;
 use crate::metrics::Metrics;
 use crate::settings::LimitSettings;
@@ -29,6 +32,11 @@
 const HEAD_BUFFER_MIN: usize = 8192;
 /// Wait after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Time that a connection may be idle between two requests. It is longer than the usual time
+/// after which balancers and clients give up idle connections, so that they close first.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Time between pings to HTTP/2 callers, which show whether they are still there.
+const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(20);
 /// Answer to a connection beyond the limit.
 const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -47,30 +55,60 @@
 
 impl Server {
     /// Serves until the stop, then until the open requests have ended or the drain timeout.
-    pub(crate) async fn run(mut self) {
-        let permits = Arc::new(Semaphore::new(self.limits.connections));
-        let mut connections = JoinSet::new();
+    pub(crate) async fn run(self) {
+        let mut stop = self.stop.clone();
+        let mut connections = Connections {
+            router: self.router,
+            permits: Arc::new(Semaphore::new(self.limits.connections)),
+            limits: self.limits,
+            metrics: self.metrics,
+            stop: self.stop,
+            open: JoinSet::new(),
+        };
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
-                () = stopped(&mut self.stop) => break,
-                Some(_) = connections.join_next() => continue,
-            };
-            let Ok((stream, _)) = accepted else {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
+                () = stopped(&mut stop) => break,
+                Some(_) = connections.open.join_next() => continue,
             };
-            match permits.clone().try_acquire_owned() {
-                Ok(permit) => {
-                    connections.spawn(self.connection(stream, permit));
-                }
-                Err(_) => self.refuse_connection(&stream),
+            match accepted {
+                Ok((stream, _)) => connections.admit(stream),
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+        for stream in close(self.listener) {
+            connections.admit(stream);
+        }
+        connections.drain().await;
+    }
+}
+
+/// Open connections.
+struct Connections {
+    router: Router,
+    limits: LimitSettings,
+    metrics: Arc<Metrics>,
+    stop: watch::Receiver<bool>,
+    permits: Arc<Semaphore>,
+    open: JoinSet<()>,
+}
+
+impl Connections {
+    /// Serves a connection, or refuses it if too many are open.
+    fn admit(&mut self, stream: TcpStream) {
+        match self.permits.clone().try_acquire_owned() {
+            Ok(permit) => {
+                let connection = self.connection(stream, permit);
+                self.open.spawn(connection);
             }
+            Err(_) => self.refuse_connection(&stream),
         }
-        drop(self.listener);
-        let drained = async { while connections.join_next().await.is_some() {} };
+    }
+
+    /// Waits for the open connections. Those that remain after the timeout are aborted.
+    async fn drain(mut self) {
         let timeout = Duration::from_millis(self.limits.drain_timeout_ms);
-        // Whatever still runs after the timeout is aborted with the set.
+        let drained = async { while self.open.join_next().await.is_some() {} };
         let _ = tokio::time::timeout(timeout, drained).await;
     }
 
@@ -89,6 +127,7 @@
             router: self.router.clone(),
             header_bytes: self.limits.header_bytes.max(HEAD_BUFFER_MIN),
             head_timeout: Duration::from_millis(self.limits.header_timeout_ms),
+            write_timeout: Duration::from_millis(self.limits.idle_timeout_ms),
             stop: self.stop.clone(),
         };
         let gauge = self.metrics.connections.clone();
@@ -101,6 +140,20 @@
     }
 }
 
+/// Closes a listener and gives the connections that wait in its queue, which would be reset.
+fn close(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    // The listener does not block: the first error says that the queue is empty.
+    std::iter::from_fn(|| listener.accept().ok())
+        .filter_map(|(stream, _)| {
+            stream.set_nonblocking(true).ok()?;
+            TcpStream::from_std(stream).ok()
+        })
+        .collect()
+}
+
 /// Waits for the stop. A closed channel is one, too.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
@@ -110,6 +163,7 @@
     router: Router,
     header_bytes: usize,
     head_timeout: Duration,
+    write_timeout: Duration,
     stop: watch::Receiver<bool>,
 }
 
@@ -118,8 +172,19 @@
         let _ = stream.set_nodelay(true);
         let preface = read_preface(&mut stream);
         match tokio::time::timeout(self.head_timeout, preface).await {
-            Ok(Ok((Protocol::Http1, start))) => self.serve_http1(start.join(stream)).await,
-            Ok(Ok((Protocol::Http2, start))) => self.serve_http2(start.join(stream)).await,
+            Ok(Ok((protocol, start))) => {
+                let watch = Arc::new(HeadWatch::default());
+                let timeouts = Timeouts {
+                    head: self.head_timeout,
+                    watch: (protocol == Protocol::Http1).then(|| watch.clone()),
+                    write: self.write_timeout,
+                };
+                let io = start.join(stream, timeouts);
+                match protocol {
+                    Protocol::Http1 => self.serve_http1(io, watch).await,
+                    Protocol::Http2 => self.serve_http2(io).await,
+                }
+            }
             Ok(Err(_)) => {}
             Err(_) => {
                 let _ = stream.write_all(HEAD_TIMEOUT).await;
@@ -127,28 +192,34 @@
         }
     }
 
-    async fn serve_http1(mut self, io: StartedStream) {
-        let service = TowerToHyperService::new(self.router);
+    async fn serve_http1(mut self, io: StartedStream, watch: Arc<HeadWatch>) {
+        let service = WatchedRouter {
+            router: TowerToHyperService::new(self.router),
+            watch,
+        };
+        // The library would close a connection without a request at once if it were told of the
+        // stop, but a request is on its way here.
+        let mut draining = *self.stop.borrow();
         let mut connection = http1::Builder::new()
+            .keep_alive(!draining)
             .timer(TokioTimer::new())
-            .header_read_timeout(self.head_timeout)
+            .header_read_timeout(KEEP_ALIVE_TIMEOUT)
             .max_buf_size(self.header_bytes)
             .serve_connection(TokioIo::new(io), service);
-        let mut draining = false;
-        let ended = loop {
+        loop {
             let driver = std::future::poll_fn(|cx| connection.poll_without_shutdown(cx));
             tokio::select! {
-                ended = driver => break ended,
+                // What has arrived is read before the stop is looked at.
+                biased;
+                _ = driver => break,
                 () = stopped(&mut self.stop), if !draining => {
                     draining = true;
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
             }
-        };
-        let parts = connection.into_parts();
-        let mut io = parts.io.into_inner();
-        let is_head_late = ended.is_err_and(|e| e.is_timeout()) && !parts.read_buf.is_empty();
-        if is_head_late {
+        }
+        let mut io = connection.into_parts().io.into_inner();
+        if io.is_head_late() {
             let _ = io.write_all(HEAD_TIMEOUT).await;
         }
         let _ = io.shutdown().await;
@@ -161,6 +232,7 @@
             http2::Builder::new(TokioExecutor::new())
                 .timer(TokioTimer::new())
                 .max_header_list_size(header_bytes)
+                .keep_alive_interval(HTTP2_PING_INTERVAL)
                 .serve_connection(TokioIo::new(io), service)
         );
         let mut draining = false;
