host: part the membership file by what it does

Queries and roles moved to `query.rs`, heartbeats and repeated findings to `outgoing.rs`; nothing else changes.

--- a/lib/src/host/membership.rs
+++ b/lib/src/host/membership.rs
@@ -11,21 +11,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::HostList;
 use super::Role;
 use super::record::Listed;
 use super::record::Record;
-use super::rendezvous;
 use super::ring::Ring;
 use crate::id::DomainId;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::message::Finding;
-use crate::message::Health;
 use crate::message::Heartbeat;
-use crate::pool::PoolKey;
 use crate::time::Timestamp;
 
 /// Time between two calls of [`Membership::tick`].
@@ -33,16 +28,10 @@
 /// Listed hosts up to which every host sends heartbeats to every other.
 pub const FULL_MESH_HOSTS: usize = 16;
 
-/// Time between two heartbeats to a host in a full mesh.
-const MESH_INTERVAL: Duration = Duration::from_millis(250);
 /// Silence after which a host counts as dead in a full mesh.
 const MESH_SILENCE: Duration = Duration::from_secs(1);
-/// Time between two heartbeats within a failure domain of a large fleet.
-const NEAR_INTERVAL: Duration = Duration::from_millis(500);
 /// Silence after which a host of the own failure domain counts as dead in a large fleet.
 const NEAR_SILENCE: Duration = Duration::from_secs(2);
-/// Time between two heartbeats to another failure domain of a large fleet.
-const FAR_INTERVAL: Duration = Duration::from_secs(2);
 /// Silence after which a host of another failure domain counts as dead in a large fleet.
 const FAR_SILENCE: Duration = Duration::from_secs(6);
 /// Additional silence allowed to a host that may not know yet that it is watched.
@@ -52,17 +41,15 @@
 /// Silence after which an unlisted host of a large fleet counts as dead.
 const UNLISTED_SILENCE: Duration = Duration::from_secs(60);
 /// Time from the first reading of the list during which listed hosts count as alive unheard.
-const START_GRACE: Duration = Duration::from_secs(1);
+pub(crate) const START_GRACE: Duration = Duration::from_secs(1);
 /// Time without an outgoing link after which a host counts as dead.
 const LINK_GRACE: Duration = Duration::from_secs(1);
 /// Time between two ticks above which this host has itself been stalled.
 const STALL: Duration = Duration::from_millis(500);
 /// Time between two heartbeats to hosts that are held to be dead, in a large fleet.
-const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+pub(crate) const PROBE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two messages that repeat which hosts are held to be dead.
-const DIGEST_INTERVAL: Duration = Duration::from_secs(1);
-/// Hosts in such a message at most.
-const DIGEST_FINDINGS: usize = 128;
+pub(crate) const DIGEST_INTERVAL: Duration = Duration::from_secs(1);
 /// Rounds of heartbeats to all hosts after the start, one every [`START_GRACE`].
 const HELLO_ROUNDS: u32 = 2;
 /// Silence after which an unlisted host is forgotten.
@@ -121,19 +108,19 @@
     list_revision: Option<u64>,
     lower_revision_reads: u32,
     grace_until: Timestamp,
-    full_mesh: bool,
-    near: Vec<HostId>,
-    far: Vec<HostId>,
+    pub(crate) full_mesh: bool,
+    pub(crate) near: Vec<HostId>,
+    pub(crate) far: Vec<HostId>,
     last_tick: Timestamp,
     stalled: bool,
-    near_at: Timestamp,
-    far_at: Timestamp,
-    probe_at: Timestamp,
-    probed: HostId,
-    digest_at: Timestamp,
-    digest_to: HostId,
-    hello_at: Timestamp,
-    hellos: u32,
+    pub(crate) near_at: Timestamp,
+    pub(crate) far_at: Timestamp,
+    pub(crate) probe_at: Timestamp,
+    pub(crate) probed: HostId,
+    pub(crate) digest_at: Timestamp,
+    pub(crate) digest_to: HostId,
+    pub(crate) hello_at: Timestamp,
+    pub(crate) hellos: u32,
 }
 
 impl Membership {
@@ -300,104 +287,7 @@
         }
     }
 
-    /// Whether a host is held to be alive.
-    pub fn alive(&self, host: HostId) -> bool {
-        self.records.get(&host).is_some_and(|record| record.alive)
-    }
-
-    /// Whether a host is in the host list.
-    pub fn is_listed(&self, host: HostId) -> bool {
-        self.records.get(&host).is_some_and(|record| record.listed)
-    }
-
-    /// Hosts of a failure domain that are held to be alive, listed or not.
-    pub fn alive_hosts(&self, domain: DomainId) -> Vec<HostId> {
-        self.select(|record| record.alive && record.domain() == Some(domain))
-    }
-
-    /// Listed hosts of a failure domain.
-    pub fn listed_hosts(&self, domain: DomainId) -> Vec<HostId> {
-        self.select(|record| record.listed && record.domain() == Some(domain))
-    }
-
-    /// Every host that is listed or alive, of all failure domains.
-    pub fn known_hosts(&self) -> Vec<HostId> {
-        self.select(|record| record.listed || record.alive)
-    }
-
-    /// Failure domains with a listed host.
-    pub fn domains(&self) -> Vec<DomainId> {
-        let listed = self.records.values().filter(|record| record.listed);
-        let domains: BTreeSet<_> = listed.filter_map(Record::domain).collect();
-        domains.into_iter().collect()
-    }
-
-    /// Failure domain of a host.
-    pub fn domain(&self, host: HostId) -> Option<DomainId> {
-        self.records.get(&host).and_then(Record::domain)
-    }
-
-    /// The host that schedules a shard.
-    pub fn scheduler(&self, pool: PoolKey) -> Option<HostId> {
-        let mut key = [0; 16];
-        key[..8].copy_from_slice(&pool.service.0.to_le_bytes());
-        key[8..].copy_from_slice(&pool.domain.0.to_le_bytes());
-        rendezvous(self.candidates(pool.domain), xxh3_64(&key))
-    }
-
-    /// The two hosts of a failure domain that watch the configuration.
-    pub fn watchers(&self, domain: DomainId) -> Vec<HostId> {
-        let mut candidates = self.candidates(domain);
-        let mut watchers = Vec::new();
-        for _ in 0..2 {
-            let Some(watcher) = rendezvous(candidates.iter().copied(), domain.0) else {
-                break;
-            };
-            candidates.retain(|host| *host != watcher);
-            watchers.push(watcher);
-        }
-        watchers
-    }
-
-    /// Latest known life of a host.
-    pub fn incarnation(&self, host: HostId) -> Option<Incarnation> {
-        let record = self.records.get(&host)?;
-        (record.incarnation != Incarnation::default()).then_some(record.incarnation)
-    }
-
-    /// Latest configuration revision that a host announced to this one, zero if unknown.
-    pub fn revision(&self, host: HostId) -> u64 {
-        self.records.get(&host).map_or(0, |record| record.revision)
-    }
-
-    /// Whether a host leaves, by the list or by its own word.
-    pub fn is_leaving(&self, host: HostId) -> bool {
-        self.records.get(&host).is_some_and(Record::is_leaving)
-    }
-
-    /// Hosts to keep a link to, with the address of their listener.
-    pub fn peers_to_connect(&self) -> Vec<(HostId, SocketAddr)> {
-        self.records
-            .iter()
-            .filter(|(host, record)| **host != self.own && (record.listed || record.alive))
-            .filter_map(|(host, record)| Some((*host, record.entry?.address)))
-            .collect()
-    }
-
-    /// Hosts that may hold roles in a failure domain: those that have been alive for long enough,
-    /// or any that are alive if there are none.
-    fn candidates(&self, domain: DomainId) -> Vec<HostId> {
-        let in_domain = |record: &Record| record.is_candidate() && record.domain() == Some(domain);
-        let steady =
-            self.select(|record| in_domain(record) && record.hold_down.is_steady(self.now));
-        if steady.is_empty() {
-            self.select(in_domain)
-        } else {
-            steady
-        }
-    }
-
-    fn select(&self, condition: impl Fn(&Record) -> bool) -> Vec<HostId> {
+    pub(crate) fn select(&self, condition: impl Fn(&Record) -> bool) -> Vec<HostId> {
         self.records
             .iter()
             .filter(|(_, record)| condition(record))
@@ -718,105 +608,4 @@
         };
         self.expect_next(host, extra);
     }
-
-    fn due_heartbeats(&mut self) -> Vec<HostId> {
-        let mut due = std::mem::take(&mut self.greetings);
-        if self.hellos > 0 && self.hello_at.has_passed(self.now) {
-            self.hellos -= 1;
-            self.hello_at = self.now + START_GRACE;
-            due.extend(self.known_hosts());
-        }
-        let interval = if self.full_mesh {
-            MESH_INTERVAL
-        } else {
-            NEAR_INTERVAL
-        };
-        if pass(&mut self.near_at, self.now, interval) {
-            if self.full_mesh {
-                due.extend(self.known_hosts());
-            } else {
-                due.extend(&self.near);
-            }
-        }
-        if pass(&mut self.far_at, self.now, FAR_INTERVAL) {
-            due.extend(&self.far);
-        }
-        if pass(&mut self.probe_at, self.now, PROBE_INTERVAL) {
-            due.extend(self.next_dead_host());
-        }
-        due.remove(&self.own);
-        due.into_iter().collect()
-    }
-
-    /// A listed host that is held to be dead, another one each time.
-    fn next_dead_host(&mut self) -> Option<HostId> {
-        let dead = self.select(|record| record.listed && !record.alive);
-        let next = next_after(&dead, self.probed)?;
-        self.probed = next;
-        Some(next)
-    }
-
-    fn due_findings(&mut self) -> Vec<(HostId, Vec<Finding>)> {
-        if pass(&mut self.digest_at, self.now, DIGEST_INTERVAL) && !self.full_mesh {
-            self.prepare_digest();
-        }
-        std::mem::take(&mut self.outbox)
-            .into_iter()
-            .map(|(receiver, hosts)| {
-                let findings = hosts.into_iter().filter_map(|host| self.finding(host));
-                (receiver, findings.collect::<Vec<_>>())
-            })
-            .filter(|(_, findings)| !findings.is_empty())
-            .collect()
-    }
-
-    /// Repeats which hosts are held to be dead to one host of the failure domain, another one each
-    /// time, in case that an earlier message was lost.
-    fn prepare_digest(&mut self) {
-        let mut receivers = self.alive_hosts(self.own_domain);
-        receivers.retain(|host| *host != self.own);
-        let dead = self.select(|record| record.listed && !record.alive);
-        let Some(receiver) = next_after(&receivers, self.digest_to) else {
-            return;
-        };
-        self.digest_to = receiver;
-        let about = dead.into_iter().take(DIGEST_FINDINGS);
-        self.outbox.entry(receiver).or_default().extend(about);
-    }
-
-    fn finding(&self, host: HostId) -> Option<Finding> {
-        let record = self.records.get(&host)?;
-        let age = self.now.since(record.known_until()).as_micros();
-        let health = match (record.alive, record.is_suspect()) {
-            (true, false) => Health::Alive,
-            (true, true) => Health::Suspect,
-            (false, _) => Health::Dead,
-        };
-        Some(Finding {
-            host,
-            incarnation: record.incarnation,
-            health,
-            age_us: u64::try_from(age).unwrap_or(u64::MAX),
-        })
-    }
-}
-
-/// Whether the deadline `at` has passed; it is then set `interval` later.
-fn pass(at: &mut Timestamp, now: Timestamp, interval: Duration) -> bool {
-    if !at.has_passed(now) {
-        return false;
-    }
-    let next = *at + interval;
-    *at = if next.has_passed(now) {
-        now + interval
-    } else {
-        next
-    };
-    true
-}
-
-/// The host after `last` in ascending order, or the first one.
-fn next_after(hosts: &[HostId], last: HostId) -> Option<HostId> {
-    let next = hosts.iter().find(|host| **host > last);
-    next.or(hosts.first()).copied()
 }
--- a/lib/src/host/mod.rs
+++ b/lib/src/host/mod.rs
@@ -4,6 +4,8 @@
 mod hold_down;
 mod listing;
 mod membership;
+mod outgoing;
+mod query;
 mod record;
 mod rendezvous;
 mod ring;
--- /dev/null
+++ b/lib/src/host/outgoing.rs
@@ -0,0 +1,124 @@
+//! What a host sends of its own accord: heartbeats and findings.
+
+use std::time::Duration;
+
+use super::Membership;
+use super::membership::DIGEST_INTERVAL;
+use super::membership::PROBE_INTERVAL;
+use super::membership::START_GRACE;
+use crate::id::HostId;
+use crate::message::Finding;
+use crate::message::Health;
+use crate::time::Timestamp;
+
+/// Time between two heartbeats to a host in a full mesh.
+const MESH_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two heartbeats within a failure domain of a large fleet.
+const NEAR_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two heartbeats to another failure domain of a large fleet.
+const FAR_INTERVAL: Duration = Duration::from_secs(2);
+/// Hosts in such a message at most.
+const DIGEST_FINDINGS: usize = 128;
+
+impl Membership {
+    pub(crate) fn due_heartbeats(&mut self) -> Vec<HostId> {
+        let mut due = std::mem::take(&mut self.greetings);
+        if self.hellos > 0 && self.hello_at.has_passed(self.now) {
+            self.hellos -= 1;
+            self.hello_at = self.now + START_GRACE;
+            due.extend(self.known_hosts());
+        }
+        let interval = if self.full_mesh {
+            MESH_INTERVAL
+        } else {
+            NEAR_INTERVAL
+        };
+        if pass(&mut self.near_at, self.now, interval) {
+            if self.full_mesh {
+                due.extend(self.known_hosts());
+            } else {
+                due.extend(&self.near);
+            }
+        }
+        if pass(&mut self.far_at, self.now, FAR_INTERVAL) {
+            due.extend(&self.far);
+        }
+        if pass(&mut self.probe_at, self.now, PROBE_INTERVAL) {
+            due.extend(self.next_dead_host());
+        }
+        due.remove(&self.own);
+        due.into_iter().collect()
+    }
+
+    /// A listed host that is held to be dead, another one each time.
+    fn next_dead_host(&mut self) -> Option<HostId> {
+        let dead = self.select(|record| record.listed && !record.alive);
+        let next = next_after(&dead, self.probed)?;
+        self.probed = next;
+        Some(next)
+    }
+
+    pub(crate) fn due_findings(&mut self) -> Vec<(HostId, Vec<Finding>)> {
+        if pass(&mut self.digest_at, self.now, DIGEST_INTERVAL) && !self.full_mesh {
+            self.prepare_digest();
+        }
+        std::mem::take(&mut self.outbox)
+            .into_iter()
+            .map(|(receiver, hosts)| {
+                let findings = hosts.into_iter().filter_map(|host| self.finding(host));
+                (receiver, findings.collect::<Vec<_>>())
+            })
+            .filter(|(_, findings)| !findings.is_empty())
+            .collect()
+    }
+
+    /// Repeats which hosts are held to be dead to one host of the failure domain, another one each
+    /// time, in case that an earlier message was lost.
+    fn prepare_digest(&mut self) {
+        let mut receivers = self.alive_hosts(self.own_domain);
+        receivers.retain(|host| *host != self.own);
+        let dead = self.select(|record| record.listed && !record.alive);
+        let Some(receiver) = next_after(&receivers, self.digest_to) else {
+            return;
+        };
+        self.digest_to = receiver;
+        let about = dead.into_iter().take(DIGEST_FINDINGS);
+        self.outbox.entry(receiver).or_default().extend(about);
+    }
+
+    fn finding(&self, host: HostId) -> Option<Finding> {
+        let record = self.records.get(&host)?;
+        let age = self.now.since(record.known_until()).as_micros();
+        let health = match (record.alive, record.is_suspect()) {
+            (true, false) => Health::Alive,
+            (true, true) => Health::Suspect,
+            (false, _) => Health::Dead,
+        };
+        Some(Finding {
+            host,
+            incarnation: record.incarnation,
+            health,
+            age_us: u64::try_from(age).unwrap_or(u64::MAX),
+        })
+    }
+}
+
+/// Whether the deadline `at` has passed; it is then set `interval` later.
+fn pass(at: &mut Timestamp, now: Timestamp, interval: Duration) -> bool {
+    if !at.has_passed(now) {
+        return false;
+    }
+    let next = *at + interval;
+    *at = if next.has_passed(now) {
+        now + interval
+    } else {
+        next
+    };
+    true
+}
+
+/// The host after `last` in ascending order, or the first one.
+fn next_after(hosts: &[HostId], last: HostId) -> Option<HostId> {
+    let next = hosts.iter().find(|host| **host > last);
+    next.or(hosts.first()).copied()
+}
