daemon: start the binary on free ports in its test

Cause: the signal test now opens real listeners, and fixed ports clash with whatever else runs on the machine.

--- a/daemon/tests/test_daemon.rs
+++ b/daemon/tests/test_daemon.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
@@ -36,6 +37,19 @@
     path
 }
 
+/// Settings with listeners on ports that are free now.
+fn with_free_ports() -> String {
+    let listeners: Vec<_> = (0..4)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    (18080..)
+        .zip(&listeners)
+        .fold(VALID.to_owned(), |text, (port, listener)| {
+            let free = listener.local_addr().unwrap().port();
+            text.replace(&format!(":{port}\""), &format!(":{free}\""))
+        })
+}
+
 fn daemon() -> Command {
     Command::new(env!("CARGO_BIN_EXE_cardamomshiftd"))
 }
@@ -87,7 +101,7 @@
     for signal in ["TERM", "INT"] {
         let mut process = daemon()
             .arg("--config")
-            .arg(settings("signals.toml", VALID))
+            .arg(settings("signals.toml", &with_free_ports()))
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
