operation: bound the memory of ends that wait for the platform

Cause: in an outage every ended operation kept its answer in memory until the platform was back: 1,024 answers of up to 256 KiB and their texts, far above what a host may use. The bound is now on their size, 64 MiB; beyond it an answer is recorded without its body, and beyond that the record stays pending and lapses to unknown.

Ruled out: refusing new keys earlier, since their claims fail in an outage anyway.

Figures: with a bound of 7 KiB and answers of 1 KiB, three are kept, one is recorded without its body and one stays pending.

Conclusion: an outage costs answers, never memory without bound nor a second run.

--- a/lib/src/operation/record.rs
+++ b/lib/src/operation/record.rs
@@ -130,6 +130,18 @@
     NotRun,
 }
 
+impl Settlement {
+    /// The same end without the body of an answer.
+    pub fn without_body(self) -> Self {
+        match self {
+            Self::Completed(answer) => Self::CompletedWithoutBody {
+                status: answer.status,
+            },
+            other => other,
+        }
+    }
+}
+
 impl From<Settlement> for RecordState {
     fn from(settlement: Settlement) -> Self {
         match settlement {
--- a/lib/src/operation/records.rs
+++ b/lib/src/operation/records.rs
@@ -9,6 +9,7 @@
 use compact_str::format_compact;
 use sha2::Digest;
 use sha2::Sha256;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
@@ -39,8 +40,8 @@
 const SETTLE_CALLS_MAX: u32 = 12;
 /// Pause after the first failed call of such an attempt; it doubles with every further one.
 const SETTLE_PAUSE: Duration = Duration::from_millis(50);
-/// Records that may be on their way to their end at once.
-const SETTLING_MAX: usize = 1024;
+/// Size of the ends that may be on their way to the store at once, KiB.
+const SETTLING_KIB_MAX: usize = 64 << 10;
 /// Longest key of a caller, bytes.
 const KEY_BYTES_MAX: usize = 255;
 
@@ -79,10 +80,16 @@
 impl Records {
     /// Keeps records in `store` on behalf of `host`.
     pub fn new(store: Store, host: CompactString) -> Self {
+        Self::with_memory(store, host, SETTLING_KIB_MAX)
+    }
+
+    /// Keeps records in `store` on behalf of `host`, with a bound of its own on the size of the
+    /// ends that may be on their way to the store at once, KiB.
+    pub fn with_memory(store: Store, host: CompactString, settling_kib: usize) -> Self {
         Self {
             store,
             host,
-            settling: Arc::new(Semaphore::new(SETTLING_MAX)),
+            settling: Arc::new(Semaphore::new(settling_kib)),
         }
     }
 
@@ -182,6 +189,17 @@
         }
     }
 
+    /// Reserves memory for an end, without the answer's body if there is too little.
+    fn reserve(&self, settlement: Settlement) -> Option<(OwnedSemaphorePermit, Settlement)> {
+        let settling = &self.settling;
+        if let Ok(permit) = settling.clone().try_acquire_many_owned(kib(&settlement)) {
+            return Some((permit, settlement));
+        }
+        let small = settlement.without_body();
+        let permit = settling.clone().try_acquire_many_owned(kib(&small));
+        permit.ok().map(|permit| (permit, small))
+    }
+
     /// Carries an end to the store, within a bound on the calls.
     async fn settle(&self, key: &OperationKey, settle: &Settle, mut step: SettleStep) -> bool {
         let mut pause = SETTLE_PAUSE;
@@ -259,6 +277,8 @@
     fn spawn_settle(&mut self, settlement: Settlement) -> Option<JoinHandle<bool>> {
         let nonce = self.nonce.clone();
         let known = std::mem::replace(&mut self.known, Known::Nothing);
+        // Beyond the bound the record stays pending, which is safe, and lapses to unknown.
+        let (permit, settlement) = self.records.reserve(settlement)?;
         let (settle, step) = match known {
             Known::Exactly { version, record } => {
                 Settle::start(nonce, settlement, version, &record)
@@ -266,8 +286,6 @@
             Known::Perhaps => Settle::start_unknown(nonce, settlement),
             Known::Nothing => return None,
         };
-        // Beyond the bound the record stays pending, which is safe, and lapses to unknown.
-        let permit = self.records.settling.clone().try_acquire_owned().ok()?;
         let runtime = tokio::runtime::Handle::try_current().ok()?;
         let (records, key) = (self.records.clone(), self.key.clone());
         Some(runtime.spawn(async move {
@@ -289,6 +307,15 @@
     }
 }
 
+/// Size of an end, KiB, rounded up.
+fn kib(settlement: &Settlement) -> u32 {
+    let bytes = match settlement {
+        Settlement::Completed(answer) => answer.body.len(),
+        Settlement::CompletedWithoutBody { .. } | Settlement::Unknown | Settlement::NotRun => 0,
+    };
+    u32::try_from(bytes / 1024).map_or(u32::MAX, |kib| kib.saturating_add(1))
+}
+
 /// Wall-clock time, seconds since the Unix epoch.
 fn unix_seconds() -> u64 {
     SystemTime::now()
--- a/lib/tests/test_operation_platform.rs
+++ b/lib/tests/test_operation_platform.rs
@@ -10,6 +10,7 @@
 use cardamomshift_lib::operation::Records;
 use cardamomshift_lib::operation::Settlement;
 use cardamomshift_lib::operation::Standing;
+use cardamomshift_lib::operation::Store;
 use cardamomshift_lib::operation::StoredAnswer;
 use cardamomshift_lib::platform::CallOptions;
 use cardamomshift_lib::platform::ObjectClient;
@@ -87,3 +88,39 @@
     api.handle().set_outage(Outage::None);
     won(claim(&records, "other").await);
 }
+
+#[tokio::test]
+async fn ends_that_wait_for_the_platform_are_bounded_in_size() {
+    let api = ObjectApi::start("127.0.0.1:0".parse().unwrap());
+    let objects = ObjectClient::new(api.address(), CallOptions::default());
+    let store = Store::of(&objects);
+    let records = Arc::new(Records::with_memory(store, "host-a".into(), 7));
+    let keys = ["a", "b", "c", "d", "e"];
+    let mut holds = Vec::new();
+    for key in keys {
+        holds.push(won(claim(&records, key).await));
+    }
+    api.handle().set_outage(Outage::Unavailable);
+    let answer = StoredAnswer {
+        status: 200,
+        headers: vec![],
+        body: vec![7; 1024],
+    };
+    let settle = |hold: Hold| hold.settle(Settlement::Completed(answer.clone()));
+    // Two KiB are taken for each of the first three, and one for the fourth without its body.
+    let tasks: Vec<_> = holds.into_iter().map(settle).collect();
+    assert!(tasks[4].is_none());
+    api.handle().set_outage(Outage::None);
+    for task in tasks.into_iter().flatten() {
+        assert!(task.await.unwrap());
+    }
+    for key in ["a", "b", "c"] {
+        assert_eq!(
+            lost(claim(&records, key).await),
+            Standing::Replay(answer.clone())
+        );
+    }
+    let not_kept = Standing::AnswerNotKept { status: 200 };
+    assert_eq!(lost(claim(&records, "d").await), not_kept);
+    assert_eq!(lost(claim(&records, "e").await), Standing::InProgress);
+}
