bench: start every fleet on a fresh subnet

A second fleet of one process could get the subnet of the first one, whose listeners were still closing: the measurement cold then failed with a host that could not listen, and the host panicked while it dropped its runtime. Fleets now claim one subnet after another, and hosts start on a thread of their own.

--- a/bench/src/command/host.rs
+++ b/bench/src/command/host.rs
@@ -25,7 +25,9 @@
     pub(crate) async fn run(self) -> Result<(), CommandError> {
         let settings = Settings::load(&self.config)?;
         let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
-        let mut daemon = Daemon::start(settings)?;
+        // A host that cannot start drops its runtime, which only a thread outside of ours may do.
+        let started = tokio::task::spawn_blocking(|| Daemon::start(settings));
+        let mut daemon = started.await.expect("start of a host")?;
         tokio::select! {
             _ = terminate.recv() => {}
             // The bench is gone, and with it everything around the host.
--- a/bench/src/fleet/in_process.rs
+++ b/bench/src/fleet/in_process.rs
@@ -29,8 +29,12 @@
         let mut daemons = Vec::new();
         for plan in fleet.hosts() {
             let settings = Settings::parse(&fleet.settings_text(plan)).expect("settings");
+            // A host that cannot start drops its runtime, which only a thread outside of ours may
+            // do.
+            let started = tokio::task::spawn_blocking(|| Daemon::start(settings));
+            let started = started.await.expect("start of a host");
             let host = &plan.name;
-            daemons.push(Daemon::start(settings).context(DaemonSnafu { host })?);
+            daemons.push(started.context(DaemonSnafu { host })?);
         }
         let client = http_client();
         for plan in fleet.hosts() {
--- a/bench/src/fleet/subnet.rs
+++ b/bench/src/fleet/subnet.rs
@@ -4,6 +4,8 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 /// Port that is held while a subnet is in use.
 const CLAIM_PORT: u16 = 6999;
@@ -12,6 +14,9 @@
 /// Last octet of the first backend server in a failure domain.
 const FIRST_BACKEND: u8 = 128;
 
+/// Claims of this process so far.
+static CLAIMS: AtomicU32 = AtomicU32::new(0);
+
 /// The addresses 127.x.0.0/16 for one x that no other fleet uses.
 #[derive(Debug)]
 pub struct Subnet {
@@ -21,14 +26,16 @@
 }
 
 impl Subnet {
-    /// Claims the first free subnet from a place that differs between processes.
+    /// Claims the first free subnet from a place that differs between processes and calls: the
+    /// listeners of an earlier fleet may take a while to close.
     ///
     /// # Panics
     ///
     /// Panics if every subnet is in use.
     pub fn claim() -> Self {
         let count = u32::from(OCTETS.end() - OCTETS.start()) + 1;
-        let start = std::process::id() % count;
+        let earlier = CLAIMS.fetch_add(1, Ordering::Relaxed);
+        let start = (std::process::id() % count + earlier) % count;
         (0..count)
             .map(|i| OCTETS.start() + ((start + i) % count) as u8)
             .find_map(|octet| {
