backend_server: search for the limit with which a server does the most work

Cause: the limit grew with good completions and was held back only by the time to the first byte, whose baseline rose as fast as the limit and whose noise floor of 400 ms hid the rest. Engines that bear 8 requests got 22 at once and did less than with 8.

The search tries a neighbouring limit, measures the work that full-time requests do with it, and keeps the better one. A warm server that refuses without running lowers its limit instead of starting cold; a server that fails twice while it warms up has shown its ceiling.

--- a/lib/src/backend_server/admission.rs
+++ b/lib/src/backend_server/admission.rs
@@ -4,6 +4,7 @@
 
 use statig::prelude::*;
 
+use super::limit_search::LimitSearch;
 use crate::message::ServerPhase;
 
 /// Requests at once up to which a limit is probed.
@@ -14,7 +15,7 @@
 /// with more than one request at once. Both double with each failure of a warming server.
 const COLD_COMPLETIONS: u32 = 8;
 const COLD_SERVICE: Duration = Duration::from_secs(4);
-const MOST_COLD_DOUBLINGS: u32 = 4;
+const MOST_COLD_DOUBLINGS: u32 = 3;
 /// Good completions that raise a ceiling by one at first. The number grows fourfold with each
 /// failure that a raised limit provokes, and halves with each raise that is borne.
 const CEILING_COMPLETIONS: u32 = 64;
@@ -31,13 +32,10 @@
     Leave,
     /// The server is no longer listed.
     Removed,
-    /// A request ended well. `saturated` says whether the server was at its limit.
-    Good {
-        /// Whether the server was at its limit.
-        saturated: bool,
-        /// Time that the request ran.
-        served: Duration,
-    },
+    /// A request ended well.
+    Good(GoodEnd),
+    /// A warm server has refused a request, which it did not run.
+    Full,
     /// Latency has risen: the server bears no more than it does.
     Strained,
     /// The server failed, refused work, or is new.
@@ -54,12 +52,24 @@
     },
 }
 
+/// A request that ended well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct GoodEnd {
+    /// Whether the server was at its limit.
+    pub(crate) saturated: bool,
+    /// Whether the limit has not changed since the request was admitted.
+    pub(crate) current: bool,
+    /// Work done, in any unit that all requests of the server share.
+    pub(crate) work: u64,
+    /// Time that the request ran.
+    pub(crate) served: Duration,
+}
+
 /// What a backend server bears: its learnt limit, and the state that bounds it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Admission {
-    limit: u32,
+    search: LimitSearch,
     ceiling: u32,
-    credit: u32,
     ceiling_credit: u32,
     ceiling_price: u32,
     cold_completions: u32,
@@ -70,9 +80,8 @@
 impl Default for Admission {
     fn default() -> Self {
         Self {
-            limit: 1,
+            search: LimitSearch::starting_at(1, 0),
             ceiling: PROBE_BOUND,
-            credit: 0,
             ceiling_credit: 0,
             ceiling_price: CEILING_COMPLETIONS,
             cold_completions: 0,
@@ -102,13 +111,14 @@
     #[state(superstate = "serving", entry_action = "enter_cold")]
     fn cold(&mut self, event: &AdmissionEvent) -> Outcome<State> {
         match event {
-            AdmissionEvent::Good { served, .. } => {
+            AdmissionEvent::Good(end) => {
                 self.cold_completions += 1;
-                self.cold_service += *served;
+                self.cold_service += end.served;
                 if !self.has_warmed_up() {
                     return Handled;
                 }
-                self.grow();
+                let generation = self.search.generation() + 1;
+                self.search = LimitSearch::starting_at(2.min(self.ceiling), generation);
                 Transition(State::warming())
             }
             AdmissionEvent::Restored { phase, limit } => self.restore(*phase, *limit),
@@ -119,20 +129,16 @@
     #[state(superstate = "serving")]
     fn warming(&mut self, event: &AdmissionEvent) -> Outcome<State> {
         match event {
-            AdmissionEvent::Good { saturated, .. } => {
-                if *saturated {
-                    self.earn_ceiling();
-                    self.grow();
-                }
+            AdmissionEvent::Good(end) => {
+                self.measure(end);
                 self.settle()
             }
-            AdmissionEvent::Strained if self.limit > 1 => {
+            AdmissionEvent::Strained if self.limit() > 1 => {
                 self.shrink();
                 Transition(State::warm())
             }
-            // It was still cold: the next warm-up has to show more before the limit grows.
             AdmissionEvent::Damaged { replaced: false } => {
-                self.cold_doublings = (self.cold_doublings + 1).min(MOST_COLD_DOUBLINGS);
+                self.learn_cold_start();
                 Transition(State::cold())
             }
             _ => Super,
@@ -142,15 +148,17 @@
     #[state(superstate = "serving")]
     fn warm(&mut self, event: &AdmissionEvent) -> Outcome<State> {
         match event {
-            AdmissionEvent::Good { saturated, .. } => {
-                if *saturated {
-                    self.earn_ceiling();
-                    self.probe();
-                }
+            AdmissionEvent::Good(end) => {
+                self.measure(end);
                 Handled
             }
             AdmissionEvent::Strained => {
-                self.probe_down();
+                self.shrink();
+                Handled
+            }
+            AdmissionEvent::Full => {
+                self.learn_ceiling(false);
+                self.search.reduce_to(self.ceiling);
                 Handled
             }
             _ => Super,
@@ -192,8 +200,7 @@
 
     #[action]
     fn enter_cold(&mut self) {
-        self.limit = 1;
-        self.credit = 0;
+        self.search = LimitSearch::starting_at(1, self.search.generation() + 1);
         self.cold_completions = 0;
         self.cold_service = Duration::ZERO;
     }
@@ -202,7 +209,22 @@
 impl Admission {
     /// Requests that the server bears at once while it takes work.
     pub(crate) fn limit(&self) -> u32 {
-        self.limit
+        self.search.limit()
+    }
+
+    /// Number of the current limit among all that were tried.
+    pub(crate) fn generation(&self) -> u32 {
+        self.search.generation()
+    }
+
+    fn measure(&mut self, end: &GoodEnd) {
+        if !end.saturated {
+            return;
+        }
+        self.earn_ceiling();
+        if end.current {
+            self.search.record(end.work, end.served, self.ceiling);
+        }
     }
 
     fn has_warmed_up(&self) -> bool {
@@ -211,39 +233,27 @@
             || self.cold_service >= COLD_SERVICE * factor
     }
 
-    fn grow(&mut self) {
-        self.limit = (self.limit + 1).min(self.ceiling.max(1));
-    }
-
     fn settle(&self) -> Outcome<State> {
-        if self.limit >= WARM_LIMIT.min(self.ceiling).max(2) {
+        let is_high = self.limit() >= WARM_LIMIT.min(self.ceiling).max(2);
+        if is_high || !self.search.is_fast() {
             Transition(State::warm())
         } else {
             Handled
         }
     }
 
-    /// One more request at once after as many good completions as the limit counts.
-    fn probe(&mut self) {
-        self.credit += 1;
-        if self.credit >= self.limit {
-            self.credit = 0;
-            self.grow();
-        }
+    fn shrink(&mut self) {
+        let step = (self.limit() / 8).max(1);
+        self.search.reduce_to(self.limit().saturating_sub(step));
     }
 
-    /// Lowers the limit at most once for as many completions as it counts.
-    fn probe_down(&mut self) {
-        self.credit += 1;
-        if self.credit >= self.limit {
-            self.credit = 0;
-            self.shrink();
+    /// A server that fails while it warms up was still cold, so the next warm-up has to show more;
+    /// if it fails there again, it bears no more.
+    fn learn_cold_start(&mut self) {
+        if self.cold_doublings > 0 {
+            self.learn_ceiling(false);
         }
-    }
-
-    fn shrink(&mut self) {
-        let step = (self.limit / 8).max(1);
-        self.limit = self.limit.saturating_sub(step).max(1);
+        self.cold_doublings = (self.cold_doublings + 1).min(MOST_COLD_DOUBLINGS);
     }
 
     fn learn_ceiling(&mut self, replaced: bool) {
@@ -252,14 +262,14 @@
             self.ceiling = PROBE_BOUND;
             self.ceiling_price = CEILING_COMPLETIONS;
             self.cold_doublings = 0;
-        } else if self.limit > 1 {
-            self.ceiling = self.limit - 1;
+        } else if self.limit() > 1 {
+            self.ceiling = self.limit() - 1;
             self.ceiling_price = (self.ceiling_price * 4).min(MOST_COMPLETIONS);
         }
     }
 
     fn earn_ceiling(&mut self) {
-        if self.limit < self.ceiling {
+        if self.limit() < self.ceiling {
             return;
         }
         self.ceiling_credit += 1;
@@ -276,9 +286,10 @@
             ServerPhase::Warming => State::warming(),
             ServerPhase::Warm => State::warm(),
         };
-        self.limit = limit.clamp(1, PROBE_BOUND);
+        let limit = limit.clamp(1, PROBE_BOUND);
+        self.search = LimitSearch::settled_at(limit, self.search.generation() + 1);
         // More than gateways saw is probed as slowly as above a limit that led to a failure.
-        self.ceiling = self.limit.max(WARM_LIMIT);
+        self.ceiling = limit.max(WARM_LIMIT);
         self.ceiling_price = RESTORED_COMPLETIONS;
         Transition(target)
     }
--- a/lib/src/backend_server/mod.rs
+++ b/lib/src/backend_server/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod latency;
+mod limit_search;
 mod server;
 
 pub use server::BackendServer;
--- a/lib/src/backend_server/server.rs
+++ b/lib/src/backend_server/server.rs
@@ -8,6 +8,7 @@
 
 use super::admission::Admission;
 use super::admission::AdmissionEvent;
+use super::admission::GoodEnd;
 use super::admission::State;
 use super::latency::Latency;
 use super::latency::LatencySignal;
@@ -33,6 +34,8 @@
     pub instance: u64,
     /// Time to the first byte, microseconds, zero if there was none.
     pub first_byte_us: u64,
+    /// Work done, in any unit that all requests of the server share.
+    pub work: u64,
 }
 
 /// What gateways saw of a server before its scheduler began.
@@ -52,6 +55,8 @@
     at: Timestamp,
     slot: Option<u32>,
     epoch: u32,
+    /// Number of the limit at the admission.
+    generation: u32,
 }
 
 /// A backend server: its admission state, and the requests that it is known to run.
@@ -200,10 +205,19 @@
             // It was admitted to the server as it was before a damage.
             return;
         };
-        let served = now.since(admitted.at);
+        let good = GoodEnd {
+            saturated,
+            current: admitted.generation == self.admission.generation(),
+            work: end.work,
+            served: now.since(admitted.at),
+        };
         match end.outcome {
-            EndOutcome::Complete => self.succeed(saturated, served, end.first_byte_us),
+            EndOutcome::Complete => self.succeed(good, end.first_byte_us),
             EndOutcome::Cancelled => {}
+            EndOutcome::Rejected if self.failures == 0 && self.phase() == ServerPhase::Warm => {
+                self.failures = 1;
+                self.admission.handle(&AdmissionEvent::Full);
+            }
             EndOutcome::Rejected | EndOutcome::Failed => self.fail(now),
         }
     }
@@ -256,12 +270,11 @@
         instance != 0 && self.instance != 0 && instance != self.instance
     }
 
-    fn succeed(&mut self, saturated: bool, served: Duration, first_byte_us: u64) {
+    fn succeed(&mut self, end: GoodEnd, first_byte_us: u64) {
         self.failures = 0;
         match self.latency.record(first_byte_us) {
             LatencySignal::Normal => {
-                let event = AdmissionEvent::Good { saturated, served };
-                self.admission.handle(&event);
+                self.admission.handle(&AdmissionEvent::Good(end));
             }
             LatencySignal::Damaged => self.admission.handle(&AdmissionEvent::Strained),
             LatencySignal::Jump => self.damage(false),
@@ -284,8 +297,13 @@
     }
 
     fn insert(&mut self, at: Timestamp, request: RequestId, slot: Option<u32>) {
-        let epoch = self.epoch;
-        self.requests.insert(request, Admitted { at, slot, epoch });
+        let admitted = Admitted {
+            at,
+            slot,
+            epoch: self.epoch,
+            generation: self.admission.generation(),
+        };
+        self.requests.insert(request, admitted);
     }
 
     fn free_slots(&self, now: Timestamp) -> impl Iterator<Item = u32> {
--- a/lib/src/pool/granting.rs
+++ b/lib/src/pool/granting.rs
@@ -10,6 +10,7 @@
 use super::scheduler::Scheduler;
 use crate::backend_server::BackendServer;
 use crate::backend_server::Completion;
+use crate::host::ServiceKind;
 use crate::id::Incarnation;
 use crate::id::ServerId;
 use crate::message::Bid;
@@ -105,6 +106,7 @@
                 outcome: finished.outcome,
                 instance: finished.instance,
                 first_byte_us: finished.first_byte_us,
+                work: work_of(self.kind, &finished),
             };
             server.complete(now, finished.request, end);
         }
@@ -206,6 +208,15 @@
     }
 }
 
+/// Work that a request did: tokens of a model, but requests of a plain service, whose cost is the
+/// time that they ran.
+fn work_of(kind: ServiceKind, finished: &Finished) -> u64 {
+    match kind {
+        ServiceKind::Model => finished.cost,
+        ServiceKind::Plain => 1,
+    }
+}
+
 /// Share of the limit that is taken, in millionths.
 fn load_of(server: &BackendServer) -> u64 {
     u64::from(server.running()) * 1_000_000 / u64::from(server.limit().max(1))
--- a/lib/src/pool/scheduler.rs
+++ b/lib/src/pool/scheduler.rs
@@ -14,6 +14,7 @@
 use super::queue::Queue;
 use crate::backend_server::BackendServer;
 use crate::backend_server::Sight;
+use crate::host::ServiceKind;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::RequestId;
@@ -33,6 +34,7 @@
 pub struct Scheduler {
     pub(super) key: PoolKey,
     pub(super) own: HostId,
+    pub(super) kind: ServiceKind,
     pub(super) started: Timestamp,
     pub(super) queue: Queue,
     pub(super) flights: Flights,
@@ -66,6 +68,7 @@
         Self {
             key,
             own,
+            kind: ServiceKind::Model,
             started: now,
             queue: Queue::default(),
             flights: Flights::default(),
@@ -180,6 +183,7 @@
                 server
             });
             server.set_usable(entry.usable);
+            self.kind = entry.kind;
         }
         for (id, server) in &mut self.servers {
             if !listed.contains(id) {
--- /dev/null
+++ b/lib/tests/test_limit_search.rs
@@ -0,0 +1,109 @@
+//! The learnt limit of a server that batches, against the limit that it has.
+
+use std::time::Duration;
+
+use cardamomshift_lib::backend_server::BackendServer;
+use cardamomshift_lib::backend_server::Completion;
+use cardamomshift_lib::id::HostId;
+use cardamomshift_lib::id::RequestId;
+use cardamomshift_lib::id::ServerId;
+use cardamomshift_lib::message::EndOutcome;
+use cardamomshift_lib::time::Timestamp;
+use proptest::prelude::*;
+
+/// Steps of a run; a step of a batch gives each request one token.
+const STEPS: u32 = 40_000;
+/// Steps before the limit must have been learnt.
+const LEARNING_STEPS: u32 = 10_000;
+
+/// A server whose steps lengthen with each request, and with the square of the excess above a
+/// hidden number of requests.
+struct Batch {
+    knee: u32,
+    requests: Vec<(RequestId, u32, u32)>,
+}
+
+impl Batch {
+    fn step(&self) -> Duration {
+        let running = self.requests.len() as f64;
+        let excess = (running / f64::from(self.knee)).max(1.0);
+        Duration::from_secs_f64((0.005 + 0.000_25 * running) * excess * excess)
+    }
+}
+
+/// Runs a server with more waiting requests than it can take, and returns the share of the work
+/// of the best limit that was done after the learning.
+fn run(knee: u32, lengths: &[u32]) -> f64 {
+    let mut server = BackendServer::new(ServerId(1));
+    server.set_usable(true);
+    server.release(None);
+    let mut batch = Batch {
+        knee,
+        requests: Vec::new(),
+    };
+    let mut now = Timestamp::from_micros(1);
+    let mut next = 0;
+    let (mut tokens, mut time) = (0_u64, Duration::ZERO);
+    for step in 0..STEPS {
+        loop {
+            next += 1;
+            let request = RequestId {
+                gateway: HostId(1),
+                sequence: next,
+            };
+            if server.admit(now, request).is_none() {
+                break;
+            }
+            let length = lengths[next as usize % lengths.len()];
+            batch.requests.push((request, length, length));
+        }
+        let span = batch.step();
+        now = now + span;
+        if step >= LEARNING_STEPS {
+            tokens += batch.requests.len() as u64;
+            time += span;
+        }
+        for entry in &mut batch.requests {
+            entry.1 -= 1;
+        }
+        let ended: Vec<_> = batch
+            .requests
+            .iter()
+            .filter(|entry| entry.1 == 0)
+            .copied()
+            .collect();
+        batch.requests.retain(|entry| entry.1 > 0);
+        for (request, _, length) in ended {
+            let end = Completion {
+                outcome: EndOutcome::Complete,
+                instance: 1,
+                first_byte_us: 20_000,
+                work: u64::from(length),
+            };
+            server.complete(now, request, end);
+        }
+    }
+    let best = f64::from(knee) / (0.005 + 0.000_25 * f64::from(knee));
+    tokens as f64 / time.as_secs_f64() / best
+}
+
+#[test]
+fn server_without_a_knee_is_used_ever_more() {
+    assert!(run(10_000, &[40]) < 1.0);
+    let few = run(64, &[20, 30, 40]);
+    assert!(few > 0.8, "{few}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+    /// After the learning a server does at least nine tenths of the work that its best limit
+    /// would do, whatever the lengths of its requests.
+    #[test]
+    fn learnt_limit_does_the_work_of_the_best_one(
+        knee in 4..32_u32,
+        lengths in proptest::collection::vec(20..60_u32, 1..7),
+    ) {
+        let share = run(knee, &lengths);
+        prop_assert!(share >= 0.9, "{share} at {knee}");
+    }
+}
