bench: tell occupied slots from used ones

A low figure of utilisation could mean idle or overfull servers. The details now give the share of slots that hold a request beside the share of the pace in use.

--- a/bench/src/measure/record.rs
+++ b/bench/src/measure/record.rs
@@ -96,20 +96,34 @@
     }
 
     /// Share of the warm slots that was in use while work waited, over the engines for which
-    /// `counts` holds; none if nothing waited.
+    /// `counts` holds; none if nothing waited. An overfull engine uses less than all of its slots.
     pub(crate) fn busy_share(
         &self,
         waiting: &Intervals,
         counts: impl Fn(&EngineHistory) -> bool,
+    ) -> Option<f64> {
+        self.share(waiting, counts, |running| self.profile.used_slots(running))
+    }
+
+    /// Share of the warm slots that held a request while work waited; none if nothing waited.
+    pub(crate) fn occupied_share(&self, waiting: &Intervals) -> Option<f64> {
+        let slots = self.profile.warm_limit;
+        self.share(waiting, |_| true, |running| running.min(slots) as f64)
+    }
+
+    fn share(
+        &self,
+        waiting: &Intervals,
+        counts: impl Fn(&EngineHistory) -> bool,
+        used: impl Fn(usize) -> f64,
     ) -> Option<f64> {
         let shares: Option<Vec<f64>> = self
             .engines
             .iter()
             .filter(|engine| counts(engine))
             .map(|engine| {
-                let used = |running| self.profile.used_slots(running);
                 let busy = busy_spans(&engine.records);
-                busy_share(&busy, self.profile.warm_limit, waiting, used)
+                busy_share(&busy, self.profile.warm_limit, waiting, &used)
             })
             .collect();
         let shares = shares.filter(|shares| !shares.is_empty())?;
--- a/bench/src/measure/utilisation.rs
+++ b/bench/src/measure/utilisation.rs
@@ -24,6 +24,7 @@
 struct Figures {
     busy_percent: f64,
     tokens_per_s: f64,
+    occupied_percent: f64,
     largest_batch: f64,
 }
 
@@ -32,6 +33,7 @@
     let fleet = run(RouterKind::Fleet, seed).await?;
     let details = BTreeMap::from([
         ("tokens_per_s", fleet.tokens_per_s),
+        ("occupied_percent", fleet.occupied_percent),
         ("largest_batch", fleet.largest_batch),
         ("baseline_tokens_per_s", baseline.tokens_per_s),
     ]);
@@ -71,6 +73,7 @@
         .sum();
     Ok(Figures {
         busy_percent: share * 100.0,
+        occupied_percent: history.occupied_share(&waiting).unwrap_or(0.0) * 100.0,
         largest_batch: history.largest_batch() as f64,
         tokens_per_s: given as f64 / (window.length() as f64 / 1e6),
     })
