permit: end a slot's quarantine when every listed host has announced

Cause: a home host held its slots back for five seconds after every start and every change of the host list, whatever it knew; a fresh fleet answered nothing for that time, and the measures learnt their limits within the window.

Announcements of held slots now name the host list that they follow. Once every listed host has announced by the list that moved the homes, no gateway asks an earlier home any more and all holders are known. With a silent host the timer stands as before. The search for limits waits longer between trials.

--- a/lib/schema/peer.capnp
+++ b/lib/schema/peer.capnp
@@ -52,7 +52,7 @@
     configurationRequest @16 :ConfigurationRequest;
     configurationUpdate @17 :ConfigurationUpdate;
     findings @18 :List(Finding);
-    permitHoldings @19 :List(Permit);
+    permitHoldings @19 :PermitHoldings;
   }
 }
 
@@ -184,6 +184,11 @@
   slot @2 :UInt32;
 }
 
+struct PermitHoldings {
+  held @0 :List(Permit);
+  listRevision @1 :UInt64;
+}
+
 struct PermitAnswer {
   request @0 :RequestId;
   server @1 :UInt64;
--- a/lib/src/backend_server/limit_search.rs
+++ b/lib/src/backend_server/limit_search.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Completions that measure one limit, at least and at most.
-const LEAST_SAMPLES: u32 = 6;
+const LEAST_SAMPLES: u32 = 8;
 const MOST_SAMPLES: u32 = 64;
 /// Share of the added requests, in percent, that must show as added work for a higher limit to
 /// be kept.
@@ -16,8 +16,8 @@
 const REMAIN_PERCENT: u128 = 98;
 /// Measurements between two trials after a rejected one. The number doubles with each rejection in
 /// a row.
-const FIRST_PATIENCE: u32 = 6;
-const MOST_PATIENCE: u32 = 48;
+const FIRST_PATIENCE: u32 = 16;
+const MOST_PATIENCE: u32 = 96;
 /// A trial moves the limit by one part in so many, and by one at least.
 const FAST_STEP: u32 = 2;
 const FINE_STEP: u32 = 8;
--- a/lib/src/host/query.rs
+++ b/lib/src/host/query.rs
@@ -34,6 +34,11 @@
         self.select(|record| record.listed && record.domain() == Some(domain))
     }
 
+    /// Listed hosts of all failure domains.
+    pub fn listed_hosts_everywhere(&self) -> Vec<HostId> {
+        self.select(|record| record.listed)
+    }
+
     /// Every host that is listed or alive, of all failure domains.
     pub fn known_hosts(&self) -> Vec<HostId> {
         self.select(|record| record.listed || record.alive)
--- a/lib/src/message/scheduling.rs
+++ b/lib/src/message/scheduling.rs
@@ -261,6 +261,8 @@
 pub struct PermitHoldings {
     /// Slots in use, as they were asked for.
     pub held: Vec<PermitRequest>,
+    /// Revision of the host list by which the gateway finds the homes of slots.
+    pub list_revision: u64,
 }
 
 /// Cumulative cost that one life of a gateway has charged to a workspace on a service.
--- a/lib/src/node/inbox.rs
+++ b/lib/src/node/inbox.rs
@@ -51,7 +51,8 @@
                     .held
                     .iter()
                     .map(|held| (held.request, held.server, held.slot));
-                self.slots.announced(now, from, incarnation, held);
+                let revision = holdings.list_revision;
+                self.slots.announced(now, from, incarnation, revision, held);
             }
             PeerMessage::ConfigurationRequest(request) => {
                 self.send_configuration(now, from, request.have, out);
--- a/lib/src/node/roles.rs
+++ b/lib/src/node/roles.rs
@@ -14,6 +14,7 @@
 use crate::message::Heartbeat;
 use crate::message::PeerMessage;
 use crate::message::PermitHoldings;
+use crate::permit::SlotGateways;
 use crate::pool::PoolEvent;
 use crate::pool::PoolKey;
 use crate::pool::PoolMembers;
@@ -171,8 +172,12 @@
             return;
         }
         self.slot_homes = homes;
-        self.slots
-            .set_hosts(self.alive_hosts(), now + SLOT_QUARANTINE);
+        let gateways = SlotGateways {
+            listed: self.members.listed_hosts_everywhere(),
+            alive: self.alive_hosts(),
+            revision: self.list.revision,
+        };
+        self.slots.set_hosts(gateways, now + SLOT_QUARANTINE);
     }
 
     fn alive_hosts(&self) -> Vec<HostId> {
@@ -284,7 +289,10 @@
 
     fn send_holdings(&mut self, now: Timestamp, to: HostId, out: &mut Vec<NodeAction>) {
         let held = self.requests.holdings();
-        let message = PeerMessage::PermitHoldings(PermitHoldings { held });
+        let message = PeerMessage::PermitHoldings(PermitHoldings {
+            held,
+            list_revision: self.list.revision,
+        });
         self.send(now, to, message, out);
     }
 }
--- a/lib/src/peer/codec.rs
+++ b/lib/src/peer/codec.rs
@@ -113,8 +113,9 @@
             to.set_document(&m.document);
         }
         PeerMessage::PermitHoldings(m) => {
-            let to = to.init_permit_holdings(m.held.len() as u32);
-            encode_list(&m.held, to, |held, to| {
+            let mut to = to.init_permit_holdings();
+            to.set_list_revision(m.list_revision);
+            encode_list(&m.held, to.init_held(m.held.len() as u32), |held, to| {
                 encode_permit(held.request, held.server, held.slot, to);
             });
         }
@@ -165,9 +166,13 @@
                 document: read(m.get_document())?.to_vec(),
             })
         }
-        message::PermitHoldings(m) => PeerMessage::PermitHoldings(PermitHoldings {
-            held: decode_list(read(m)?, decode_permit)?,
-        }),
+        message::PermitHoldings(m) => {
+            let m = read(m)?;
+            PeerMessage::PermitHoldings(PermitHoldings {
+                held: decode_list(read(m.get_held())?, decode_permit)?,
+                list_revision: m.get_list_revision(),
+            })
+        }
         message::Findings(m) => PeerMessage::Findings(decode_list(read(m)?, decode_finding)?),
     };
     Ok(message)
--- a/lib/src/peer/peer_capnp.rs
+++ b/lib/src/peer/peer_capnp.rs
@@ -3988,7 +3988,7 @@
         #[inline]
         pub fn set_permit_holdings(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer::peer_capnp::permit::Owned>,
+            value: crate::peer::peer_capnp::permit_holdings::Reader<'_>,
         ) -> ::capnp::Result<()> {
             self.builder.set_data_field::<u16>(0, 19);
             ::capnp::traits::SetterInput::set_pointer_builder(
@@ -3998,15 +3998,9 @@
             )
         }
         #[inline]
-        pub fn init_permit_holdings(
-            self,
-            size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer::peer_capnp::permit::Owned> {
+        pub fn init_permit_holdings(self) -> crate::peer::peer_capnp::permit_holdings::Builder<'a> {
             self.builder.set_data_field::<u16>(0, 19);
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(0),
-                size,
-            )
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
         pub fn has_permit_holdings(&self) -> bool {
@@ -4155,7 +4149,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 341] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 337] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(150, 127, 137, 188, 238, 225, 176, 197),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -4312,7 +4306,7 @@
             ::capnp::word(185, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -4486,15 +4480,11 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 114, 109, 105, 116, 72, 111),
             ::capnp::word(108, 100, 105, 110, 103, 115, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 181, 130, 2, 150, 91, 49, 185),
+            ::capnp::word(142, 241, 217, 192, 194, 140, 105, 135),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -4519,7 +4509,7 @@
                 16 => <crate::peer::peer_capnp::configuration_request::Owned as ::capnp::introspect::Introspect>::introspect(),
                 17 => <crate::peer::peer_capnp::configuration_update::Owned as ::capnp::introspect::Introspect>::introspect(),
                 18 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::finding::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                19 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::permit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                19 => <crate::peer::peer_capnp::permit_holdings::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4610,7 +4600,7 @@
         ::capnp::Result<crate::peer::peer_capnp::configuration_request::Reader<'a>>,
         ::capnp::Result<crate::peer::peer_capnp::configuration_update::Reader<'a>>,
         ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer::peer_capnp::finding::Owned>>,
-        ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer::peer_capnp::permit::Owned>>,
+        ::capnp::Result<crate::peer::peer_capnp::permit_holdings::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         ::capnp::Result<crate::peer::peer_capnp::heartbeat::Builder<'a>>,
@@ -4632,7 +4622,7 @@
         ::capnp::Result<crate::peer::peer_capnp::configuration_request::Builder<'a>>,
         ::capnp::Result<crate::peer::peer_capnp::configuration_update::Builder<'a>>,
         ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer::peer_capnp::finding::Owned>>,
-        ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer::peer_capnp::permit::Owned>>,
+        ::capnp::Result<crate::peer::peer_capnp::permit_holdings::Builder<'a>>,
     >;
 }
 
@@ -10811,6 +10801,360 @@
     }
 }
 
+pub mod permit_holdings {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_held(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer::peer_capnp::permit::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_held(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_list_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 1,
+                pointers: 1,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_held(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peer::peer_capnp::permit::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_held(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer::peer_capnp::permit::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_held(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer::peer_capnp::permit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_held(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_list_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_list_revision(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(142, 241, 217, 192, 194, 140, 105, 135),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(3, 94, 212, 169, 194, 241, 230, 183),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 101, 114, 109, 105),
+            ::capnp::word(116, 72, 111, 108, 100, 105, 110, 103),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 101, 108, 100, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 181, 130, 2, 150, 91, 49, 185),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 82, 101, 118, 105),
+            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::permit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) const TYPE_ID: u64 = 0x8769_8cc2_c0d9_f18e;
+    }
+}
+
 pub mod permit_answer {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/lib/src/permit/mod.rs
+++ b/lib/src/permit/mod.rs
@@ -5,5 +5,6 @@
 
 mod slot_home;
 
+pub use slot_home::SlotGateways;
 pub use slot_home::SlotHome;
 pub use slot_home::slot_home;
--- a/lib/src/permit/slot_home.rs
+++ b/lib/src/permit/slot_home.rs
@@ -49,10 +49,24 @@
     }
 }
 
+/// Hosts whose gateways may hold slots.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SlotGateways {
+    /// Every listed host.
+    pub listed: Vec<HostId>,
+    /// Those that are held to be alive.
+    pub alive: Vec<HostId>,
+    /// Revision of the host list.
+    pub revision: u64,
+}
+
 /// Slots that one host gives out.
 ///
 /// A slot stays occupied until its holder releases it or is lost. A home that may not know every
-/// holder refuses all requests: after its start, and after a change of the listed hosts.
+/// holder refuses all requests: after its start, and after a change of the listed hosts. It knows
+/// them once every listed host has announced what it holds by the same or a newer host list,
+/// because then no gateway asks an earlier home any more. If some host is silent, the quarantine
+/// must pass, and every host alive must have announced.
 #[derive(Clone, Debug)]
 pub struct SlotHome {
     own: HostId,
@@ -60,7 +74,13 @@
     quarantine: Timestamp,
     holders: BTreeMap<SlotKey, Vec<Holder>>,
     lives: BTreeMap<HostId, Incarnation>,
+    /// Hosts alive that have not announced.
     awaited: BTreeSet<HostId>,
+    /// Listed hosts that have not announced by the list that `required` numbers, or none known.
+    unheard: Option<BTreeSet<HostId>>,
+    required: u64,
+    /// Revision of the list by which each gateway announced last.
+    heard: BTreeMap<HostId, u64>,
 }
 
 impl SlotHome {
@@ -74,6 +94,9 @@
             holders: BTreeMap::new(),
             lives: BTreeMap::new(),
             awaited: BTreeSet::new(),
+            unheard: None,
+            required: 0,
+            heard: BTreeMap::new(),
         }
     }
 
@@ -87,11 +110,20 @@
         self.domain
     }
 
-    /// Starts a quarantine, because homes have moved: every host of `gateways` that lives has to
-    /// announce again what it holds.
-    pub fn set_hosts(&mut self, gateways: impl IntoIterator<Item = HostId>, quarantine: Timestamp) {
-        self.awaited = gateways.into_iter().collect();
+    /// Starts a quarantine, because homes have moved.
+    pub fn set_hosts(&mut self, gateways: SlotGateways, quarantine: Timestamp) {
+        self.required = gateways.revision;
         self.quarantine = self.quarantine.max(quarantine);
+        self.awaited = self.unheard_of(gateways.alive);
+        self.unheard = Some(self.unheard_of(gateways.listed));
+    }
+
+    fn unheard_of(&self, gateways: Vec<HostId>) -> BTreeSet<HostId> {
+        let is_unheard = |host: &HostId| {
+            let heard = self.heard.get(host);
+            heard.is_none_or(|revision| *revision < self.required)
+        };
+        gateways.into_iter().filter(is_unheard).collect()
     }
 
     /// Stops waiting for the announcement of a host that is no longer held to be alive. What it
@@ -102,7 +134,8 @@
 
     /// Whether requests are answered from complete knowledge at `now`.
     pub fn is_ready(&self, now: Timestamp) -> bool {
-        self.quarantine.has_passed(now) && self.awaited.is_empty()
+        let all_heard = self.unheard.as_ref().is_some_and(BTreeSet::is_empty);
+        all_heard || (self.quarantine.has_passed(now) && self.awaited.is_empty())
     }
 
     /// Answers a request for a slot. `is_home` says whether this host is the home of the slot by
@@ -146,6 +179,7 @@
         now: Timestamp,
         gateway: HostId,
         incarnation: Incarnation,
+        list_revision: u64,
         held: impl IntoIterator<Item = (RequestId, ServerId, u32)>,
     ) {
         if !self.observe_life(gateway, incarnation) {
@@ -163,7 +197,7 @@
             holders.retain(|known| !known.is_same(&holder));
             holders.push(holder);
         }
-        self.awaited.remove(&gateway);
+        self.note_heard(gateway, list_revision);
     }
 
     /// Frees everything that earlier lives of a gateway held, because they have ended.
@@ -172,6 +206,17 @@
         self.awaited.remove(&gateway);
     }
 
+    fn note_heard(&mut self, gateway: HostId, list_revision: u64) {
+        self.heard.insert(gateway, list_revision);
+        if list_revision < self.required {
+            return;
+        }
+        self.awaited.remove(&gateway);
+        if let Some(unheard) = &mut self.unheard {
+            unheard.remove(&gateway);
+        }
+    }
+
     /// Slots that are occupied now.
     pub fn occupied(&self) -> usize {
         self.holders.len()
@@ -197,6 +242,7 @@
         }
         if incarnation > *known {
             *known = incarnation;
+            self.heard.remove(&gateway);
             self.forget(|holder| holder.gateway == gateway);
         }
         true
--- a/lib/tests/pool_pump/gateway.rs
+++ b/lib/tests/pool_pump/gateway.rs
@@ -223,7 +223,7 @@
             .map(|(request, run)| (*request, run.server, run.grant.slot))
             .collect();
         for home in pump.homes.values_mut() {
-            home.announced(now, self.host, self.incarnation, held.iter().copied());
+            home.announced(now, self.host, self.incarnation, 0, held.iter().copied());
         }
     }
 
--- a/lib/tests/test_peer_link.rs
+++ b/lib/tests/test_peer_link.rs
@@ -176,6 +176,7 @@
             slot: 3,
         }),
         PeerMessage::PermitHoldings(PermitHoldings {
+            list_revision: 12,
             held: vec![PermitRequest {
                 request: request(1),
                 server: ServerId(2),
--- a/lib/tests/test_permit.rs
+++ b/lib/tests/test_permit.rs
@@ -9,6 +9,7 @@
 use cardamomshift_lib::id::ServerId;
 use cardamomshift_lib::message::PermitRelease;
 use cardamomshift_lib::message::PermitRequest;
+use cardamomshift_lib::permit::SlotGateways;
 use cardamomshift_lib::permit::SlotHome;
 use cardamomshift_lib::permit::slot_home;
 use cardamomshift_lib::time::Timestamp;
@@ -46,6 +47,17 @@
     SlotHome::new(HostId(1), DomainId(1), QUARANTINE)
 }
 
+/// Revision of the host list that the hosts announce by.
+const LIST: u64 = 5;
+
+fn gateways(listed: &[u64], alive: &[u64]) -> SlotGateways {
+    SlotGateways {
+        listed: listed.iter().copied().map(HostId).collect(),
+        alive: alive.iter().copied().map(HostId).collect(),
+        revision: LIST,
+    }
+}
+
 fn granted(home: &mut SlotHome, now: Timestamp, gateway: u64, sequence: u64) -> bool {
     let req = ask(gateway, sequence);
     home.request(now, HostId(gateway), LIFE, req, true).granted
@@ -72,11 +84,17 @@
 #[test]
 fn new_home_refuses_until_quarantine_and_announcements() {
     let mut home = home();
-    home.set_hosts([HostId(1), HostId(2)], QUARANTINE);
+    home.set_hosts(gateways(&[1, 2, 3], &[1, 2]), QUARANTINE);
     assert!(!granted(&mut home, LATER, 1, 10));
-    home.announced(LATER, HostId(1), LIFE, []);
+    home.announced(LATER, HostId(1), LIFE, LIST, []);
     assert!(!granted(&mut home, LATER, 1, 10));
-    home.announced(LATER, HostId(2), LIFE, [(request(2, 20), ServerId(7), 0)]);
+    home.announced(
+        LATER,
+        HostId(2),
+        LIFE,
+        LIST,
+        [(request(2, 20), ServerId(7), 0)],
+    );
     assert!(!granted(&mut home, Timestamp::ZERO, 1, 10), "quarantine");
     assert!(
         !granted(&mut home, LATER, 1, 10),
@@ -87,6 +105,30 @@
     assert!(granted(&mut home, LATER, 1, 10));
 }
 
+#[test]
+fn new_home_is_ready_at_once_when_every_listed_host_has_announced_by_its_list() {
+    let mut home = home();
+    home.announced(Timestamp::ZERO, HostId(1), LIFE, LIST, []);
+    home.set_hosts(gateways(&[1, 2], &[1, 2]), QUARANTINE);
+    assert!(!granted(&mut home, Timestamp::ZERO, 1, 10));
+    home.announced(Timestamp::ZERO, HostId(2), LIFE, LIST - 1, []);
+    assert!(
+        !granted(&mut home, Timestamp::ZERO, 1, 10),
+        "host 2 may still ask an earlier home"
+    );
+    home.announced(Timestamp::ZERO, HostId(2), LIFE, LIST, []);
+    assert!(granted(&mut home, Timestamp::ZERO, 1, 10));
+}
+
+#[test]
+fn silent_listed_host_keeps_the_quarantine() {
+    let mut home = home();
+    home.set_hosts(gateways(&[1, 2], &[1]), QUARANTINE);
+    home.announced(Timestamp::ZERO, HostId(1), LIFE, LIST, []);
+    assert!(!granted(&mut home, Timestamp::ZERO, 1, 10));
+    assert!(granted(&mut home, LATER, 1, 10));
+}
+
 #[test]
 fn restart_of_the_holder_frees_its_slot_and_its_old_life_gets_none() {
     let mut home = home();
@@ -102,10 +144,10 @@
 fn announcement_that_crossed_the_permit_keeps_the_slot() {
     let mut home = home();
     assert!(granted(&mut home, LATER, 1, 10));
-    home.announced(LATER, HostId(1), LIFE, []);
+    home.announced(LATER, HostId(1), LIFE, LIST, []);
     assert!(!granted(&mut home, LATER, 2, 20));
     let lost_release = LATER + Duration::from_secs(3);
-    home.announced(lost_release, HostId(1), LIFE, []);
+    home.announced(lost_release, HostId(1), LIFE, LIST, []);
     assert!(granted(&mut home, lost_release, 2, 20));
 }
 
@@ -165,7 +207,7 @@
                 }
                 Step::Restart(g) => {
                     lives[g as usize] += 1;
-                    home.announced(LATER, HostId(g), Incarnation(lives[g as usize]), []);
+                    home.announced(LATER, HostId(g), Incarnation(lives[g as usize]), LIST, []);
                     if holder.is_some_and(|held| held.0 == g) {
                         holder = None;
                     }
