runtime: end cleanly when a host cannot start

Cause: a start that failed dropped its runtime, which panics inside another runtime; a test met it when another process had taken a port. The runtime now ends in the background wherever it is dropped. Test daemons listen on loopback addresses of their own, so that no outgoing connection takes their ports. The store of operation records stood twice; one is gone.

--- a/lib/src/runtime/daemon.rs
+++ b/lib/src/runtime/daemon.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc as std_mpsc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::SystemTime;
 
@@ -12,6 +11,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
+use tokio::runtime::Handle;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -19,7 +19,6 @@
 
 use super::control_loop::ControlChannels;
 use super::control_loop::ControlLoop;
-use super::operation_store::operation_store;
 use super::platform_watch::follow_configuration;
 use super::platform_watch::follow_host_list;
 use crate::configuration::ConfigurationStore;
@@ -89,8 +88,8 @@
 
 /// A running host of the fleet.
 pub struct Daemon {
-    runtime: Option<Runtime>,
-    control_thread: Option<JoinHandle<()>>,
+    /// Held so that its tasks run.
+    _runtime: TrafficRuntime,
     control: ControlHandle,
     stop: watch::Sender<bool>,
     stopped: watch::Receiver<bool>,
@@ -110,9 +109,9 @@
         let (view_tx, view) = watch::channel(Arc::new(FleetView::default()));
         let (watching_tx, watching) = watch::channel(false);
         let control = ControlHandle::new(tx, view);
-        let runtime = traffic_runtime()?;
-        let listeners = Listeners::open(&settings, &runtime)?;
-        let control_thread = spawn_control(
+        let runtime = TrafficRuntime::start()?;
+        let listeners = Listeners::open(&settings, runtime.handle())?;
+        spawn_control(
             &settings,
             clock,
             incarnation,
@@ -125,8 +124,12 @@
         )?;
         let objects = ObjectClient::new(settings.platform.object_api, CallOptions::default());
         let hosts = HostListClient::new(settings.platform.host_list, CallOptions::default());
-        runtime.spawn(follow_host_list(hosts, platform_tx.clone()));
-        runtime.spawn(follow_configuration(objects.clone(), watching, platform_tx));
+        runtime
+            .handle()
+            .spawn(follow_host_list(hosts, platform_tx.clone()));
+        runtime
+            .handle()
+            .spawn(follow_configuration(objects.clone(), watching, platform_tx));
         let (stop, stop_rx) = watch::channel(false);
         let (stopped_tx, stopped) = watch::channel(false);
         let traffic = Traffic {
@@ -136,10 +139,9 @@
             objects,
             stop: stop_rx,
         };
-        traffic.spawn(&runtime, listeners, stopped_tx)?;
+        traffic.spawn(runtime.handle(), listeners, stopped_tx)?;
         Ok(Self {
-            runtime: Some(runtime),
-            control_thread: Some(control_thread),
+            _runtime: runtime,
             control,
             stop,
             stopped,
@@ -166,16 +168,6 @@
     }
 }
 
-impl Drop for Daemon {
-    /// Ends the host at once. The control thread ends when the last handle on it is dropped.
-    fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
-        drop(self.control_thread.take());
-    }
-}
-
 /// Channels that the control thread is given.
 struct ControlParts {
     requests: mpsc::UnboundedReceiver<crate::control::ControlRequest>,
@@ -192,7 +184,7 @@
 }
 
 impl Listeners {
-    fn open(settings: &Settings, runtime: &Runtime) -> Result<Self, DaemonError> {
+    fn open(settings: &Settings, runtime: &Handle) -> Result<Self, DaemonError> {
         let _entered = runtime.enter();
         Ok(Self {
             callers: listen("callers", settings.listen.callers)?,
@@ -219,13 +211,31 @@
     Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
 }
 
-fn traffic_runtime() -> Result<Runtime, DaemonError> {
-    Builder::new_multi_thread()
-        .thread_name("traffic")
-        .worker_threads(TRAFFIC_THREADS)
-        .enable_all()
-        .build()
-        .context(ThreadSnafu)
+/// The traffic threads. They end at once when it is dropped, which may happen on any thread.
+struct TrafficRuntime(Option<Runtime>);
+
+impl TrafficRuntime {
+    fn start() -> Result<Self, DaemonError> {
+        Builder::new_multi_thread()
+            .thread_name("traffic")
+            .worker_threads(TRAFFIC_THREADS)
+            .enable_all()
+            .build()
+            .map(|runtime| Self(Some(runtime)))
+            .context(ThreadSnafu)
+    }
+
+    fn handle(&self) -> &Handle {
+        self.0.as_ref().expect("only a drop takes it").handle()
+    }
+}
+
+impl Drop for TrafficRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 /// Threads that carry the traffic of one host.
@@ -235,13 +245,14 @@
 /// the balancer needs it to see that the host is no longer ready.
 const STOP_NOTICE: Duration = Duration::from_secs(2);
 
-/// Starts the control thread and waits until its links are open.
+/// Starts the control thread and waits until its links are open. The thread ends when the last
+/// handle on it is dropped.
 fn spawn_control(
     settings: &Settings,
     clock: Clock,
     incarnation: Incarnation,
     parts: ControlParts,
-) -> Result<JoinHandle<()>, DaemonError> {
+) -> Result<(), DaemonError> {
     let identity = NodeIdentity {
         name: settings.host.name.clone(),
         domain: settings.host.domain.clone(),
@@ -255,12 +266,11 @@
         source: settings.fleet.source,
     };
     let (ready_tx, ready) = std_mpsc::channel();
-    let thread = std::thread::Builder::new()
+    std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || control_thread(identity, options, clock, parts, &ready_tx))
         .context(ThreadSnafu)?;
-    ready.recv().unwrap_or(Err(DaemonError::ControlEnded))?;
-    Ok(thread)
+    ready.recv().unwrap_or(Err(DaemonError::ControlEnded))
 }
 
 fn control_thread(
@@ -312,7 +322,7 @@
 impl Traffic {
     fn spawn(
         self,
-        runtime: &Runtime,
+        runtime: &Handle,
         listeners: Listeners,
         stopped: watch::Sender<bool>,
     ) -> Result<(), DaemonError> {
@@ -323,10 +333,7 @@
             control: self.control.clone(),
             limits: self.settings.limits.clone(),
             clock: self.clock,
-            records: Arc::new(Records::new(
-                operation_store(&self.objects),
-                self.settings.host.name.clone(),
-            )),
+            records: Arc::new(Records::of(&self.objects, &self.settings.host.name)),
             metrics: metrics.clone(),
             stop: close_rx,
         })
--- a/lib/src/runtime/mod.rs
+++ b/lib/src/runtime/mod.rs
@@ -5,7 +5,6 @@
 
 mod control_loop;
 mod daemon;
-mod operation_store;
 mod platform_watch;
 
 pub use daemon::Daemon;
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -5,6 +5,8 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -72,6 +74,11 @@
     /// Starts a daemon in a failure domain and lists it.
     pub(crate) fn add_host(&mut self, name: &str, domain: &str) {
         let settings = self.settings(name, domain);
+        self.add_started(name, domain, settings);
+    }
+
+    /// Starts a daemon with given settings and lists it.
+    pub(crate) fn add_started(&mut self, name: &str, domain: &str, settings: Settings) {
         let (callers, operators) = (settings.listen.callers, settings.listen.operators);
         let entry = entry(name, domain, settings.listen.peers, Role::Entry, &[]);
         let daemon = Daemon::start(settings).unwrap();
@@ -163,7 +170,8 @@
         }
     }
 
-    fn settings(&self, name: &str, domain: &str) -> Settings {
+    /// Settings of a daemon on addresses of its own.
+    pub(crate) fn settings(&self, name: &str, domain: &str) -> Settings {
         Settings {
             host: HostSettings {
                 name: name.into(),
@@ -223,8 +231,14 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
+/// An address that nothing else uses: each one has a loopback IP of its own, so that no outgoing
+/// connection takes its port before the daemon listens on it.
 fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(loopback()).unwrap();
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let last = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    let ip = Ipv4Addr::new(127, 64 | (high & 63), low, last);
+    let listener = std::net::TcpListener::bind((ip, 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -3,6 +3,7 @@
 mod fleet;
 
 use cardamomshift_lib::host::ServiceKind;
+use cardamomshift_lib::runtime::Daemon;
 use cardamomshift_testutils::EngineProfile;
 use cardamomshift_testutils::ModelEngine;
 use cardamomshift_testutils::PlainService;
@@ -97,3 +98,18 @@
     let configuration = view.configuration.clone().unwrap();
     assert!(configuration.class("live").is_some());
 }
+
+#[tokio::test]
+async fn listener_that_is_taken_is_named_and_leaves_nothing_running() {
+    let mut fleet = Fleet::start(&["arcade-one"]);
+    let taken = std::net::TcpListener::bind(loopback()).unwrap();
+    let mut settings = fleet.settings("bern-1", "bern-a");
+    settings.listen.operators = taken.local_addr().unwrap();
+    let callers = settings.listen.callers;
+    let err = Daemon::start(settings).err().expect("the port is taken");
+    assert!(err.to_string().contains("operators"), "{err}");
+    // What the failed start had opened is free again for another daemon.
+    let mut settings = fleet.settings("bern-1", "bern-a");
+    settings.listen.callers = callers;
+    fleet.add_started("bern-1", "bern-a", settings);
+}
