gateway: serve what still reaches a host that is stopping

Cause: readiness and refusal hung on one flag, so that a planned stop refused every request until the balancer had moved away. The host now fails readiness and goes on serving until its listener closes.

--- a/lib/src/control/view.rs
+++ b/lib/src/control/view.rs
@@ -20,7 +20,8 @@
     pub services: HashMap<CompactString, ServiceEntry>,
     /// Listed backend servers.
     pub servers: HashMap<ServerId, ServerEntry>,
-    /// Whether the host is stopping and takes no new request.
+    /// Whether the host is stopping and no longer ready. It still serves what reaches it until the
+    /// balancer has moved away.
     pub stopping: bool,
 }
 
--- a/lib/src/gateway/routes.rs
+++ b/lib/src/gateway/routes.rs
@@ -71,9 +71,6 @@
             return Err(Code::VersionNotSupported);
         }
         let configuration = view.configuration.as_ref().ok_or(Code::NotConfigured)?;
-        if view.stopping {
-            return Err(Code::Stopping);
-        }
         self.access.caller(configuration, &parts.headers)
     }
 
