runtime: measure the control thread, and end it with its daemon

Gauges and counters for the configuration revision, hosts alive, shards, cold servers and returns, and the links. A dropped daemon's control thread lived on while any task still held a handle; a test saw a host that was dead and alive in one of three runs.

--- a/lib/src/backend_server/server.rs
+++ b/lib/src/backend_server/server.rs
@@ -263,6 +263,7 @@
             limit: self.limit(),
             running: self.running(),
             usable: self.usable,
+            cold_returns: self.epoch,
         }
     }
 
--- a/lib/src/runtime/control_loop.rs
+++ b/lib/src/runtime/control_loop.rs
@@ -5,9 +5,12 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
+use super::control_metrics::ControlMetrics;
+use super::control_metrics::METRICS_INTERVAL;
 use crate::control::ControlRequest;
 use crate::control::FleetView;
 use crate::control::TicketKey;
@@ -45,6 +48,8 @@
     pub(super) view: watch::Sender<Arc<FleetView>>,
     /// Whether the configuration is to be watched.
     pub(super) watch_configuration: watch::Sender<bool>,
+    /// Closes when the daemon is dropped, whoever still holds a handle on the control thread.
+    pub(super) end: oneshot::Receiver<()>,
 }
 
 /// State of the control thread.
@@ -53,28 +58,39 @@
     links: Links,
     clock: Clock,
     channels: ControlChannels,
+    metrics: ControlMetrics,
     verdicts: HashMap<TicketKey, mpsc::UnboundedSender<Verdict>>,
     actions: Vec<NodeAction>,
 }
 
 impl ControlLoop {
-    pub(super) fn new(node: Node, links: Links, clock: Clock, channels: ControlChannels) -> Self {
+    pub(super) fn new(
+        node: Node,
+        links: Links,
+        clock: Clock,
+        channels: ControlChannels,
+        metrics: ControlMetrics,
+    ) -> Self {
         Self {
             node,
             links,
             clock,
             channels,
+            metrics,
             verdicts: HashMap::new(),
             actions: Vec::new(),
         }
     }
 
-    /// Runs until every handle of the traffic threads is dropped.
+    /// Runs until the daemon or every handle of the traffic threads is dropped.
     pub(super) async fn run(mut self) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut update = tokio::time::interval(METRICS_INTERVAL);
+        update.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                _ = &mut self.channels.end => return,
                 req = self.channels.requests.recv() => match req {
                     Some(req) => self.requested(req),
                     None => return,
@@ -82,6 +98,10 @@
                 Some(event) = self.channels.links.recv() => self.linked(event),
                 Some(event) = self.channels.platform.recv() => self.told(event),
                 _ = tick.tick() => self.feed(NodeEvent::Tick),
+                _ = update.tick() => {
+                    self.metrics
+                        .update(&self.node.status(), &self.links.counters());
+                }
             }
         }
     }
--- a/lib/src/runtime/daemon.rs
+++ b/lib/src/runtime/daemon.rs
@@ -14,11 +14,13 @@
 use tokio::runtime::Handle;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 use super::control_loop::ControlChannels;
 use super::control_loop::ControlLoop;
+use super::control_metrics::ControlMetrics;
 use super::platform_watch::follow_configuration;
 use super::platform_watch::follow_host_list;
 use crate::configuration::ConfigurationStore;
@@ -90,6 +92,8 @@
 pub struct Daemon {
     /// Held so that its tasks run.
     _runtime: TrafficRuntime,
+    /// Held so that the control thread runs.
+    _end: oneshot::Sender<()>,
     control: ControlHandle,
     stop: watch::Sender<bool>,
     stopped: watch::Receiver<bool>,
@@ -108,7 +112,9 @@
         let (platform_tx, platform) = mpsc::unbounded_channel();
         let (view_tx, view) = watch::channel(Arc::new(FleetView::default()));
         let (watching_tx, watching) = watch::channel(false);
+        let (end, end_rx) = oneshot::channel();
         let control = ControlHandle::new(tx, view);
+        let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
         let runtime = TrafficRuntime::start()?;
         let listeners = Listeners::open(&settings, runtime.handle())?;
         spawn_control(
@@ -116,6 +122,8 @@
             clock,
             incarnation,
             ControlParts {
+                end: end_rx,
+                metrics: ControlMetrics::new(&metrics).context(MetricsSnafu)?,
                 requests,
                 platform,
                 view: view_tx,
@@ -136,12 +144,14 @@
             settings,
             clock,
             control: control.clone(),
+            metrics,
             objects,
             stop: stop_rx,
         };
         traffic.spawn(runtime.handle(), listeners, stopped_tx)?;
         Ok(Self {
             _runtime: runtime,
+            _end: end,
             control,
             stop,
             stopped,
@@ -170,6 +180,8 @@
 
 /// Channels that the control thread is given.
 struct ControlParts {
+    end: oneshot::Receiver<()>,
+    metrics: ControlMetrics,
     requests: mpsc::UnboundedReceiver<crate::control::ControlRequest>,
     platform: mpsc::UnboundedReceiver<super::control_loop::PlatformEvent>,
     view: watch::Sender<Arc<FleetView>>,
@@ -245,8 +257,8 @@
 /// the balancer needs it to see that the host is no longer ready.
 const STOP_NOTICE: Duration = Duration::from_secs(2);
 
-/// Starts the control thread and waits until its links are open. The thread ends when the last
-/// handle on it is dropped.
+/// Starts the control thread and waits until its links are open. The thread ends when the daemon
+/// or the last handle on it is dropped.
 fn spawn_control(
     settings: &Settings,
     clock: Clock,
@@ -305,8 +317,11 @@
             platform: parts.platform,
             view: parts.view,
             watch_configuration: parts.watch_configuration,
+            end: parts.end,
         };
-        ControlLoop::new(node, links, clock, channels).run().await;
+        ControlLoop::new(node, links, clock, channels, parts.metrics)
+            .run()
+            .await;
     });
 }
 
@@ -315,6 +330,7 @@
     settings: Settings,
     clock: Clock,
     control: ControlHandle,
+    metrics: Arc<Metrics>,
     objects: ObjectClient,
     stop: watch::Receiver<bool>,
 }
@@ -326,7 +342,7 @@
         listeners: Listeners,
         stopped: watch::Sender<bool>,
     ) -> Result<(), DaemonError> {
-        let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
+        let metrics = self.metrics;
         let (close, close_rx) = watch::channel(false);
         let gateway = Gateway::new(GatewayParts {
             listener: listeners.callers,
--- a/lib/src/runtime/mod.rs
+++ b/lib/src/runtime/mod.rs
@@ -4,6 +4,7 @@
 //! threads carry the traffic of callers, operators and the platform. Channels join them.
 
 mod control_loop;
+mod control_metrics;
 mod daemon;
 mod platform_watch;
 
--- a/lib/src/status/mod.rs
+++ b/lib/src/status/mod.rs
@@ -93,6 +93,9 @@
     pub running: u32,
     /// Whether it takes new work.
     pub usable: bool,
+    /// Times that it was taken back to a cold start by this scheduler.
+    #[serde(default)]
+    pub cold_returns: u32,
 }
 
 /// A workspace as one shard sees it.
--- a/lib/tests/operator_host/mod.rs
+++ b/lib/tests/operator_host/mod.rs
@@ -118,6 +118,7 @@
             limit: 4,
             running: 4,
             usable: true,
+            cold_returns: 0,
         }],
         workspaces: vec![
             workspace(0, 3, 70),
