node: give the places of dead hosts to others, and announce only what changed

Ruled out: stuck quarantines and lost bids (the status of every host showed bids waiting and the places taken).

Places are given to others after a second of death; slots of cold servers when the host list has dropped the host, because a host that is only cut off may still run there. Announcements carry the totals that changed since the last one, and held slots are told again only while there are any.

--- a/lib/src/node/roles.rs
+++ b/lib/src/node/roles.rs
@@ -5,6 +5,7 @@
 
 use super::Node;
 use super::NodeAction;
+use super::state::Announced;
 use super::state::SLOT_QUARANTINE;
 use crate::host::HostList;
 use crate::host::MembershipChange;
@@ -25,6 +26,9 @@
 /// Time after which the state of a shard is announced again, which heals lost messages.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time for which a host is dead before the places that its requests take are given to others.
+const DEPARTURE_TERM: Duration = Duration::from_secs(1);
+
 impl Node {
     /// Notes that a host was heard of.
     pub(super) fn note_sign_of_life(
@@ -54,8 +58,7 @@
         let changes = self.members.link_up(now, host, incarnation);
         self.send_heartbeat(now, host, out);
         self.send_holdings(now, host, out);
-        self.announced
-            .retain(|_, (scheduler, ..)| *scheduler != host);
+        self.announced.retain(|_, last| last.scheduler != host);
         self.apply_changes(now, changes, out);
         self.announce(now, out);
     }
@@ -92,9 +95,10 @@
         for key in keys {
             self.on_pool(now, key, PoolEvent::Tick, out);
         }
+        self.free_places_of_departed(now, out);
         self.announce(now, out);
         if self.next_holdings.has_passed(now) {
-            self.announce_holdings(now, out);
+            self.repeat_holdings(now, out);
         }
     }
 
@@ -136,18 +140,54 @@
                 MembershipChange::HostRestarted { host, .. } => self.forget_life(now, host, out),
                 MembershipChange::HostDown(host) => {
                     self.slots.stop_awaiting(host);
-                    if !self.members.is_listed(host) {
-                        self.forget_life(now, host, out);
-                    }
+                    self.departed.insert(host, now + DEPARTURE_TERM);
+                }
+                MembershipChange::HostUp(host) => {
+                    self.departed.remove(&host);
                 }
                 _ => (),
             }
         }
+        self.forget_unlisted(now, out);
+    }
+
+    /// Frees the places of hosts that have been dead for the term. A host that is only cut off may
+    /// still run requests there, which a warm server bears; slots of servers that are not warm
+    /// stay occupied until the host list drops the host.
+    fn free_places_of_departed(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        let due: Vec<_> = self
+            .departed
+            .iter()
+            .filter(|(_, until)| **until != Timestamp::FAR_FUTURE && until.has_passed(now))
+            .map(|(host, _)| *host)
+            .collect();
+        for host in due {
+            self.departed.insert(host, Timestamp::FAR_FUTURE);
+            self.tell_pools_lost(now, host, out);
+        }
+    }
+
+    /// Forgets everything of dead hosts that the host list has dropped.
+    fn forget_unlisted(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        let gone: Vec<_> = self
+            .departed
+            .keys()
+            .filter(|host| !self.members.is_listed(**host))
+            .copied()
+            .collect();
+        for host in gone {
+            self.departed.remove(&host);
+            self.forget_life(now, host, out);
+        }
     }
 
     fn forget_life(&mut self, now: Timestamp, host: HostId, out: &mut Vec<NodeAction>) {
         self.clocks.remove(&host);
         self.slots.gateway_lost(host);
+        self.tell_pools_lost(now, host, out);
+    }
+
+    fn tell_pools_lost(&mut self, now: Timestamp, host: HostId, out: &mut Vec<NodeAction>) {
         let keys: Vec<_> = self.pools.keys().copied().collect();
         for key in keys {
             self.on_pool(now, key, PoolEvent::GatewayLost(host), out);
@@ -252,17 +292,23 @@
             return;
         };
         let incarnation = self.members.incarnation(scheduler).unwrap_or_default();
-        if let Some((host, life, next)) = self.announced.get(&key)
-            && *host == scheduler
-            && *life == incarnation
-            && !next.has_passed(now)
-        {
+        let last = self
+            .announced
+            .get(&key)
+            .filter(|last| last.scheduler == scheduler && last.incarnation == incarnation);
+        if last.is_some_and(|last| !last.next.has_passed(now)) {
             return;
         }
-        let next = now + ANNOUNCEMENT_INTERVAL;
-        self.announced.insert(key, (scheduler, incarnation, next));
+        let since = last.map_or(0, |last| last.charges);
+        let announced = Announced {
+            scheduler,
+            incarnation,
+            next: now + ANNOUNCEMENT_INTERVAL,
+            charges: self.requests.charges(),
+        };
+        self.announced.insert(key, announced);
         self.on_requests(now, out, |table, routing, actions| {
-            let announcement = table.announcement(now, routing, key);
+            let announcement = table.announcement(now, routing, key, since);
             actions.push(RequestAction::Send {
                 to: scheduler,
                 message: PeerMessage::Announcement(announcement),
@@ -279,6 +325,16 @@
         self.send(now, to, message, out);
     }
 
+    /// Tells again which slots this gateway holds, unless it holds none and has said so.
+    fn repeat_holdings(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
+        self.next_holdings = now + ANNOUNCEMENT_INTERVAL;
+        let holds = !self.requests.holdings().is_empty();
+        if holds || self.had_holdings {
+            self.announce_holdings(now, out);
+        }
+        self.had_holdings = holds;
+    }
+
     /// Tells every host, the own one included, which slots this gateway holds.
     fn announce_holdings(&mut self, now: Timestamp, out: &mut Vec<NodeAction>) {
         self.next_holdings = now + ANNOUNCEMENT_INTERVAL;
--- a/lib/src/node/state.rs
+++ b/lib/src/node/state.rs
@@ -55,6 +55,19 @@
     heard_at: Timestamp,
 }
 
+/// The latest announcement of a shard's state.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Announced {
+    /// The scheduler that it went to.
+    pub(super) scheduler: HostId,
+    /// Life of the scheduler.
+    pub(super) incarnation: Incarnation,
+    /// When the next one is due.
+    pub(super) next: Timestamp,
+    /// Number of charges that it told.
+    pub(super) charges: u64,
+}
+
 /// The decisions of one host.
 pub struct Node {
     pub(super) identity: NodeIdentity,
@@ -67,13 +80,17 @@
     pub(super) requests: RequestTable,
     pub(super) pools: BTreeMap<PoolKey, Scheduler>,
     pub(super) slots: SlotHome,
+    /// Dead hosts, and when the places of their requests are given to others.
+    pub(super) departed: BTreeMap<HostId, Timestamp>,
     /// Hosts that give out the slots of the own failure domain.
     pub(super) slot_homes: Vec<HostId>,
     /// When this gateway tells next which slots it holds.
     pub(super) next_holdings: Timestamp,
     pub(super) clocks: BTreeMap<HostId, PeerClock>,
-    /// Scheduler and life to which each shard's state was last announced, and when next.
-    pub(super) announced: BTreeMap<PoolKey, (HostId, Incarnation, Timestamp)>,
+    /// To whom each shard's state was last announced.
+    pub(super) announced: BTreeMap<PoolKey, Announced>,
+    /// Whether this gateway held slots when it last told so.
+    pub(super) had_holdings: bool,
     /// No configuration is asked for before this time.
     pub(super) next_configuration_request: Timestamp,
     pub(super) stopping: bool,
@@ -98,10 +115,12 @@
             requests: RequestTable::new(own, incarnation),
             pools: BTreeMap::new(),
             slots: SlotHome::new(own, own_domain, now + SLOT_QUARANTINE),
+            departed: BTreeMap::new(),
             slot_homes: Vec::new(),
             next_holdings: now,
             clocks: BTreeMap::new(),
             announced: BTreeMap::new(),
+            had_holdings: false,
             next_configuration_request: now,
             stopping: false,
             watching: false,
--- a/lib/src/request/accounts.rs
+++ b/lib/src/request/accounts.rs
@@ -16,16 +16,33 @@
 /// Cumulative costs and the latest sight of each backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Accounts {
-    totals: BTreeMap<(ServiceId, WorkspaceId), u64>,
+    totals: BTreeMap<(ServiceId, WorkspaceId), Total>,
+    /// Number of charges so far.
+    charges: u64,
     sights: BTreeMap<(ServiceId, ServerId), ServerSight>,
 }
 
+/// Cumulative cost of a workspace on a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Total {
+    cost: u64,
+    /// Number of the latest charge.
+    changed: u64,
+}
+
 impl Accounts {
+    /// Number of charges so far, to ask for the cells that change from now on.
+    pub fn charges(&self) -> u64 {
+        self.charges
+    }
+
     /// Adds the cost of an ended request and returns the new total.
     pub fn charge(&mut self, service: ServiceId, workspace: WorkspaceId, cost: u64) -> u64 {
+        self.charges += 1;
         let total = self.totals.entry((service, workspace)).or_default();
-        *total = total.saturating_add(cost);
-        *total
+        total.cost = total.cost.saturating_add(cost);
+        total.changed = self.charges;
+        total.cost
     }
 
     /// Remembers what a grant says of its server.
@@ -68,20 +85,23 @@
             .map(|(_, sight)| *sight)
     }
 
-    /// Totals of a service as cells of one gateway's life.
+    /// Totals of a service that changed after the charge numbered `since`, as cells of one
+    /// gateway's life.
     pub fn cells(
         &self,
         service: ServiceId,
+        since: u64,
         origin: HostId,
         incarnation: Incarnation,
     ) -> impl Iterator<Item = TotalCell> + '_ {
         self.totals
             .range((service, WorkspaceId(0))..=(service, WorkspaceId(u32::MAX)))
-            .map(move |((_, workspace), cost)| TotalCell {
+            .filter(move |(_, total)| total.changed > since)
+            .map(move |((_, workspace), total)| TotalCell {
                 origin,
                 incarnation,
                 workspace: *workspace,
-                cost: *cost,
+                cost: total.cost,
             })
     }
 }
--- a/lib/src/request/table.rs
+++ b/lib/src/request/table.rs
@@ -397,12 +397,19 @@
         }
     }
 
-    /// Everything that the scheduler of a shard must know of this gateway.
+    /// Number of charges so far, for the next announcement.
+    pub fn charges(&self) -> u64 {
+        self.accounts.charges()
+    }
+
+    /// Everything that the scheduler of a shard must know of this gateway, but for the totals that
+    /// have not changed after the charge numbered `since`.
     pub fn announcement(
         &self,
         now: Timestamp,
         routing: &Routing<'_>,
         key: PoolKey,
+        since: u64,
     ) -> Announcement {
         let mut announcement = Announcement {
             service: key.service,
@@ -410,7 +417,7 @@
             sights: self.accounts.sights(key.service).collect(),
             totals: self
                 .accounts
-                .cells(key.service, self.own, self.incarnation)
+                .cells(key.service, since, self.own, self.incarnation)
                 .collect(),
             ..Announcement::default()
         };
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -20,6 +20,7 @@
 use cardamomshift_lib::host::Role;
 use cardamomshift_lib::host::ServiceKind;
 use cardamomshift_lib::id::WorkspaceId;
+use cardamomshift_lib::message::ServerPhase;
 use cardamomshift_lib::runtime::Daemon;
 use cardamomshift_lib::settings::FleetSettings;
 use cardamomshift_lib::settings::HostSettings;
@@ -157,6 +158,18 @@
             .expect("fleet is stuck");
     }
 
+    /// Whether some scheduler holds a server to be in a phase.
+    pub(crate) async fn has_server(&self, phase: ServerPhase) -> bool {
+        for member in &self.daemons {
+            let status = member.daemon.control().status().await.unwrap();
+            let mut servers = status.pools.iter().flat_map(|pool| &pool.servers);
+            if servers.any(|server| server.phase == phase) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Position of a daemon that schedules a shard.
     pub(crate) async fn scheduler(&self) -> usize {
         loop {
--- a/lib/tests/test_fleet_failures.rs
+++ b/lib/tests/test_fleet_failures.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cardamomshift_lib::host::ServiceKind;
+use cardamomshift_lib::message::ServerPhase;
 use cardamomshift_testutils::EngineOutcome;
 use cardamomshift_testutils::EngineProfile;
 use cardamomshift_testutils::HostListHandle;
@@ -15,6 +16,8 @@
 use fleet::call;
 use fleet::loopback;
 
+const PATH: &str = "/v1/chat/completions";
+
 const HOSTS: [(&str, &str); 4] = [
     ("dakar-1", "dakar-plateau"),
     ("dakar-2", "dakar-plateau"),
@@ -64,11 +67,7 @@
     let mut fleet = fleet_before(&engine).await;
     let callers = fleet.daemons[3].callers;
     let requests: Vec<_> = (0..12)
-        .map(|_| {
-            tokio::spawn(async move {
-                call(callers, "shop-one", "/v1/chat/completions", &[], body(40)).await
-            })
-        })
+        .map(|_| tokio::spawn(async move { call(callers, "shop-one", PATH, &[], body(40)).await }))
         .collect();
     fleet
         .wait_until_any(|status| status.pools.iter().any(|pool| pool.running > 0))
@@ -132,7 +131,7 @@
     fleet.objects.handle().set_outage(Outage::Broken);
     fleet.hosts.handle().set_outage(true);
     let callers = fleet.daemons[0].callers;
-    let model = call(callers, "shop-one", "/v1/chat/completions", &[], body(8)).await;
+    let model = call(callers, "shop-one", PATH, &[], body(8)).await;
     assert!(is_whole(&model), "{model:?}");
     let plain = call(callers, "shop-two", "/services/shop/book", &[], "{}").await;
     assert_eq!(plain.status(), 200, "{plain:?}");
@@ -155,7 +154,75 @@
         fleet.add_host(&format!("dakar-{index}"), "dakar-plateau");
         remove_host(&hosts, &mut fleet, 0);
         fleet.settled().await;
-        let answer = call(callers, "shop-two", "/v1/chat/completions", &[], body(8)).await;
+        let answer = call(callers, "shop-two", PATH, &[], body(8)).await;
         assert!(is_whole(&answer), "{answer:?}");
     }
 }
+
+/// A host that is stopping serves the requests that still reach it, because the balancer needs
+/// time to move away.
+#[tokio::test]
+async fn planned_stop_serves_what_the_balancer_still_sends() {
+    let engine = ModelEngine::start(loopback());
+    let mut fleet = fleet_before(&engine).await;
+    let mut stopping = fleet.daemons.remove(3);
+    stopping.daemon.stop();
+    let mut view = stopping.daemon.control().watch_view();
+    view.wait_for(|view| view.stopping).await.unwrap();
+    let answer = call(stopping.callers, "shop-one", PATH, &[], body(8)).await;
+    assert!(is_whole(&answer), "{answer:?}");
+    stopping.daemon.stopped().await;
+}
+
+/// A host crashes while it holds the only slot of a cold server. The slot is free again once the
+/// host list has dropped the host, however long after the crash.
+#[tokio::test]
+async fn slot_of_a_crashed_host_is_free_once_the_list_drops_it() {
+    let engine = ModelEngine::start(loopback());
+    let mut fleet = fleet_before(&engine).await;
+    let holder = fleet.daemons[3].callers;
+    // The answer of this request is lost with its host.
+    tokio::spawn(async move { call(holder, "shop-one", PATH, &[], body(2_000)).await });
+    while engine.handle().running() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.daemons.remove(3);
+    fleet
+        .wait_until(|status| status.hosts.iter().any(|host| !host.alive))
+        .await;
+    let callers = fleet.daemons[0].callers;
+    let waiting = tokio::spawn(async move { call(callers, "shop-two", PATH, &[], body(8)).await });
+    fleet.wait_until_any(|status| status.waiting > 0).await;
+    fleet.hosts.handle().remove("rufisque-1");
+    let answer = waiting.await.unwrap();
+    assert!(is_whole(&answer), "{answer:?}");
+}
+
+/// A host crashes while it runs requests on a warm server, and stays listed. Its places are given
+/// to others.
+#[tokio::test]
+async fn places_of_a_crashed_host_on_a_warm_server_are_given_to_others() {
+    let engine = ModelEngine::start(loopback());
+    let mut fleet = fleet_before(&engine).await;
+    engine.handle().turn_warm();
+    let survivor = fleet.daemons[0].callers;
+    while !fleet.has_server(ServerPhase::Warm).await {
+        let ended = call(survivor, "shop-one", PATH, &[], body(8)).await;
+        assert!(is_whole(&ended), "{ended:?}");
+        let many = (0..8).map(|_| call(survivor, "shop-one", PATH, &[], body(8)));
+        futures::future::join_all(many).await;
+    }
+    let holder = fleet.daemons[3].callers;
+    for _ in 0..64 {
+        tokio::spawn(async move { call(holder, "shop-one", PATH, &[], body(2_000)).await });
+    }
+    while engine.handle().running() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.daemons.remove(3);
+    let answer = call(survivor, "shop-two", PATH, &[], body(8)).await;
+    assert!(is_whole(&answer), "{answer:?}");
+    fleet
+        .wait_until(|status| status.pools.iter().all(|pool| pool.running == 0))
+        .await;
+}
