--- /dev/null
+++ b/lib/src/request/grants.rs
@@ -0,0 +1,198 @@
+//! Grants, permits and refusals: what other hosts decide on a waiting request.
+
+use std::time::Duration;
+
+use super::RequestAction;
+use super::RequestState;
+use super::RequestTable;
+use super::Routing;
+use crate::control::TicketKey;
+use crate::id::HostId;
+use crate::message::Grant;
+use crate::message::PeerMessage;
+use crate::message::PermitAnswer;
+use crate::message::PermitRelease;
+use crate::message::PermitRequest;
+use crate::message::Refusal;
+use crate::message::ServerPhase;
+use crate::time::Timestamp;
+
+/// Time for which an unusable grant is held before it is given back.
+const REST: Duration = Duration::from_millis(50);
+
+impl RequestTable {
+    /// Handles a grant from a host that claims to schedule the shard.
+    pub fn granted(
+        &mut self,
+        now: Timestamp,
+        routing: &Routing<'_>,
+        from: HostId,
+        grant: Grant,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let ticket = self.ticket(grant.request);
+        let state = self.open.get(&ticket).map(|open| open.state);
+        if state.is_some_and(|state| holds_same_grant(&state, &grant)) {
+            return;
+        }
+        let lapses = Timestamp::from_micros(grant.lapses_at_us);
+        let waiting = matches!(state, Some(RequestState::Waiting { .. }));
+        if !waiting || lapses.has_passed(now) || !self.is_valid(routing, from, &grant) {
+            self.return_grant(&grant, from, false, out);
+            return;
+        }
+        self.leave_other_queue(ticket, from, out);
+        self.accounts.granted(&grant);
+        if grant.phase == ServerPhase::Warm {
+            self.dispatch(ticket, grant, None, lapses, out);
+            return;
+        }
+        let Some(home) = (routing.slot_home)(grant.server, grant.slot) else {
+            self.rest(now, ticket, grant, from);
+            return;
+        };
+        self.set_state(
+            ticket,
+            RequestState::AskingPermit {
+                grant,
+                scheduler: from,
+                home,
+                lapses,
+            },
+        );
+        let message = PeerMessage::PermitRequest(PermitRequest {
+            request: grant.request,
+            server: grant.server,
+            slot: grant.slot,
+        });
+        out.push(RequestAction::Send { to: home, message });
+    }
+
+    /// Handles the answer of a slot's home host.
+    pub fn permit_answered(
+        &mut self,
+        now: Timestamp,
+        routing: &Routing<'_>,
+        from: HostId,
+        answer: PermitAnswer,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let ticket = self.ticket(answer.request);
+        let state = self.open.get(&ticket).map(|open| open.state);
+        if let Some(RequestState::AskingPermit {
+            grant,
+            scheduler,
+            home,
+            lapses,
+        }) = state
+            && home == from
+            && grant.server == answer.server
+            && grant.slot == answer.slot
+        {
+            if !answer.granted {
+                self.rest(now, ticket, grant, scheduler);
+            } else if lapses.has_passed(now) || (routing.usable)(grant.server).is_none() {
+                self.release(&grant, Some(home), out);
+                self.rest(now, ticket, grant, scheduler);
+            } else {
+                self.dispatch(ticket, grant, Some(home), lapses, out);
+            }
+            return;
+        }
+        if answer.granted && !state.is_some_and(|state| holds_permit(&state, from, &answer)) {
+            let message = PeerMessage::PermitRelease(PermitRelease {
+                request: answer.request,
+                server: answer.server,
+                slot: answer.slot,
+            });
+            out.push(RequestAction::Send { to: from, message });
+        }
+    }
+
+    /// Handles a refusal from a host that claims to schedule the shard.
+    pub fn refused(&mut self, from: HostId, refusal: Refusal, out: &mut Vec<RequestAction>) {
+        let ticket = self.ticket(refusal.request);
+        let Some(open) = self.open.get(&ticket) else {
+            return;
+        };
+        let RequestState::Waiting { scheduler, .. } = open.state else {
+            return;
+        };
+        if scheduler != from {
+            return;
+        }
+        self.refuse(
+            ticket,
+            refusal.reason,
+            Duration::from_millis(refusal.retry_after_ms),
+            out,
+        );
+    }
+
+    /// Withdraws the bid from its own scheduler if another one granted it.
+    fn leave_other_queue(
+        &self,
+        ticket: TicketKey,
+        granted_by: HostId,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let Some(open) = self.open.get(&ticket) else {
+            return;
+        };
+        if let RequestState::Waiting { scheduler, .. } = open.state
+            && scheduler != granted_by
+        {
+            self.withdraw(ticket, open.spec.service, scheduler, out);
+        }
+    }
+
+    fn rest(&mut self, now: Timestamp, ticket: TicketKey, grant: Grant, scheduler: HostId) {
+        self.set_state(
+            ticket,
+            RequestState::Resting {
+                grant,
+                scheduler,
+                until: now + REST,
+            },
+        );
+    }
+
+    fn dispatch(
+        &mut self,
+        ticket: TicketKey,
+        grant: Grant,
+        home: Option<HostId>,
+        deadline: Timestamp,
+        out: &mut Vec<RequestAction>,
+    ) {
+        let cost = 0;
+        self.set_state(ticket, RequestState::Dispatched { grant, home, cost });
+        out.push(RequestAction::Dispatch {
+            ticket,
+            server: grant.server,
+            deadline,
+        });
+    }
+
+    /// Whether a grant comes from the scheduler of its server's shard, for a server in service.
+    fn is_valid(&self, routing: &Routing<'_>, from: HostId, grant: &Grant) -> bool {
+        (routing.usable)(grant.server).is_some() && self.scheduler_of(routing, grant) == Some(from)
+    }
+}
+
+fn holds_same_grant(state: &RequestState, grant: &Grant) -> bool {
+    match state {
+        RequestState::Waiting { .. } => false,
+        RequestState::AskingPermit { grant: held, .. }
+        | RequestState::Resting { grant: held, .. }
+        | RequestState::Dispatched { grant: held, .. } => held.server == grant.server,
+    }
+}
+
+fn holds_permit(state: &RequestState, from: HostId, answer: &PermitAnswer) -> bool {
+    matches!(
+        state,
+        RequestState::Dispatched { grant, home: Some(home), .. }
+            if *home == from && grant.server == answer.server && grant.slot == answer.slot
+    )
+}
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! Requests that a gateway has accepted, from their bid to their end.
 
 mod accounts;
+mod grants;
 mod open;
 mod table;
 
--- a/lib/src/request/table.rs
+++ b/lib/src/request/table.rs
@@ -22,21 +22,15 @@
 use crate::message::Grant;
 use crate::message::GrantReturn;
 use crate::message::PeerMessage;
-use crate::message::PermitAnswer;
 use crate::message::PermitRelease;
 use crate::message::PermitRequest;
 use crate::message::Progress;
-use crate::message::Refusal;
 use crate::message::RefusalReason;
 use crate::message::Running;
-use crate::message::ServerPhase;
 use crate::message::Withdrawal;
 use crate::pool::PoolKey;
 use crate::time::Timestamp;
 
-/// Time for which an unusable grant is held before it is given back.
-const REST: Duration = Duration::from_millis(50);
-
 /// When a caller may come back after a refusal that the gateway decides by itself.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -89,8 +83,8 @@
 pub struct RequestTable {
     own: HostId,
     incarnation: Incarnation,
-    open: BTreeMap<TicketKey, OpenRequest>,
-    accounts: Accounts,
+    pub(super) open: BTreeMap<TicketKey, OpenRequest>,
+    pub(super) accounts: Accounts,
 }
 
 impl RequestTable {
@@ -244,114 +238,6 @@
         self.open.remove(&ticket);
     }
 
-    /// Handles a grant from a host that claims to schedule the shard.
-    pub fn granted(
-        &mut self,
-        now: Timestamp,
-        routing: &Routing<'_>,
-        from: HostId,
-        grant: Grant,
-        out: &mut Vec<RequestAction>,
-    ) {
-        let ticket = self.ticket(grant.request);
-        let state = self.open.get(&ticket).map(|open| open.state);
-        if state.is_some_and(|state| holds_same_grant(&state, &grant)) {
-            return;
-        }
-        let lapses = Timestamp::from_micros(grant.lapses_at_us);
-        let waiting = matches!(state, Some(RequestState::Waiting { .. }));
-        if !waiting || lapses.has_passed(now) || !self.is_valid(routing, from, &grant) {
-            self.return_grant(&grant, from, false, out);
-            return;
-        }
-        self.leave_other_queue(ticket, from, out);
-        self.accounts.granted(&grant);
-        if grant.phase == ServerPhase::Warm {
-            self.dispatch(ticket, grant, None, lapses, out);
-            return;
-        }
-        let Some(home) = (routing.slot_home)(grant.server, grant.slot) else {
-            self.rest(now, ticket, grant, from);
-            return;
-        };
-        self.set_state(
-            ticket,
-            RequestState::AskingPermit {
-                grant,
-                scheduler: from,
-                home,
-                lapses,
-            },
-        );
-        let message = PeerMessage::PermitRequest(PermitRequest {
-            request: grant.request,
-            server: grant.server,
-            slot: grant.slot,
-        });
-        out.push(RequestAction::Send { to: home, message });
-    }
-
-    /// Handles the answer of a slot's home host.
-    pub fn permit_answered(
-        &mut self,
-        now: Timestamp,
-        routing: &Routing<'_>,
-        from: HostId,
-        answer: PermitAnswer,
-        out: &mut Vec<RequestAction>,
-    ) {
-        let ticket = self.ticket(answer.request);
-        let state = self.open.get(&ticket).map(|open| open.state);
-        if let Some(RequestState::AskingPermit {
-            grant,
-            scheduler,
-            home,
-            lapses,
-        }) = state
-            && home == from
-            && grant.server == answer.server
-            && grant.slot == answer.slot
-        {
-            if !answer.granted {
-                self.rest(now, ticket, grant, scheduler);
-            } else if lapses.has_passed(now) || (routing.usable)(grant.server).is_none() {
-                self.release(&grant, Some(home), out);
-                self.rest(now, ticket, grant, scheduler);
-            } else {
-                self.dispatch(ticket, grant, Some(home), lapses, out);
-            }
-            return;
-        }
-        if answer.granted && !state.is_some_and(|state| holds_permit(&state, from, &answer)) {
-            let message = PeerMessage::PermitRelease(PermitRelease {
-                request: answer.request,
-                server: answer.server,
-                slot: answer.slot,
-            });
-            out.push(RequestAction::Send { to: from, message });
-        }
-    }
-
-    /// Handles a refusal from a host that claims to schedule the shard.
-    pub fn refused(&mut self, from: HostId, refusal: Refusal, out: &mut Vec<RequestAction>) {
-        let ticket = self.ticket(refusal.request);
-        let Some(open) = self.open.get(&ticket) else {
-            return;
-        };
-        let RequestState::Waiting { scheduler, .. } = open.state else {
-            return;
-        };
-        if scheduler != from {
-            return;
-        }
-        self.refuse(
-            ticket,
-            refusal.reason,
-            Duration::from_millis(refusal.retry_after_ms),
-            out,
-        );
-    }
-
     /// Moves waiting requests whose shard or scheduler is no longer the right one.
     pub fn replace_bids(
         &mut self,
@@ -452,7 +338,7 @@
         self.open.values().filter_map(held_slot).collect()
     }
 
-    fn ticket(&self, request: RequestId) -> TicketKey {
+    pub(super) fn ticket(&self, request: RequestId) -> TicketKey {
         TicketKey(request.sequence.wrapping_sub(self.incarnation.0))
     }
 
@@ -460,7 +346,7 @@
         self.open.keys().copied().collect()
     }
 
-    fn set_state(&mut self, ticket: TicketKey, state: RequestState) {
+    pub(super) fn set_state(&mut self, ticket: TicketKey, state: RequestState) {
         if let Some(open) = self.open.get_mut(&ticket) {
             open.state = state;
         }
@@ -501,7 +387,7 @@
         }
     }
 
-    fn refuse(
+    pub(super) fn refuse(
         &mut self,
         ticket: TicketKey,
         reason: RefusalReason,
@@ -538,24 +424,7 @@
         }
     }
 
-    /// Withdraws the bid from its own scheduler if another one granted it.
-    fn leave_other_queue(
-        &self,
-        ticket: TicketKey,
-        granted_by: HostId,
-        out: &mut Vec<RequestAction>,
-    ) {
-        let Some(open) = self.open.get(&ticket) else {
-            return;
-        };
-        if let RequestState::Waiting { scheduler, .. } = open.state
-            && scheduler != granted_by
-        {
-            self.withdraw(ticket, open.spec.service, scheduler, out);
-        }
-    }
-
-    fn withdraw(
+    pub(super) fn withdraw(
         &self,
         ticket: TicketKey,
         service: ServiceId,
@@ -569,7 +438,7 @@
         out.push(RequestAction::Send { to, message });
     }
 
-    fn return_grant(
+    pub(super) fn return_grant(
         &self,
         grant: &Grant,
         to: HostId,
@@ -585,7 +454,12 @@
         out.push(RequestAction::Send { to, message });
     }
 
-    fn release(&self, grant: &Grant, home: Option<HostId>, out: &mut Vec<RequestAction>) {
+    pub(super) fn release(
+        &self,
+        grant: &Grant,
+        home: Option<HostId>,
+        out: &mut Vec<RequestAction>,
+    ) {
         let Some(to) = home else {
             return;
         };
@@ -597,40 +471,7 @@
         out.push(RequestAction::Send { to, message });
     }
 
-    fn rest(&mut self, now: Timestamp, ticket: TicketKey, grant: Grant, scheduler: HostId) {
-        self.set_state(
-            ticket,
-            RequestState::Resting {
-                grant,
-                scheduler,
-                until: now + REST,
-            },
-        );
-    }
-
-    fn dispatch(
-        &mut self,
-        ticket: TicketKey,
-        grant: Grant,
-        home: Option<HostId>,
-        deadline: Timestamp,
-        out: &mut Vec<RequestAction>,
-    ) {
-        let cost = 0;
-        self.set_state(ticket, RequestState::Dispatched { grant, home, cost });
-        out.push(RequestAction::Dispatch {
-            ticket,
-            server: grant.server,
-            deadline,
-        });
-    }
-
-    /// Whether a grant comes from the scheduler of its server's shard, for a server in service.
-    fn is_valid(&self, routing: &Routing<'_>, from: HostId, grant: &Grant) -> bool {
-        (routing.usable)(grant.server).is_some() && self.scheduler_of(routing, grant) == Some(from)
-    }
-
-    fn scheduler_of(&self, routing: &Routing<'_>, grant: &Grant) -> Option<HostId> {
+    pub(super) fn scheduler_of(&self, routing: &Routing<'_>, grant: &Grant) -> Option<HostId> {
         let domain = (routing.domain)(grant.server)?;
         (routing.scheduler)(PoolKey {
             service: grant.service,
@@ -639,23 +480,6 @@
     }
 }
 
-fn holds_same_grant(state: &RequestState, grant: &Grant) -> bool {
-    match state {
-        RequestState::Waiting { .. } => false,
-        RequestState::AskingPermit { grant: held, .. }
-        | RequestState::Resting { grant: held, .. }
-        | RequestState::Dispatched { grant: held, .. } => held.server == grant.server,
-    }
-}
-
-fn holds_permit(state: &RequestState, from: HostId, answer: &PermitAnswer) -> bool {
-    matches!(
-        state,
-        RequestState::Dispatched { grant, home: Some(home), .. }
-            if *home == from && grant.server == answer.server && grant.slot == answer.slot
-    )
-}
-
 fn held_slot(open: &OpenRequest) -> Option<PermitRequest> {
     let grant = match open.state {
         RequestState::AskingPermit { grant, .. } => grant,
