--- a/bench/src/demo/report.rs
+++ b/bench/src/demo/report.rs
@@ -58,8 +58,11 @@
 }
 
 fn print_fleet(ended: &Ended, seconds: f64) {
-    let backlog = ended.history.backlog(&ended.calls);
     let service = ended.history.service();
+    // Only workspaces that are backlogged on the same service are compared; the others use plain
+    // services, whose cost is no token.
+    let mut backlog = ended.history.backlog(&ended.calls);
+    backlog.retain(|name, _| service.iter().any(|sample| sample.workspace == *name));
     let gap = largest_gap(&service, &backlog, ended.window);
     let waiting = ended.history.waiting(&ended.calls, ended.window);
     let busy = ended.history.busy_share(&waiting, |_| true).unwrap_or(0.0);
