--- /dev/null
+++ b/daemon/src/entry.rs
@@ -0,0 +1,123 @@
+//! Runs an entry host of the platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use cardamomshift_lib::entry::EntryControl;
+use cardamomshift_lib::entry::EntryDaemon;
+use cardamomshift_lib::time::Clock;
+use cardamomshift_platform::PlatformSettings;
+use cardamomshift_platform::Store;
+use cardamomshift_platform::entry_parts;
+use log::info;
+use log::warn;
+use snafu::ResultExt;
+
+use crate::args::EntryArgs;
+use crate::error::DaemonError;
+use crate::error::EntrySnafu;
+use crate::error::PlatformSettingsSnafu;
+use crate::error::RuntimeSnafu;
+use crate::error::SignalsSnafu;
+use crate::json_log;
+use crate::signal::StopSignals;
+
+/// Period of the look at the settings file, which may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(1);
+
+pub(crate) fn run(args: &EntryArgs) -> Result<(), DaemonError> {
+    let path = match &args.settings {
+        Some(path) => path.clone(),
+        None => PlatformSettings::path().context(PlatformSettingsSnafu)?,
+    };
+    let settings = PlatformSettings::load(&path).context(PlatformSettingsSnafu)?;
+    if args.check {
+        println!("settings are valid");
+        return Ok(());
+    }
+    let log_dropped = json_log::start(args.log_level)?;
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    rt.block_on(serve(path, settings, args.metrics_port, log_dropped))
+}
+
+async fn serve(
+    path: PathBuf,
+    mut settings: PlatformSettings,
+    metrics_port: Option<u16>,
+    log_dropped: Arc<AtomicU64>,
+) -> Result<(), DaemonError> {
+    let mut signals = StopSignals::listen()?;
+    settings.listen.metrics = metrics_port.map(|port| SocketAddr::new(settings.ip, port));
+    log_settings(&settings, "starting");
+    let store = Store::new(settings.store);
+    let parts = entry_parts(&settings, &store, Clock::start(), log_dropped);
+    let daemon = EntryDaemon::start(parts).await.context(EntrySnafu)?;
+    let control = daemon.control();
+    let reloading = tokio::spawn(follow_settings(path, settings, store, control));
+    daemon.serve(signals.next()).await;
+    reloading.abort();
+    Ok(())
+}
+
+fn log_settings(settings: &PlatformSettings, event: &str) {
+    info!(target: "host", host = settings.identity.name.as_str(),
+        domain = settings.identity.domain.as_str(),
+        callers = settings.listen.callers.to_string(), store = settings.store.to_string(),
+        version = env!("CARGO_PKG_VERSION"); "{event}");
+    for name in &settings.unknown_contracts {
+        warn!(target: "host", contract = name.as_str(); "contract is not known to this version");
+    }
+}
+
+/// Takes over changes of the settings file, until the task is aborted.
+async fn follow_settings(
+    path: PathBuf,
+    mut known: PlatformSettings,
+    store: Store,
+    control: EntryControl,
+) -> Result<(), DaemonError> {
+    let kind = tokio::signal::unix::SignalKind::hangup();
+    let mut hangup = tokio::signal::unix::signal(kind).context(SignalsSnafu)?;
+    let mut last_fault = None;
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => info!(target: "host", "told to read the settings again"),
+            () = tokio::time::sleep(SETTINGS_PERIOD) => {}
+        }
+        match load(&path, &known) {
+            Ok(settings) if settings == known => last_fault = None,
+            Ok(settings) => {
+                log_settings(&settings, "settings changed");
+                if settings.store != known.store {
+                    store.move_to(settings.store);
+                }
+                if settings.listen != known.listen || settings.identity != known.identity {
+                    warn!(target: "host", "new addresses and names need a restart");
+                }
+                control.set_bounds(settings.bounds);
+                known = settings;
+                last_fault = None;
+            }
+            Err(fault) => {
+                if last_fault.as_ref() != Some(&fault) {
+                    warn!(target: "host", reason = fault.as_str(); "settings kept as they were");
+                }
+                last_fault = Some(fault);
+            }
+        }
+    }
+}
+
+/// Reads the settings again. The address of measurements is not in the file.
+fn load(path: &Path, known: &PlatformSettings) -> Result<PlatformSettings, String> {
+    let mut settings = PlatformSettings::load(path).map_err(|err| err.to_string())?;
+    settings.listen.metrics = known.listen.metrics;
+    Ok(settings)
+}
--- a/daemon/src/error.rs
+++ b/daemon/src/error.rs
@@ -16,6 +16,16 @@
     /// The settings are not valid.
     #[snafu(display("{source}"))]
     Settings { source: SettingsError },
+    /// The platform's settings are not valid.
+    #[snafu(display("{source}"))]
+    PlatformSettings {
+        source: cardamomshift_platform::SettingsError,
+    },
+    /// The entry host cannot be started.
+    #[snafu(display("cannot start the entry host: {source}"))]
+    Entry {
+        source: cardamomshift_lib::entry::EntryError,
+    },
     /// The log cannot be opened.
     #[snafu(display("cannot start logging: {source}"))]
     Logging { source: log::SetLoggerError },
@@ -35,10 +45,11 @@
 impl DaemonError {
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Settings { .. } => ExitCode::from(EXIT_SETTINGS),
+            Self::Settings { .. } | Self::PlatformSettings { .. } => ExitCode::from(EXIT_SETTINGS),
             Self::Logging { .. }
             | Self::Runtime { .. }
             | Self::Start { .. }
+            | Self::Entry { .. }
             | Self::Signals { .. } => ExitCode::FAILURE,
         }
     }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,10 +1,13 @@
 //! Daemon of the cardamomshift router fleet: arguments, logging and signals around the runtime.
 
 mod args;
+mod entry;
 mod error;
+mod json_log;
 mod logging;
 mod signal;
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use cardamomshift_lib::runtime::Daemon;
@@ -13,7 +16,9 @@
 use log::info;
 use snafu::ResultExt;
 
-use crate::args::Args;
+use crate::args::Cli;
+use crate::args::Command;
+use crate::args::OwnArgs;
 use crate::error::DaemonError;
 use crate::error::RuntimeSnafu;
 use crate::error::SettingsSnafu;
@@ -21,7 +26,12 @@
 use crate::signal::StopSignals;
 
 fn main() -> ExitCode {
-    match run(&Args::parse()) {
+    let cli = Cli::parse();
+    let result = match &cli.command {
+        Some(Command::Entry(args)) => entry::run(args),
+        None => run(&cli.own),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("cardamomshiftd: {err}");
@@ -30,8 +40,9 @@
     }
 }
 
-fn run(args: &Args) -> Result<(), DaemonError> {
-    let settings = Settings::load(&args.config).context(SettingsSnafu)?;
+fn run(args: &OwnArgs) -> Result<(), DaemonError> {
+    let path = args.config.as_deref().unwrap_or(Path::new(""));
+    let settings = Settings::load(path).context(SettingsSnafu)?;
     if args.check {
         println!("settings are valid");
         return Ok(());
--- /dev/null
+++ b/lib/src/entry/prefix.rs
@@ -0,0 +1,71 @@
+//! Estimate of the parts of prompts that a backend server keeps in its memory.
+
+use std::collections::HashMap;
+
+use super::dialect::Prompt;
+use crate::time::Timestamp;
+
+/// Parts that are remembered for one server. Above the number of sessions that a server's memory
+/// holds: 230,000 tokens at 60 tokens or more a session.
+const PARTS_MAX: usize = 4096;
+
+/// Parts that this host has seen a server read, with the time of the last use.
+///
+/// Only parts that requests share are remembered. The engine forgets the least recently used ones
+/// first; so does this estimate, by the number of tokens that the engine has room for.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixMemory {
+    parts: HashMap<u64, Kept>,
+    tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    tokens: u32,
+    used_at: Timestamp,
+}
+
+impl PrefixMemory {
+    /// Tokens of `prompt` that the server has to read: all that follow the last part it keeps.
+    pub fn unread_tokens(&self, prompt: &Prompt) -> u32 {
+        let kept: u32 = prompt
+            .shared_parts()
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.id))
+            .map(|part| part.tokens)
+            .sum();
+        prompt.input_tokens.saturating_sub(kept)
+    }
+
+    /// The server has begun to answer a request with `prompt`, and has `room` tokens for parts.
+    pub fn on_read(&mut self, now: Timestamp, prompt: &Prompt, room: u64) {
+        for part in prompt.shared_parts() {
+            let kept = Kept {
+                tokens: part.tokens,
+                used_at: now,
+            };
+            let before = self.parts.insert(part.id, kept);
+            self.tokens += u64::from(part.tokens);
+            self.tokens -= before.map_or(0, |kept| u64::from(kept.tokens));
+        }
+        if self.tokens > room || self.parts.len() > PARTS_MAX {
+            self.forget_oldest(room);
+        }
+    }
+
+    /// Drops the least recently used parts until a tenth of the room is free again, so that the
+    /// parts need not be sorted for every request.
+    fn forget_oldest(&mut self, room: u64) {
+        let mut by_age: Vec<_> = self.parts.iter().map(|(id, k)| (k.used_at, *id)).collect();
+        by_age.sort_unstable();
+        let target = room - room / 10;
+        for (_, id) in by_age {
+            if self.tokens <= target && self.parts.len() <= PARTS_MAX {
+                return;
+            }
+            if let Some(kept) = self.parts.remove(&id) {
+                self.tokens -= u64::from(kept.tokens);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/entry/stats.rs
@@ -0,0 +1,138 @@
+//! Measurements of an entry host.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use prometheus::Encoder;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds of the time buckets, seconds. The objectives of the routes of today, 0.15 to
+/// 0.8 s, and their deadlines, 1.5 to 15 s, lie among them.
+const TIME_BUCKETS: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.5, 3.0, 6.0, 15.0, 60.0,
+];
+
+/// Counters, gauges and histograms of an entry host.
+#[derive(Debug)]
+pub struct EntryStats {
+    registry: Registry,
+    /// Final answers by route, and by status or reason.
+    pub(crate) answers: IntCounterVec,
+    /// Time to the first byte of an answer, by route, seconds.
+    pub(crate) first_byte: HistogramVec,
+    /// Time to the end of an answer, by route, seconds.
+    pub(crate) whole: HistogramVec,
+    /// Ends of attempts at servers, by service and outcome.
+    pub(crate) attempts: IntCounterVec,
+    /// Connections opened to servers.
+    pub(crate) connections_opened: IntCounter,
+    /// Open connections of callers.
+    pub(crate) connections: IntGauge,
+    /// Connections of callers that were refused.
+    pub(crate) connections_refused: IntCounter,
+    /// Objects of the platform that could not be read, by kind.
+    pub(crate) unreadable: IntCounterVec,
+    /// Times that the platform was lost, by kind of object.
+    pub(crate) platform_lost: IntCounterVec,
+    /// Version of the configuration.
+    pub(crate) config_version: IntGauge,
+    /// Servers known.
+    pub(crate) servers: IntGauge,
+    log_dropped: IntGauge,
+    log_dropped_count: Arc<AtomicU64>,
+}
+
+impl EntryStats {
+    /// Registers all measurements.
+    ///
+    /// # Errors
+    ///
+    /// Gives the library's error if two measurements have one name.
+    pub fn new(log_dropped_count: Arc<AtomicU64>) -> Result<Self, prometheus::Error> {
+        let registry = Registry::new_custom(Some("cardamomshift".into()), None)?;
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let vec = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vec.clone()))?;
+            Ok::<_, prometheus::Error>(vec)
+        };
+        let times = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(TIME_BUCKETS.to_vec());
+            let vec = HistogramVec::new(opts, &["route"])?;
+            registry.register(Box::new(vec.clone()))?;
+            Ok::<_, prometheus::Error>(vec)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        Ok(Self {
+            answers: counters("answers_total", "Final answers", &["route", "outcome"])?,
+            first_byte: times("first_byte_seconds", "Time to the first byte of an answer")?,
+            whole: times("whole_answer_seconds", "Time to the end of an answer")?,
+            attempts: counters(
+                "attempts_total",
+                "Requests sent to servers",
+                &["service", "outcome"],
+            )?,
+            connections_opened: counter(
+                "server_connections_total",
+                "Connections opened to servers",
+            )?,
+            connections: gauge("caller_connections", "Open connections of callers")?,
+            connections_refused: counter(
+                "caller_connections_refused_total",
+                "Connections refused beyond the limit",
+            )?,
+            unreadable: counters(
+                "objects_unreadable_total",
+                "Objects of the platform that could not be read",
+                &["kind"],
+            )?,
+            platform_lost: counters(
+                "platform_lost_total",
+                "Times that the platform stopped answering",
+                &["kind"],
+            )?,
+            config_version: gauge("config_version", "Version of the configuration")?,
+            servers: gauge("servers", "Backend servers known")?,
+            log_dropped: gauge("log_lines_dropped", "Log lines dropped")?,
+            log_dropped_count,
+            registry,
+        })
+    }
+
+    /// Counts a final answer.
+    pub(crate) fn on_answer(&self, route: &str, outcome: &str, elapsed: Duration) {
+        self.answers.with_label_values(&[route, outcome]).inc();
+        let whole = self.whole.with_label_values(&[route]);
+        whole.observe(elapsed.as_secs_f64());
+    }
+
+    /// All measurements in the text format of Prometheus.
+    ///
+    /// # Errors
+    ///
+    /// Gives the library's error if a measurement cannot be written.
+    pub fn text(&self) -> Result<String, prometheus::Error> {
+        let dropped = self.log_dropped_count.load(Ordering::Relaxed);
+        self.log_dropped.set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        String::from_utf8(text).map_err(|err| prometheus::Error::Msg(err.to_string()))
+    }
+}
--- a/lib/src/gateway/backend/pool.rs
+++ b/lib/src/gateway/backend/pool.rs
@@ -118,6 +118,11 @@
 
     /// Keeps a connection whose exchange ended with a clean and whole answer.
     pub(crate) fn put_back(&self, connection: Connection) {
+        self.put_back_until(connection, self.clock.now() + IDLE_MAX);
+    }
+
+    /// Keeps such a connection until `close_at`.
+    pub(crate) fn put_back_until(&self, connection: Connection, close_at: Timestamp) {
         if connection.sender.is_closed() {
             return;
         }
@@ -129,7 +134,7 @@
         if stack.len() < IDLE_CONNECTIONS_MAX {
             stack.push(IdleConnection {
                 connection,
-                close_at: now + IDLE_MAX,
+                close_at,
             });
         }
     }
--- a/lib/src/gateway/headers.rs
+++ b/lib/src/gateway/headers.rs
@@ -74,7 +74,8 @@
         .collect()
 }
 
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+/// Fields that do not concern one connection only.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut kept = headers.clone();
     let named: Vec<_> = headers
         .get_all(header::CONNECTION)
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -32,13 +32,17 @@
 use tokio::sync::watch;
 
 use self::access::Access;
-use self::backend::BackendPool;
+pub(crate) use self::backend::BackendPool;
+pub(crate) use self::backend::Connection;
+pub(crate) use self::backend::Written;
 pub use self::code::Code;
 use self::dispatch::Shared;
 pub use self::refusal::Outcome;
 use self::routes::Front;
 use self::routes::router;
-use self::server::Server;
+pub(crate) use self::headers::end_to_end;
+pub(crate) use self::server::ConnectionLimits;
+pub(crate) use self::server::Server;
 use self::waiting::WaitingLimit;
 use crate::control::ControlHandle;
 use crate::metrics::Metrics;
@@ -92,12 +96,14 @@
             id_prefix: getrandom::u64()?,
             next_id: AtomicU64::new(0),
         };
+        let limits = ConnectionLimits::from(&parts.limits);
         Ok(Self {
             server: Server {
                 listener: parts.listener,
                 router: router(Arc::new(front)),
-                limits: parts.limits,
-                metrics: parts.metrics,
+                limits: Box::new(move || limits),
+                connections: parts.metrics.connections.clone(),
+                connections_refused: parts.metrics.connections_refused.clone(),
                 stop: parts.stop,
             },
         })
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -11,6 +11,8 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
+use prometheus::IntCounter;
+use prometheus::IntGauge;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -25,7 +27,6 @@
 use super::preface::StartedStream;
 use super::preface::Timeouts;
 use super::preface::read_preface;
-use crate::metrics::Metrics;
 use crate::settings::LimitSettings;
 
 /// Smallest buffer that the HTTP library accepts, bytes.
@@ -44,12 +45,44 @@
 const HEAD_TIMEOUT: &[u8] = b"HTTP/1.1 408 Request Timeout\r\n\
     content-length: 0\r\nconnection: close\r\n\r\n";
 
+/// Limits on the connections of callers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionLimits {
+    /// Connections at once.
+    pub(crate) connections: usize,
+    /// Largest head of a request, bytes.
+    pub(crate) head_bytes: usize,
+    /// Time for the head of a request, from its first byte.
+    pub(crate) head_timeout: Duration,
+    /// Time between two requests.
+    pub(crate) idle_timeout: Duration,
+    /// Time in which a caller must take a byte of an answer.
+    pub(crate) write_timeout: Duration,
+    /// Time that running requests have to end at a planned stop.
+    pub(crate) drain_timeout: Duration,
+}
+
+impl From<&LimitSettings> for ConnectionLimits {
+    fn from(limits: &LimitSettings) -> Self {
+        Self {
+            connections: limits.connections,
+            head_bytes: limits.header_bytes,
+            head_timeout: Duration::from_millis(limits.header_timeout_ms),
+            idle_timeout: KEEP_ALIVE_TIMEOUT,
+            write_timeout: Duration::from_millis(limits.idle_timeout_ms),
+            drain_timeout: Duration::from_millis(limits.drain_timeout_ms),
+        }
+    }
+}
+
 /// Accepts connections and serves the router on each of them.
 pub(crate) struct Server {
     pub(crate) listener: TcpListener,
     pub(crate) router: Router,
-    pub(crate) limits: LimitSettings,
-    pub(crate) metrics: Arc<Metrics>,
+    /// Gives the limits for the next connection.
+    pub(crate) limits: Box<dyn Fn() -> ConnectionLimits + Send + Sync>,
+    pub(crate) connections: IntGauge,
+    pub(crate) connections_refused: IntCounter,
     pub(crate) stop: watch::Receiver<bool>,
 }
 
@@ -59,9 +92,10 @@
         let mut stop = self.stop.clone();
         let mut connections = Connections {
             router: self.router,
-            permits: Arc::new(Semaphore::new(self.limits.connections)),
+            permits: Arc::new(Semaphore::new((self.limits)().connections)),
             limits: self.limits,
-            metrics: self.metrics,
+            gauge: self.connections,
+            refused: self.connections_refused,
             stop: self.stop,
             open: JoinSet::new(),
         };
@@ -86,8 +120,9 @@
 /// Open connections.
 struct Connections {
     router: Router,
-    limits: LimitSettings,
-    metrics: Arc<Metrics>,
+    limits: Box<dyn Fn() -> ConnectionLimits + Send + Sync>,
+    gauge: IntGauge,
+    refused: IntCounter,
     stop: watch::Receiver<bool>,
     permits: Arc<Semaphore>,
     open: JoinSet<()>,
@@ -107,13 +142,13 @@
 
     /// Waits for the open connections. Those that remain after the timeout are aborted.
     async fn drain(mut self) {
-        let timeout = Duration::from_millis(self.limits.drain_timeout_ms);
+        let timeout = (self.limits)().drain_timeout;
         let drained = async { while self.open.join_next().await.is_some() {} };
         let _ = tokio::time::timeout(timeout, drained).await;
     }
 
     fn refuse_connection(&self, stream: &TcpStream) {
-        self.metrics.connections_refused.inc();
+        self.refused.inc();
         // The caller sees a closed connection if the answer does not fit the socket's buffer.
         let _ = stream.try_write(TOO_MANY_CONNECTIONS);
     }
@@ -125,12 +160,10 @@
     ) -> impl Future<Output = ()> + Send + 'static {
         let connection = CallerConnection {
             router: self.router.clone(),
-            header_bytes: self.limits.header_bytes.max(HEAD_BUFFER_MIN),
-            head_timeout: Duration::from_millis(self.limits.header_timeout_ms),
-            write_timeout: Duration::from_millis(self.limits.idle_timeout_ms),
+            limits: (self.limits)(),
             stop: self.stop.clone(),
         };
-        let gauge = self.metrics.connections.clone();
+        let gauge = self.gauge.clone();
         async move {
             gauge.inc();
             connection.serve(stream).await;
@@ -161,9 +194,7 @@
 
 struct CallerConnection {
     router: Router,
-    header_bytes: usize,
-    head_timeout: Duration,
-    write_timeout: Duration,
+    limits: ConnectionLimits,
     stop: watch::Receiver<bool>,
 }
 
@@ -171,13 +202,13 @@
     async fn serve(self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let preface = read_preface(&mut stream);
-        match tokio::time::timeout(self.head_timeout, preface).await {
+        match tokio::time::timeout(self.limits.head_timeout, preface).await {
             Ok(Ok((protocol, start))) => {
                 let watch = Arc::new(HeadWatch::default());
                 let timeouts = Timeouts {
-                    head: self.head_timeout,
+                    head: self.limits.head_timeout,
                     watch: (protocol == Protocol::Http1).then(|| watch.clone()),
-                    write: self.write_timeout,
+                    write: self.limits.write_timeout,
                 };
                 let io = start.join(stream, timeouts);
                 match protocol {
@@ -192,9 +223,13 @@
         }
     }
 
+    fn head_bytes(&self) -> usize {
+        self.limits.head_bytes.max(HEAD_BUFFER_MIN)
+    }
+
     async fn serve_http1(mut self, io: StartedStream, watch: Arc<HeadWatch>) {
         let service = WatchedRouter {
-            router: TowerToHyperService::new(self.router),
+            router: TowerToHyperService::new(self.router.clone()),
             watch,
         };
         // The library would close a connection without a request at once if it were told of the
@@ -203,8 +238,8 @@
         let mut connection = http1::Builder::new()
             .keep_alive(!draining)
             .timer(TokioTimer::new())
-            .header_read_timeout(KEEP_ALIVE_TIMEOUT)
-            .max_buf_size(self.header_bytes)
+            .header_read_timeout(self.limits.idle_timeout)
+            .max_buf_size(self.head_bytes())
             .serve_connection(TokioIo::new(io), service);
         loop {
             let driver = std::future::poll_fn(|cx| connection.poll_without_shutdown(cx));
@@ -226,8 +261,8 @@
     }
 
     async fn serve_http2(mut self, io: StartedStream) {
-        let service = TowerToHyperService::new(self.router);
-        let header_bytes = u32::try_from(self.header_bytes).unwrap_or(u32::MAX);
+        let service = TowerToHyperService::new(self.router.clone());
+        let header_bytes = u32::try_from(self.head_bytes()).unwrap_or(u32::MAX);
         let mut connection = pin!(
             http2::Builder::new(TokioExecutor::new())
                 .timer(TokioTimer::new())
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend_server;
 pub mod configuration;
 pub mod control;
+pub mod entry;
 pub mod gateway;
 pub mod host;
 pub mod id;
--- a/lib/src/platform/http.rs
+++ b/lib/src/platform/http.rs
@@ -46,8 +46,7 @@
 
 /// Why a call has no answer.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub(crate) enum CallError {
+pub enum CallError {
     /// The server was not reached: the call has had no effect.
     #[snafu(display("not sent: {reason}"))]
     NotSent {
@@ -64,10 +63,13 @@
 
 /// A whole answer.
 #[derive(Debug)]
-pub(crate) struct Reply {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Fields of the head.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
 }
 
 impl Reply {
@@ -80,14 +82,15 @@
 
 /// An HTTP client for one server. Clones share their connections.
 #[derive(Clone, Debug)]
-pub(crate) struct HttpCaller {
+pub struct HttpCaller {
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
     options: CallOptions,
 }
 
 impl HttpCaller {
-    pub(crate) fn new(address: SocketAddr, options: CallOptions) -> Self {
+    /// Makes a client of the server at `address`. Connects on the first call.
+    pub fn new(address: SocketAddr, options: CallOptions) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(options.connect_timeout));
         connector.set_nodelay(true);
@@ -103,18 +106,26 @@
     }
 
     /// The URI of a path and query on the server.
-    pub(crate) fn uri(&self, path: &str) -> String {
+    pub fn uri(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
 
     /// Makes a call that the server answers at once.
-    pub(crate) async fn call(&self, req: Request<Full<Bytes>>) -> Result<Reply, CallError> {
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the call may have had an effect.
+    pub async fn call(&self, req: Request<Full<Bytes>>) -> Result<Reply, CallError> {
         self.call_by(req, Instant::now() + self.options.call_timeout)
             .await
     }
 
     /// Makes a call that the server may hold for `wait` before it answers.
-    pub(crate) async fn call_waiting(
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the call may have had an effect.
+    pub async fn call_waiting(
         &self,
         req: Request<Full<Bytes>>,
         wait: Duration,
@@ -164,7 +175,8 @@
     Ok(collected.to_bytes())
 }
 
-fn describe(err: &dyn std::error::Error) -> String {
+/// An error with its causes.
+pub(crate) fn describe(err: &dyn std::error::Error) -> String {
     let mut text = err.to_string();
     let mut source = err.source();
     while let Some(inner) = source {
--- a/lib/src/time/mod.rs
+++ b/lib/src/time/mod.rs
@@ -1,9 +1,12 @@
-//! Points in time on the monotonic clock of one host.
+//! Points in time on the clock of one host.
 
 use std::ops::Add;
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 /// A point in time, in microseconds since an arbitrary origin of one host.
 ///
 /// Timestamps of two hosts cannot be compared. Messages between hosts carry the time that
@@ -52,27 +55,36 @@
     }
 }
 
-/// The monotonic clock of this process, read only at the edges of the core.
+/// The clock of this process, read only at the edges of the core. It counts the time during
+/// which the host was suspended, so that a deadline that passed meanwhile is seen to have passed.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// Starts a clock whose origin is now.
     pub fn start() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: since_boot(),
         }
     }
 
     /// The current time.
     pub fn now(&self) -> Timestamp {
-        Timestamp::ZERO + self.origin.elapsed()
+        Timestamp::ZERO + since_boot().saturating_sub(self.origin)
     }
 
-    /// The point of the operating system's clock that `at` stands for.
+    /// The point of the runtime's clock that `at` stands for, now if `at` has passed.
     pub fn instant(&self, at: Timestamp) -> Instant {
-        self.origin + Duration::from_micros(at.as_micros())
+        Instant::now() + at.remaining(self.now())
     }
 }
+
+/// Time since the host was started, with the time that it was suspended.
+fn since_boot() -> Duration {
+    let at = clock_gettime(ClockId::Boottime);
+    let secs = u64::try_from(at.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(at.tv_nsec).unwrap_or(0);
+    Duration::new(secs, nanos)
+}
