--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -15,6 +15,7 @@
 use super::fleet::FlightEnd;
 use super::fleet::FlightKey;
 use super::host::EntryHost;
+use super::peers::Scheduled;
 use crate::gateway::Connection;
 use crate::gateway::Written;
 use crate::platform::describe;
@@ -61,21 +62,35 @@
     host: Arc<EntryHost>,
     key: FlightKey,
     end: FlightEnd,
+    /// Set for requests to models.
+    scheduled: Option<Scheduled>,
+    has_begun: bool,
 }
 
 impl Flight {
-    pub(crate) fn new(host: Arc<EntryHost>, key: FlightKey) -> Self {
+    pub(crate) fn new(
+        host: Arc<EntryHost>,
+        key: FlightKey,
+        scheduled: Option<Scheduled>,
+    ) -> Self {
         Self {
             host,
             key,
             end: FlightEnd::Abandoned,
+            scheduled,
+            has_begun: false,
         }
     }
 
-    /// The answer has begun.
-    pub(crate) fn on_begun(&self) {
-        let now = self.host.clock.now();
-        self.host.fleet().on_begun(now, self.key);
+    /// Part of the answer has arrived.
+    pub(crate) fn on_begun(&mut self) {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return;
+        }
+        self.host.fleet().on_begun(self.key);
+        if let Some(scheduled) = &self.scheduled {
+            scheduled.on_begun(self.host.clock.now());
+        }
     }
 
     /// Ends the flight.
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -19,12 +19,17 @@
 use super::dialect::Prompt;
 use super::dialect::ServerEntry;
 use super::health::is_failing;
+use super::homes::SessionHomes;
 use super::placement::Candidate;
-use super::placement::Choice;
-use super::placement::Demand;
 use super::placement::choose;
+use super::placement::sound;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::schedule::Bid;
+use super::schedule::EngineView;
+use super::schedule::Progress;
+use super::schedule::Scheduler;
+use super::schedule::Verdict;
 use super::servers::Server;
 use super::servers::ServerChange;
 use super::servers::ServerKey;
@@ -43,9 +48,9 @@
 const PLATFORM_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// When to come back after a refusal for lack of a server: servers announce changes about as fast.
 const SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// When to come back after a refusal for load: about the time in which an engine reads
-/// the tokens that may wait at it.
-const LOAD_RETRY_AFTER: Duration = Duration::from_millis(600);
+/// How much shorter than the longest one of its route a deadline is if its caller has come back:
+/// well above the jitter of callers, well below the wait after a refusal.
+const RETURNING_BY: Duration = Duration::from_millis(50);
 /// How long a server counts as cold after a sign of a restart, until its announcement tells:
 /// servers announce themselves about every second.
 const DOUBT_LASTS: Duration = Duration::from_secs(3);
@@ -74,6 +79,10 @@
     pub arrived: Timestamp,
     /// When its caller or its route gives up.
     pub give_up_at: Timestamp,
+    /// When its answer should have begun, counted from the caller's first attempt.
+    pub objective_at: Timestamp,
+    /// Its caller seems to have been refused before: it has less time than others of the route.
+    pub is_returning: bool,
     /// Version of the configuration that decided.
     pub config_version: u64,
 }
@@ -87,10 +96,8 @@
     pub server: ServerKey,
     /// What the server announced.
     pub entry: ServerEntry,
-    /// Prompt tokens that it has to read, as this host believes.
+    /// Prompt tokens that it has to read, as the scheduler believes.
     pub unread_tokens: u32,
-    /// Prompt tokens that waited there before.
-    pub waiting_tokens: u64,
 }
 
 /// How a request at a server ended.
@@ -112,13 +119,20 @@
     Abandoned,
 }
 
-#[derive(Clone, Debug)]
-struct Flight {
-    server: ServerKey,
-    unread_tokens: u32,
-    memory_tokens: u64,
-    prompt: Option<Prompt>,
-    has_begun: bool,
+/// Servers that may get a request, and whether others were left out for being cold.
+struct Usable {
+    candidates: Vec<Candidate>,
+    has_cold: bool,
+}
+
+impl Usable {
+    fn refusal(&self) -> Refusal {
+        let reason = match self.has_cold {
+            true => Reason::ServersCold,
+            false => Reason::NoServer,
+        };
+        Refusal::until(reason, SERVER_RETRY_AFTER)
+    }
 }
 
 /// What a host knows of the fleet.
@@ -134,13 +148,18 @@
     evacuated: HashSet<CompactString>,
     hosts: Vec<u64>,
     retries: HashMap<CompactString, RetryBudget>,
-    flights: SlotMap<FlightKey, Flight>,
+    flights: SlotMap<FlightKey, ServerKey>,
+    scheduler: Scheduler,
+    homes: SessionHomes,
+    longest_deadlines: HashMap<CompactString, Duration>,
     is_stopping: bool,
 }
 
 impl Fleet {
     /// A host that knows nothing yet.
-    pub fn new(own: HostIdentity, bounds: FleetBounds) -> Self {
+    ///
+    /// `epoch` tells this life of the host from others.
+    pub fn new(own: HostIdentity, bounds: FleetBounds, epoch: u32) -> Self {
         Self {
             own_hash: xxh3_64(own.name.as_bytes()),
             bounds,
@@ -153,6 +172,9 @@
             hosts: Vec::new(),
             retries: HashMap::new(),
             flights: SlotMap::with_key(),
+            scheduler: Scheduler::new(epoch),
+            homes: SessionHomes::default(),
+            longest_deadlines: HashMap::new(),
             is_stopping: false,
         }
     }
@@ -317,16 +339,29 @@
         let point = session.unwrap_or_else(|| xxh3_64(head.id.as_bytes()));
         let service = route
             .service(point)
-            .ok_or_else(|| Refusal::until(Reason::NoServer, SERVER_RETRY_AFTER))?;
+            .ok_or_else(|| Refusal::until(Reason::NoServer, SERVER_RETRY_AFTER))?
+            .clone();
+        let workspace = workspace.map(|workspace| workspace.name.clone());
+        let hides_key = !config.workspaces.is_empty();
+        let config_version = config.version;
         let by_route = now + route.timeout;
+        let route = route.clone();
+        let given = head.deadline.map(|at| at.remaining(now));
+        let longest = self.longest_deadlines.entry(route.name.clone()).or_default();
+        *longest = (*longest).max(given.unwrap_or_default());
+        let used = given.map_or(Duration::ZERO, |given| longest.saturating_sub(given));
+        let is_returning = used > RETURNING_BY;
+        let used = if is_returning { used } else { Duration::ZERO };
         Ok(Admitted {
-            route: route.clone(),
-            service: service.clone(),
-            workspace: workspace.map(|workspace| workspace.name.clone()),
-            hides_key: !config.workspaces.is_empty(),
+            objective_at: now + route.objective.saturating_sub(used),
+            is_returning,
+            route,
+            service,
+            workspace,
+            hides_key,
             arrived: now,
             give_up_at: head.deadline.map_or(by_route, |at| at.min(by_route)),
-            config_version: config.version,
+            config_version,
         })
     }
 
@@ -349,7 +384,8 @@
             .or_insert_with(|| RetryBudget::new(bounds))
     }
 
-    /// Chooses a server for a request, other than those in `tried`, and counts it there.
+    /// Chooses a server for a request to a plain service, other than those in `tried`, and counts
+    /// it there.
     ///
     /// # Errors
     ///
@@ -357,30 +393,106 @@
     pub fn place(
         &mut self,
         now: Timestamp,
-        admitted: &Admitted,
-        prompt: Option<&Prompt>,
+        service: &CompactString,
         tried: &[ServerKey],
     ) -> Result<Placement, Refusal> {
-        let (candidates, has_cold) = self.candidates(now, &admitted.service, tried);
-        let session = prompt.and_then(Prompt::session);
-        let demand = session.map_or(Demand::Plain, |session| Demand::Prompt { session });
-        match choose(demand, &candidates) {
-            Choice::Server(key) => self.begin(now, admitted, key, prompt),
-            Choice::Full => Err(Refusal::until(Reason::Overloaded, LOAD_RETRY_AFTER)),
-            Choice::None if has_cold => {
-                Err(Refusal::until(Reason::ServersCold, SERVER_RETRY_AFTER))
-            }
-            Choice::None => Err(Refusal::until(Reason::NoServer, SERVER_RETRY_AFTER)),
+        let usable = self.usable(now, service, tried);
+        match choose(&usable.candidates) {
+            Some(key) => self.begin(now, key, 0),
+            None => Err(usable.refusal()),
         }
     }
 
-    /// Servers that may get a request now, and whether some were left out for being cold.
-    fn candidates(
+    /// What to ask a scheduler for a request to a model that may not go to those in `tried`.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that no server can take now.
+    pub fn bid(
         &mut self,
         now: Timestamp,
-        service: &CompactString,
+        admitted: &Admitted,
+        prompt: &Prompt,
         tried: &[ServerKey],
-    ) -> (Vec<Candidate>, bool) {
+    ) -> Result<Bid, Refusal> {
+        let usable = self.usable(now, &admitted.service, tried);
+        if usable.candidates.is_empty() {
+            return Err(usable.refusal());
+        }
+        let sound: HashSet<_> = sound(&usable.candidates).iter().map(|c| c.hash).collect();
+        let keys = self.servers.of_service(&admitted.service);
+        let hashes = keys.iter().filter_map(|key| Some(self.servers.get(*key)?.hash));
+        let excluded = hashes.filter(|hash| !sound.contains(hash)).collect();
+        let workspace = admitted.workspace.as_deref();
+        let last_server = prompt.session().and_then(|session| self.homes.get(session));
+        Ok(Bid {
+            service: xxh3_64(admitted.service.as_bytes()),
+            workspace: workspace.map_or(0, |name| xxh3_64(name.as_bytes())),
+            domain: xxh3_64(self.own.domain.as_bytes()),
+            input_tokens: prompt.input_tokens,
+            output_tokens: prompt.output_tokens(),
+            shared_parts: prompt.shared_parts().to_vec(),
+            until_objective: admitted.objective_at.remaining(now),
+            until_give_up: admitted.give_up_at.remaining(now),
+            is_returning: admitted.is_returning,
+            last_server: last_server.unwrap_or(0),
+            excluded,
+        })
+    }
+
+    /// Decides on a bid as the scheduler.
+    pub fn decide(&mut self, now: Timestamp, bid: &Bid) -> Verdict {
+        let Some(config) = &self.config else {
+            return Verdict::Unknown;
+        };
+        let mut services = config.services.values();
+        let spec = services.find(|spec| xxh3_64(spec.name.as_bytes()) == bid.service);
+        let Some((spec, engine)) = spec.and_then(|spec| Some((spec, spec.engine?))) else {
+            return Verdict::Unknown;
+        };
+        let servers = self.servers.of_service(&spec.name);
+        let views: Vec<_> = servers
+            .iter()
+            .filter_map(|key| self.servers.get(*key))
+            .filter(|server| {
+                server.is_announced(now) && !self.evacuated.contains(&server.entry.domain)
+            })
+            .map(|server| EngineView {
+                hash: server.hash,
+                domain: xxh3_64(server.entry.domain.as_bytes()),
+                slots: server.entry.slots.min(engine.slots),
+                memory_tokens: engine.memory_tokens,
+                is_cold: server.is_cold(now),
+            })
+            .collect();
+        self.scheduler.decide(now, bid, &views)
+    }
+
+    /// Takes in what became of a request that this host let begin as the scheduler.
+    pub fn on_progress(&mut self, now: Timestamp, progress: &Progress) {
+        self.scheduler.on_progress(now, progress);
+    }
+
+    /// Counts a request at the server that a scheduler chose, if this host may still use it.
+    pub fn start(
+        &mut self,
+        now: Timestamp,
+        admitted: &Admitted,
+        prompt: &Prompt,
+        server: u64,
+        unread_tokens: u32,
+    ) -> Option<Placement> {
+        let usable = self.usable(now, &admitted.service, &[]);
+        let chosen = usable.candidates.iter().find(|c| c.hash == server)?;
+        let key = chosen.key;
+        if let Some(session) = prompt.session() {
+            self.homes.set(now, session, server);
+        }
+        self.begin(now, key, unread_tokens).ok()
+    }
+
+    /// Servers that may get a request now.
+    fn usable(&mut self, now: Timestamp, service: &CompactString, tried: &[ServerKey]) -> Usable {
         let keys = self.servers.of_service(service).to_vec();
         let rates: Vec<f64> = keys
             .iter()
@@ -392,8 +504,10 @@
         let connections = spec.map_or(u32::MAX, |spec| spec.connections_max);
         let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX).max(1);
         let connections_each = (connections / hosts).max(1);
-        let mut has_cold = false;
-        let mut candidates = Vec::with_capacity(keys.len());
+        let mut usable = Usable {
+            candidates: Vec::with_capacity(keys.len()),
+            has_cold: false,
+        };
         for key in keys {
             let Some(server) = self.servers.get_mut(key) else {
                 continue;
@@ -410,97 +524,58 @@
                 let hash = server.hash;
                 let share = cold_share(cold_rate, &self.bounds, &self.hosts, self.own_hash, hash);
                 if !server.cold_share.has_room(now, share) {
-                    has_cold = true;
+                    usable.has_cold = true;
                     continue;
                 }
             }
-            candidates.push(Candidate {
+            usable.candidates.push(Candidate {
                 key,
                 hash: server.hash,
                 slots: server.entry.slots,
                 requests: server.load.requests,
-                waiting_tokens: server.load.waiting_tokens,
                 is_local: server.entry.domain == self.own.domain,
                 is_failing: is_failing(server.failures.rate(now), service_rate),
             });
         }
-        (candidates, has_cold)
+        usable
     }
 
     fn begin(
         &mut self,
         now: Timestamp,
-        _admitted: &Admitted,
         key: ServerKey,
-        prompt: Option<&Prompt>,
+        unread_tokens: u32,
     ) -> Result<Placement, Refusal> {
         let server = self
             .servers
             .get_mut(key)
             .ok_or_else(|| Refusal::until(Reason::NoServer, SERVER_RETRY_AFTER))?;
-        let unread_tokens = prompt.map_or(0, |p| server.prefixes.unread_tokens(p));
-        let memory_tokens = prompt.map_or(0, |p| {
-            u64::from(p.input_tokens) + u64::from(p.output_tokens())
-        });
-        let waiting_tokens = server.load.waiting_tokens;
         server.load.requests += 1;
-        server.load.waiting_tokens += u64::from(unread_tokens);
-        server.load.memory_tokens += memory_tokens;
         server.cold_share.on_sent(now);
         let entry = server.entry.clone();
-        let flight = self.flights.insert(Flight {
-            server: key,
-            unread_tokens,
-            memory_tokens,
-            prompt: prompt.cloned(),
-            has_begun: false,
-        });
         Ok(Placement {
-            flight,
+            flight: self.flights.insert(key),
             server: key,
             entry,
             unread_tokens,
-            waiting_tokens,
         })
     }
 
     /// The answer to a request has begun.
-    pub fn on_begun(&mut self, now: Timestamp, flight: FlightKey) {
-        let Some(flight) = self.flights.get_mut(flight) else {
-            return;
-        };
-        if std::mem::replace(&mut flight.has_begun, true) {
-            return;
-        }
-        let Some(server) = self.servers.get_mut(flight.server) else {
-            return;
-        };
-        server.load.waiting_tokens -= u64::from(flight.unread_tokens);
-        server.reachability.on_answer();
-        if let Some(prompt) = &flight.prompt {
-            let spec = self
-                .config
-                .as_ref()
-                .and_then(|config| config.services.get(&server.entry.service)?.engine);
-            let memory = spec.map_or(u64::MAX, |engine| engine.memory_tokens);
-            let room = memory.saturating_sub(server.load.memory_tokens);
-            server.prefixes.on_read(now, prompt, room);
+    pub fn on_begun(&mut self, flight: FlightKey) {
+        let key = self.flights.get(flight);
+        if let Some(server) = key.and_then(|key| self.servers.get_mut(*key)) {
+            server.reachability.on_answer();
         }
     }
 
     /// A request has left its server.
     pub fn end(&mut self, now: Timestamp, flight: FlightKey, end: FlightEnd) {
-        let Some(flight) = self.flights.remove(flight) else {
-            return;
-        };
-        let Some(server) = self.servers.get_mut(flight.server) else {
+        let key = self.flights.remove(flight);
+        let Some(server) = key.and_then(|key| self.servers.get_mut(key)) else {
             return;
         };
         server.load.requests -= 1;
-        server.load.memory_tokens -= flight.memory_tokens;
-        if !flight.has_begun {
-            server.load.waiting_tokens -= u64::from(flight.unread_tokens);
-        }
         observe(now, server, end);
     }
 }
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -32,9 +32,12 @@
 use super::fleet::FlightEnd;
 use super::fleet::Placement;
 use super::host::EntryHost;
+use super::peers::Link;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::relay::Relay;
+use super::schedule::Verdict;
+use super::servers::ServerKey;
 use crate::gateway::end_to_end;
 
 /// Largest answer of a plain service that is checked as a whole before it is passed on, bytes.
@@ -178,19 +181,13 @@
     let mut sent = 0;
     let mut last: Option<Failure> = None;
     loop {
-        let now = host.clock.now();
-        let prompt = call.head.prompt.as_ref();
-        let placed = match admitted.give_up_at.has_passed(now) {
-            true => Err(Refusal::new(Reason::ExpiredUnsent)),
-            false => host.fleet().place(now, admitted, prompt, &tried),
-        };
-        let placed = match (placed, last) {
-            (Ok(placed), _) => placed,
+        let start = match (place(host, call, &tried).await, last) {
+            (Ok(start), _) => start,
             (Err(refusal), None) => return Err(refusal),
             (Err(_), Some(failure)) => return failure.ending,
         };
-        tried.push(placed.server);
-        let failure = match attempt(host, call, &placed).await {
+        tried.push(start.placed.server);
+        let failure = match attempt(host, call, start).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
@@ -202,6 +199,66 @@
     }
 }
 
+/// A request that is counted at a server and may be sent to it.
+pub(crate) struct Start {
+    pub(crate) placed: Placement,
+    pub(crate) flight: Flight,
+}
+
+/// Finds a server for a request, other than those in `tried`.
+pub(crate) async fn place(
+    host: &Arc<EntryHost>,
+    call: &Call,
+    tried: &[ServerKey],
+) -> Result<Start, Refusal> {
+    let Some(prompt) = &call.head.prompt else {
+        let now = host.clock.now();
+        if call.admitted.give_up_at.has_passed(now) {
+            return Err(Refusal::new(Reason::ExpiredUnsent));
+        }
+        let placed = host.fleet().place(now, &call.admitted.service, tried)?;
+        let flight = Flight::new(host.clone(), placed.flight, None);
+        return Ok(Start { placed, flight });
+    };
+    let mut unusable = Vec::new();
+    loop {
+        let now = host.clock.now();
+        if call.admitted.give_up_at.has_passed(now) {
+            return Err(Refusal::new(Reason::ExpiredUnsent));
+        }
+        let mut bid = host.fleet().bid(now, &call.admitted, prompt, tried)?;
+        bid.excluded.extend(&unusable);
+        let (verdict, scheduler) = host.link.decide(host, &bid).await;
+        let (ticket, server, after, unread) = match verdict {
+            Verdict::Start {
+                ticket,
+                server,
+                after,
+                unread_tokens,
+            } => (ticket, server, after, unread_tokens),
+            Verdict::Refuse { retry_after } => {
+                return Err(Refusal::until(Reason::Overloaded, retry_after));
+            }
+            Verdict::Unknown => {
+                return Err(Refusal::until(Reason::NoServer, UNREACHABLE_RETRY_AFTER));
+            }
+        };
+        let mut scheduled = Link::scheduled(host, scheduler, ticket);
+        if !after.is_zero() {
+            tokio::time::sleep(after).await;
+        }
+        let now = host.clock.now();
+        scheduled.on_sent(now);
+        let placed = host.fleet().start(now, &call.admitted, prompt, server, unread);
+        if let Some(placed) = placed {
+            let flight = Flight::new(host.clone(), placed.flight, Some(scheduled));
+            return Ok(Start { placed, flight });
+        }
+        // The scheduler's view of the server and this host's differ.
+        unusable.push(server);
+    }
+}
+
 /// Whether a request may go to another server after a failed attempt. Takes a repeat out of the
 /// budget if it does and the request has reached a server.
 fn may_try_again(
@@ -229,20 +286,20 @@
 async fn attempt(
     host: &Arc<EntryHost>,
     call: &Arc<Call>,
-    placed: &Placement,
+    start: Start,
 ) -> Result<Response<Body>, Failure> {
-    let flight = Flight::new(host.clone(), placed.flight);
+    let Start { placed, flight } = start;
     info!(target: "request", id = call.head.id.as_str(),
         route = call.admitted.route.name.as_str(),
         workspace = call.admitted.workspace.as_deref(),
         config = call.admitted.config_version, server = placed.entry.instance.as_str(),
-        unread = placed.unread_tokens, waiting = placed.waiting_tokens,
+        unread = placed.unread_tokens, returning = call.admitted.is_returning,
         left_ms = millis(call.admitted.give_up_at.remaining(host.clock.now()));
         "sent");
     let request = |remaining| call.request(host, &placed.entry.instance, remaining, None);
     match send(host, &placed.entry, call.admitted.give_up_at, request).await {
-        Ok(answer) => judge(host, call, placed, flight, answer).await,
-        Err(err) => Err(on_error(host, call, placed, flight, &err)),
+        Ok(answer) => judge(host, call, &placed, flight, answer).await,
+        Err(err) => Err(on_error(host, call, &placed, flight, &err)),
     }
 }
 
@@ -323,7 +380,7 @@
     host: &Arc<EntryHost>,
     call: &Arc<Call>,
     placed: &Placement,
-    flight: Flight,
+    mut flight: Flight,
     answer: Answer,
 ) -> Result<Response<Body>, Failure> {
     flight.on_begun();
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -22,6 +22,7 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -33,6 +34,8 @@
 use super::fleet::HostIdentity;
 use super::forward::serve;
 use super::learn;
+use super::peers::Link;
+use super::peers::Peer;
 use super::source::Source;
 use super::source::SourceError;
 use super::stats::EntryStats;
@@ -69,6 +72,8 @@
     pub callers: SocketAddr,
     /// Readiness checks.
     pub readiness: SocketAddr,
+    /// Datagrams of other hosts.
+    pub peers: SocketAddr,
     /// Measurements.
     pub metrics: Option<SocketAddr>,
 }
@@ -81,8 +86,8 @@
     pub servers: Source<ServerEntry>,
     /// Failure domains taken out of service, by name.
     pub evacuations: Source<()>,
-    /// Hosts that share the budgets, by name.
-    pub hosts: Source<()>,
+    /// Hosts of the fleet.
+    pub hosts: Source<Peer>,
 }
 
 /// End of a registration, to come.
@@ -137,6 +142,7 @@
     pub(crate) dialect: Dialect,
     pub(crate) pool: BackendPool,
     pub(crate) stats: EntryStats,
+    pub(crate) link: Link,
     fleet: Mutex<Fleet>,
 }
 
@@ -179,12 +185,22 @@
     ///
     /// Tells which listener cannot be opened.
     pub async fn start(parts: EntryParts) -> Result<Self, EntryError> {
+        let address = parts.listen.peers;
+        let socket = UdpSocket::bind(address).await.context(ListenSnafu {
+            purpose: "peers",
+            address,
+        })?;
+        let own = Peer {
+            name: parts.identity.name.clone(),
+            address,
+        };
         let host = Arc::new(EntryHost {
             clock: parts.clock,
             dialect: parts.dialect,
             pool: BackendPool::new(parts.clock),
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
-            fleet: Mutex::new(Fleet::new(parts.identity, parts.bounds)),
+            link: Link::new(socket, &own, rand::random()),
+            fleet: Mutex::new(Fleet::new(parts.identity, parts.bounds, rand::random())),
         });
         let (stop, stopped) = watch::channel(false);
         let limits_host = host.clone();
@@ -212,6 +228,8 @@
         learn::spawn_all(&mut tasks, &host, parts.sources);
         tasks.spawn(learn::register(parts.register));
         tasks.spawn(sweep(host.clone()));
+        tasks.spawn(Link::receive(host.clone()));
+        tasks.spawn(Link::report(host.clone()));
         Ok(Self {
             host,
             stop,
--- a/lib/src/entry/learn.rs
+++ b/lib/src/entry/learn.rs
@@ -1,5 +1,6 @@
 //! Takes what the sources bring over into what the host knows.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use super::host::EntryHost;
 use super::host::RegisterFuture;
 use super::host::Sources;
+use super::peers::Peer;
 use super::servers::ServerChange;
 use super::source::Change;
 use super::source::Item;
@@ -52,12 +54,9 @@
         }
     }));
     let at = host.clone();
-    let mut names = HashSet::new();
+    let mut peers = HashMap::new();
     tasks.spawn(follow(sources.hosts, clock, move |update| {
-        if apply_names(&mut names, update) {
-            info!(target: "fleet", hosts = names.len(); "hosts that share budgets");
-            at.fleet().set_hosts(names.iter().map(CompactString::as_str));
-        }
+        on_peers(&at, &mut peers, update);
     }));
 }
 
@@ -186,6 +185,35 @@
     }
 }
 
+fn on_peers(host: &EntryHost, peers: &mut HashMap<CompactString, Peer>, update: Update<Peer>) {
+    match update {
+        Update::Listed(items) => {
+            peers.clear();
+            items.into_iter().for_each(|item| set_peer(host, peers, item));
+        }
+        Update::Changed(changes) => {
+            for change in changes {
+                match change {
+                    Change::Set(item) => set_peer(host, peers, item),
+                    Change::Removed(name) => drop(peers.remove(&name)),
+                }
+            }
+        }
+        Update::Confirmed(_) | Update::Lost | Update::Regained => return,
+    }
+    info!(target: "fleet", hosts = peers.len(); "hosts known");
+    host.fleet().set_hosts(peers.keys().map(CompactString::as_str));
+    let list: Vec<_> = peers.values().cloned().collect();
+    host.link.set_peers(&list);
+}
+
+fn set_peer(host: &EntryHost, peers: &mut HashMap<CompactString, Peer>, item: Item<Peer>) {
+    match item.value {
+        Ok(peer) => drop(peers.insert(item.name, peer)),
+        Err(reason) => on_unreadable(host, "host", &item.name, &reason),
+    }
+}
+
 /// Keeps a set of names up to date. Says whether it has changed.
 fn apply_names(names: &mut HashSet<CompactString>, update: Update<()>) -> bool {
     match update {
--- /dev/null
+++ b/lib/src/entry/peers/codec.rs
@@ -0,0 +1,238 @@
+//! Datagrams between entry hosts as bytes.
+
+use std::time::Duration;
+
+use capnp::message::Builder;
+use capnp::message::ReaderOptions;
+use capnp::serialize_packed;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use super::schedule_capnp::bid;
+use super::schedule_capnp::datagram;
+use super::schedule_capnp::progress;
+use super::schedule_capnp::verdict;
+use crate::entry::dialect::PromptPart;
+use crate::entry::schedule::Bid;
+use crate::entry::schedule::Progress;
+use crate::entry::schedule::ProgressStep;
+use crate::entry::schedule::Ticket;
+use crate::entry::schedule::Verdict;
+
+/// Words that a datagram may unpack to: many times the largest, a bid with all servers of a
+/// service excluded.
+const WORDS_MAX: usize = 16 << 10;
+
+/// A datagram between entry hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Datagram {
+    /// A request wants to begin.
+    Bid {
+        /// Chosen by the asking host.
+        id: u64,
+        /// The bid.
+        bid: Bid,
+    },
+    /// Decision on the bid of the identifier.
+    Verdict {
+        /// The bid's identifier.
+        id: u64,
+        /// The decision.
+        verdict: Verdict,
+    },
+    /// What became of requests.
+    Progress(Vec<Progress>),
+}
+
+/// Why bytes are no datagram.
+#[derive(Debug, Snafu)]
+pub enum DatagramError {
+    /// They are not in the encoding.
+    #[snafu(display("not a datagram: {source}"))]
+    Encoding {
+        /// What the library said.
+        source: capnp::Error,
+    },
+    /// They are of a kind that this version does not know.
+    #[snafu(display("unknown kind of datagram: {source}"))]
+    Kind {
+        /// What the library said.
+        source: capnp::NotInSchema,
+    },
+}
+
+/// Writes a datagram.
+pub fn encode(message: &Datagram) -> Vec<u8> {
+    let mut builder = Builder::new_default();
+    let root = builder.init_root::<datagram::Builder<'_>>();
+    match message {
+        Datagram::Bid { id, bid } => {
+            let mut out = root.init_bid();
+            out.set_id(*id);
+            write_bid(out, bid);
+        }
+        Datagram::Verdict { id, verdict } => {
+            let mut out = root.init_verdict();
+            out.set_id(*id);
+            write_verdict(out, verdict);
+        }
+        Datagram::Progress(list) => {
+            let count = u32::try_from(list.len()).unwrap_or(u32::MAX);
+            let mut out = root.init_progress(count);
+            for (at, progress) in (0..count).zip(list) {
+                write_progress(out.reborrow().get(at), progress);
+            }
+        }
+    }
+    let mut bytes = Vec::new();
+    serialize_packed::write_message(&mut bytes, &builder).expect("memory takes all bytes");
+    bytes
+}
+
+fn write_bid(mut out: bid::Builder<'_>, bid: &Bid) {
+    out.set_service(bid.service);
+    out.set_workspace(bid.workspace);
+    out.set_domain(bid.domain);
+    out.set_input_tokens(bid.input_tokens);
+    out.set_output_tokens(bid.output_tokens);
+    out.set_until_objective(micros(bid.until_objective));
+    out.set_until_give_up(micros(bid.until_give_up));
+    out.set_is_returning(bid.is_returning);
+    out.set_last_server(bid.last_server);
+    let count = u32::try_from(bid.shared_parts.len()).unwrap_or(u32::MAX);
+    let mut parts = out.reborrow().init_shared_parts(count);
+    for (at, part) in (0..count).zip(&bid.shared_parts) {
+        let mut out = parts.reborrow().get(at);
+        out.set_id(part.id);
+        out.set_tokens(part.tokens);
+    }
+    let count = u32::try_from(bid.excluded.len()).unwrap_or(u32::MAX);
+    let mut excluded = out.init_excluded(count);
+    for (at, server) in (0..count).zip(&bid.excluded) {
+        excluded.set(at, *server);
+    }
+}
+
+fn write_verdict(mut out: verdict::Builder<'_>, verdict: &Verdict) {
+    match verdict {
+        Verdict::Start {
+            ticket,
+            server,
+            after,
+            unread_tokens,
+        } => {
+            let mut out = out.init_start();
+            out.set_epoch(ticket.epoch);
+            out.set_number(ticket.number);
+            out.set_server(*server);
+            out.set_after(micros(*after));
+            out.set_unread_tokens(*unread_tokens);
+        }
+        Verdict::Refuse { retry_after } => out.set_retry_after(micros(*retry_after)),
+        Verdict::Unknown => out.set_unknown(()),
+    }
+}
+
+fn write_progress(mut out: progress::Builder<'_>, progress: &Progress) {
+    out.set_epoch(progress.ticket.epoch);
+    out.set_number(progress.ticket.number);
+    match progress.step {
+        ProgressStep::Begun { after } => out.set_begun_after(micros(after)),
+        ProgressStep::Ended => out.set_ended(()),
+    }
+}
+
+/// Reads a datagram.
+///
+/// # Errors
+///
+/// Tells why the bytes are none.
+pub fn decode(bytes: &[u8]) -> Result<Datagram, DatagramError> {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(WORDS_MAX));
+    let message = serialize_packed::read_message(bytes, options).context(EncodingSnafu)?;
+    let root = message.get_root::<datagram::Reader<'_>>();
+    let root = root.context(EncodingSnafu)?;
+    match root.which().context(KindSnafu)? {
+        datagram::Bid(bid) => {
+            let bid = bid.context(EncodingSnafu)?;
+            Ok(Datagram::Bid {
+                id: bid.get_id(),
+                bid: read_bid(bid).context(EncodingSnafu)?,
+            })
+        }
+        datagram::Verdict(verdict) => {
+            let verdict = verdict.context(EncodingSnafu)?;
+            Ok(Datagram::Verdict {
+                id: verdict.get_id(),
+                verdict: read_verdict(verdict)?,
+            })
+        }
+        datagram::Progress(list) => {
+            let list = list.context(EncodingSnafu)?;
+            let list: Result<_, _> = list.iter().map(read_progress).collect();
+            Ok(Datagram::Progress(list?))
+        }
+    }
+}
+
+fn read_bid(bid: bid::Reader<'_>) -> Result<Bid, capnp::Error> {
+    let parts = bid.get_shared_parts()?.iter().map(|part| PromptPart {
+        id: part.get_id(),
+        tokens: part.get_tokens(),
+    });
+    Ok(Bid {
+        service: bid.get_service(),
+        workspace: bid.get_workspace(),
+        domain: bid.get_domain(),
+        input_tokens: bid.get_input_tokens(),
+        output_tokens: bid.get_output_tokens(),
+        shared_parts: parts.collect(),
+        until_objective: Duration::from_micros(bid.get_until_objective()),
+        until_give_up: Duration::from_micros(bid.get_until_give_up()),
+        is_returning: bid.get_is_returning(),
+        last_server: bid.get_last_server(),
+        excluded: bid.get_excluded()?.iter().collect(),
+    })
+}
+
+fn read_verdict(verdict: verdict::Reader<'_>) -> Result<Verdict, DatagramError> {
+    Ok(match verdict.which().context(KindSnafu)? {
+        verdict::Start(start) => {
+            let start = start.context(EncodingSnafu)?;
+            Verdict::Start {
+                ticket: Ticket {
+                    epoch: start.get_epoch(),
+                    number: start.get_number(),
+                },
+                server: start.get_server(),
+                after: Duration::from_micros(start.get_after()),
+                unread_tokens: start.get_unread_tokens(),
+            }
+        }
+        verdict::RetryAfter(wait) => Verdict::Refuse {
+            retry_after: Duration::from_micros(wait),
+        },
+        verdict::Unknown(()) => Verdict::Unknown,
+    })
+}
+
+fn read_progress(progress: progress::Reader<'_>) -> Result<Progress, DatagramError> {
+    let step = match progress.which().context(KindSnafu)? {
+        progress::BegunAfter(after) => ProgressStep::Begun {
+            after: Duration::from_micros(after),
+        },
+        progress::Ended(()) => ProgressStep::Ended,
+    };
+    Ok(Progress {
+        ticket: Ticket {
+            epoch: progress.get_epoch(),
+            number: progress.get_number(),
+        },
+        step,
+    })
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/lib/src/entry/peers/link.rs
@@ -0,0 +1,282 @@
+//! Questions to schedulers and their answers, over datagrams.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::Weak;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use super::codec::Datagram;
+use super::codec::decode;
+use super::codec::encode;
+use super::order::Peer;
+use super::order::Peers;
+use crate::entry::host::EntryHost;
+use crate::entry::schedule::Bid;
+use crate::entry::schedule::Progress;
+use crate::entry::schedule::ProgressStep;
+use crate::entry::schedule::Ticket;
+use crate::entry::schedule::Verdict;
+use crate::time::Timestamp;
+
+/// Times to wait for an answer before a bid is sent again, and before the scheduler counts as
+/// silent. A round trip takes 2 to 3 ms between failure domains, and a host whose processor time
+/// is a quota may pause for most of a tenth of a second.
+const ANSWER_TIMEOUTS: [Duration; 2] = [Duration::from_millis(40), Duration::from_millis(60)];
+/// How long the verdict on a bid is kept for the case that the bid is sent again.
+const VERDICT_KEPT: Duration = Duration::from_millis(500);
+/// Period in which what became of requests is reported.
+const REPORT_PERIOD: Duration = Duration::from_millis(20);
+/// Reports in one datagram: about 25 bytes each, well below the size of a packet.
+const REPORTS_MAX: usize = 40;
+/// Largest datagram that is read, bytes.
+const DATAGRAM_MAX: usize = 8 << 10;
+
+/// The link of a host to its peers.
+pub(crate) struct Link {
+    socket: UdpSocket,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    peers: Peers,
+    next_id: u64,
+    waiting: HashMap<u64, oneshot::Sender<Verdict>>,
+    verdicts: HashMap<(SocketAddr, u64), KeptVerdict>,
+    reports: HashMap<SocketAddr, Vec<Progress>>,
+}
+
+#[derive(Clone, Copy)]
+struct KeptVerdict {
+    verdict: Verdict,
+    drop_at: Timestamp,
+}
+
+/// A request that a scheduler let begin. Its end is reported when this is dropped.
+pub(crate) struct Scheduled {
+    host: Weak<EntryHost>,
+    /// Where the scheduler is, `None` for this host itself.
+    scheduler: Option<SocketAddr>,
+    ticket: Ticket,
+    sent_at: Timestamp,
+}
+
+impl Scheduled {
+    /// The request is being sent.
+    pub(crate) fn on_sent(&mut self, now: Timestamp) {
+        self.sent_at = now;
+    }
+
+    /// The answer has begun.
+    pub(crate) fn on_begun(&self, now: Timestamp) {
+        let after = now.since(self.sent_at);
+        self.report(ProgressStep::Begun { after });
+    }
+
+    fn report(&self, step: ProgressStep) {
+        let Some(host) = self.host.upgrade() else {
+            return;
+        };
+        let progress = Progress {
+            ticket: self.ticket,
+            step,
+        };
+        match self.scheduler {
+            None => host.fleet().on_progress(host.clock.now(), &progress),
+            Some(address) => {
+                let mut inner = host.link.inner();
+                inner.reports.entry(address).or_default().push(progress);
+            }
+        }
+    }
+}
+
+impl Drop for Scheduled {
+    fn drop(&mut self) {
+        self.report(ProgressStep::Ended);
+    }
+}
+
+impl Link {
+    pub(crate) fn new(socket: UdpSocket, own: &Peer, first_id: u64) -> Self {
+        Self {
+            socket,
+            inner: Mutex::new(Inner {
+                peers: Peers::new(own),
+                next_id: first_id,
+                waiting: HashMap::new(),
+                verdicts: HashMap::new(),
+                reports: HashMap::new(),
+            }),
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// These are all hosts of the fleet.
+    pub(crate) fn set_peers(&self, peers: &[Peer]) {
+        self.inner().peers.set(peers);
+    }
+
+    /// Asks for a decision until a scheduler gives one; the last one is this host itself.
+    pub(crate) async fn decide(&self, host: &Arc<EntryHost>, bid: &Bid) -> (Verdict, Option<SocketAddr>) {
+        loop {
+            let now = host.clock.now();
+            let scheduler = self.inner().peers.scheduler(now, bid.service);
+            let Some(address) = scheduler else {
+                return (host.fleet().decide(now, bid), None);
+            };
+            if let Some(verdict) = self.ask(address, bid).await {
+                if self.inner().peers.on_answer(address) {
+                    info!(target: "peer", peer = address.to_string(); "answers again");
+                }
+                return (verdict, Some(address));
+            }
+            if self.inner().peers.on_silent(host.clock.now(), address) {
+                warn!(target: "peer", peer = address.to_string(); "does not answer");
+            }
+        }
+    }
+
+    /// Puts a question to one host.
+    async fn ask(&self, address: SocketAddr, bid: &Bid) -> Option<Verdict> {
+        let (tx, mut rx) = oneshot::channel();
+        let id = {
+            let mut inner = self.inner();
+            inner.next_id += 1;
+            let id = inner.next_id;
+            inner.waiting.insert(id, tx);
+            id
+        };
+        let bytes = encode(&Datagram::Bid {
+            id,
+            bid: bid.clone(),
+        });
+        let mut answer = None;
+        for timeout in ANSWER_TIMEOUTS {
+            self.send(address, &bytes).await;
+            if let Ok(verdict) = tokio::time::timeout(timeout, &mut rx).await {
+                answer = verdict.ok();
+                break;
+            }
+        }
+        self.inner().waiting.remove(&id);
+        answer
+    }
+
+    async fn send(&self, address: SocketAddr, bytes: &[u8]) {
+        if let Err(err) = self.socket.send_to(bytes, address).await {
+            // Nothing is lost that a missing answer would not show, too.
+            log::debug!(target: "peer", peer = address.to_string(), reason = err.to_string();
+                "datagram not sent");
+        }
+    }
+
+    /// Reads datagrams until the task is dropped.
+    pub(crate) async fn receive(host: Arc<EntryHost>) {
+        let mut buf = vec![0; DATAGRAM_MAX];
+        loop {
+            let (len, from) = match host.link.socket.recv_from(&mut buf).await {
+                Ok(received) => received,
+                Err(err) => {
+                    warn!(target: "peer", reason = err.to_string(); "datagram not received");
+                    tokio::time::sleep(REPORT_PERIOD).await;
+                    continue;
+                }
+            };
+            match decode(&buf[..len]) {
+                Ok(datagram) => host.link.on_datagram(&host, from, datagram).await,
+                Err(err) => {
+                    warn!(target: "peer", peer = from.to_string(), reason = err.to_string();
+                        "unreadable datagram");
+                }
+            }
+        }
+    }
+
+    async fn on_datagram(&self, host: &Arc<EntryHost>, from: SocketAddr, datagram: Datagram) {
+        match datagram {
+            Datagram::Bid { id, bid } => {
+                let verdict = self.verdict_on(host, from, id, &bid);
+                let bytes = encode(&Datagram::Verdict { id, verdict });
+                self.send(from, &bytes).await;
+            }
+            Datagram::Verdict { id, verdict } => {
+                let waiting = self.inner().waiting.remove(&id);
+                let is_unclaimed = match waiting {
+                    Some(tx) => tx.send(verdict).is_err(),
+                    None => true,
+                };
+                if is_unclaimed && let Verdict::Start { ticket, .. } = verdict {
+                    let step = ProgressStep::Ended;
+                    let ended = Progress { ticket, step };
+                    self.inner().reports.entry(from).or_default().push(ended);
+                }
+            }
+            Datagram::Progress(list) => {
+                let now = host.clock.now();
+                let mut fleet = host.fleet();
+                for progress in &list {
+                    fleet.on_progress(now, progress);
+                }
+            }
+        }
+    }
+
+    /// Decides on a bid, once.
+    fn verdict_on(&self, host: &EntryHost, from: SocketAddr, id: u64, bid: &Bid) -> Verdict {
+        let now = host.clock.now();
+        let kept = self.inner().verdicts.get(&(from, id)).copied();
+        if let Some(kept) = kept {
+            return kept.verdict;
+        }
+        let verdict = host.fleet().decide(now, bid);
+        let drop_at = now + VERDICT_KEPT;
+        let kept = KeptVerdict { verdict, drop_at };
+        self.inner().verdicts.insert((from, id), kept);
+        verdict
+    }
+
+    /// Reports what became of requests until the task is dropped.
+    pub(crate) async fn report(host: Arc<EntryHost>) {
+        loop {
+            tokio::time::sleep(REPORT_PERIOD).await;
+            let now = host.clock.now();
+            let reports = {
+                let mut inner = host.link.inner();
+                inner.verdicts.retain(|_, kept| !kept.drop_at.has_passed(now));
+                std::mem::take(&mut inner.reports)
+            };
+            for (address, list) in reports {
+                for chunk in list.chunks(REPORTS_MAX) {
+                    let bytes = encode(&Datagram::Progress(chunk.to_vec()));
+                    host.link.send(address, &bytes).await;
+                }
+            }
+        }
+    }
+
+    /// The record of a request that a scheduler let begin.
+    pub(crate) fn scheduled(
+        host: &Arc<EntryHost>,
+        scheduler: Option<SocketAddr>,
+        ticket: Ticket,
+    ) -> Scheduled {
+        Scheduled {
+            host: Arc::downgrade(host),
+            scheduler,
+            ticket,
+            sent_at: host.clock.now(),
+        }
+    }
+}
--- a/lib/src/entry/prefix.rs
+++ b/lib/src/entry/prefix.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::dialect::Prompt;
+use super::dialect::PromptPart;
 use crate::time::Timestamp;
 
 /// Parts that are remembered for one server. Above the number of sessions that a server's memory
@@ -26,20 +26,18 @@
 }
 
 impl PrefixMemory {
-    /// Tokens of `prompt` that the server has to read: all that follow the last part it keeps.
-    pub fn unread_tokens(&self, prompt: &Prompt) -> u32 {
-        let kept: u32 = prompt
-            .shared_parts()
+    /// Tokens at the start of a prompt that the server need not read: those of the `parts` before
+    /// the first one that it does not keep.
+    pub fn kept_tokens(&self, parts: &[PromptPart]) -> u32 {
+        let kept = parts
             .iter()
-            .take_while(|part| self.parts.contains_key(&part.id))
-            .map(|part| part.tokens)
-            .sum();
-        prompt.input_tokens.saturating_sub(kept)
+            .take_while(|part| self.parts.contains_key(&part.id));
+        kept.map(|part| part.tokens).sum()
     }
 
-    /// The server has begun to answer a request with `prompt`, and has `room` tokens for parts.
-    pub fn on_read(&mut self, now: Timestamp, prompt: &Prompt, room: u64) {
-        for part in prompt.shared_parts() {
+    /// The server reads a prompt with these `parts`, and has `room` tokens for parts.
+    pub fn on_read(&mut self, now: Timestamp, parts: &[PromptPart], room: u64) {
+        for part in parts {
             let kept = Kept {
                 tokens: part.tokens,
                 used_at: now,
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -21,9 +21,11 @@
 use super::fleet::FlightEnd;
 use super::fleet::Placement;
 use super::forward::Call;
+use super::forward::Start;
 use super::forward::log_answered;
 use super::forward::log_failed;
 use super::forward::millis;
+use super::forward::place;
 use super::host::EntryHost;
 use super::refusal::Reason;
 use crate::gateway::Connection;
@@ -221,12 +223,10 @@
         }
         self.sent += 1;
         let tried = [self.placed.server];
-        let prompt = self.call.head.prompt.as_ref();
-        let placed = self.host.fleet().place(now, admitted, prompt, &tried);
-        let Ok(placed) = placed else {
+        let Ok(start) = place(&self.host, &self.call, &tried).await else {
             return false;
         };
-        let flight = Flight::new(self.host.clone(), placed.flight);
+        let Start { placed, flight } = start;
         let request = |remaining| {
             let instance = &placed.entry.instance;
             self.call
--- /dev/null
+++ b/lib/src/entry/schedule/bid.rs
@@ -0,0 +1,97 @@
+//! What a host asks of a scheduler, and what it is told.
+
+use std::time::Duration;
+
+use super::super::dialect::PromptPart;
+
+/// A request to a model that wants to begin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bid {
+    /// Hash of its service.
+    pub service: u64,
+    /// Hash of its workspace, 0 if it has none.
+    pub workspace: u64,
+    /// Hash of the failure domain of its host.
+    pub domain: u64,
+    /// Length of its prompt, tokens.
+    pub input_tokens: u32,
+    /// Estimate of the tokens to be generated.
+    pub output_tokens: u32,
+    /// Parts of the prompt that other requests share, in order.
+    pub shared_parts: Vec<PromptPart>,
+    /// Time until its answer should have begun, zero if that has passed.
+    pub until_objective: Duration,
+    /// Time until its caller gives up.
+    pub until_give_up: Duration,
+    /// Its caller was refused before.
+    pub is_returning: bool,
+    /// Hash of the server that last read the session of the prompt for the host, 0 if none did.
+    pub last_server: u64,
+    /// Hashes of servers that it must not go to.
+    pub excluded: Vec<u64>,
+}
+
+impl Bid {
+    /// Tokens of the shared parts.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_parts.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Tokens that it takes in an engine's memory at most.
+    pub fn memory_tokens(&self) -> u64 {
+        u64::from(self.input_tokens) + u64::from(self.output_tokens)
+    }
+}
+
+/// A scheduler's record of a request that it let begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    /// The scheduler's life, since records do not outlast it.
+    pub epoch: u32,
+    /// Number within it.
+    pub number: u64,
+}
+
+/// Decision on a bid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The request begins.
+    Start {
+        /// Record, to be told of the answer's begin and of the end.
+        ticket: Ticket,
+        /// Hash of the server.
+        server: u64,
+        /// Time to wait before it is sent.
+        after: Duration,
+        /// Prompt tokens that the server has to read.
+        unread_tokens: u32,
+    },
+    /// No server can begin in time.
+    Refuse {
+        /// When the caller had better come back.
+        retry_after: Duration,
+    },
+    /// The scheduler knows no server of the service that may be used.
+    Unknown,
+}
+
+/// What became of a request that a scheduler let begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// The scheduler's record.
+    pub ticket: Ticket,
+    /// How far the request is.
+    pub step: ProgressStep,
+}
+
+/// A step of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProgressStep {
+    /// Its answer has begun.
+    Begun {
+        /// Time since it was sent to the server.
+        after: Duration,
+    },
+    /// It has left the server.
+    Ended,
+}
--- /dev/null
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -0,0 +1,279 @@
+//! Decides when and where requests to a model begin.
+//!
+//! Answers a load of prompts that share long parts, and that comes in bursts above what the
+//! engines bear. All requests of a shard of engines are decided at one host, so that the times at
+//! which each engine is free are known and not guessed from lagging reports. A request goes where
+//! it costs least: waiting, reading parts again that another engine keeps, bytes between failure
+//! domains. It is refused at once if no engine can begin in time. Reading is paced so that running
+//! answers keep growing.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use slotmap::Key;
+use slotmap::KeyData;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use super::bid::Bid;
+use super::bid::Progress;
+use super::bid::ProgressStep;
+use super::bid::Ticket;
+use super::bid::Verdict;
+use super::engine::EngineBook;
+use super::engine::FIRST_EVENT;
+use super::shares::Shares;
+use crate::time::Timestamp;
+
+new_key_type! {
+    struct RecordKey;
+}
+
+/// How long before an engine is free a request is sent to it, so that the engine does not run dry
+/// while the request is on its way or a prompt is read faster than expected.
+const LOOKAHEAD: Duration = Duration::from_millis(120);
+/// Part of the time until the objective that may be planned away; the rest covers what the plan
+/// does not know.
+const OBJECTIVE_USED: f64 = 0.8;
+/// Longest wait planned for a request that cannot meet its objective any more, because its caller
+/// was refused before.
+const LATE_WAIT_MAX: Duration = Duration::from_millis(400);
+/// Cost of reading a token of a shared part again, as a wait: beyond the time that it takes, it
+/// displaces other parts.
+const REREAD_COST: Duration = Duration::from_micros(100);
+/// Cost of a request from another failure domain, as a wait, by the tokens of its prompt: a token
+/// is about two bytes.
+const FAR_COST: Duration = Duration::from_micros(4);
+/// Bounds on the wait after which a refused caller is told to come back.
+const RETRY_AFTER_RANGE: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(2_000));
+/// Part of an engine's memory that requests may fill; the rest keeps parts of prompts.
+const MEMORY_USED: f64 = 0.9;
+
+/// An engine that requests may be sent to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineView {
+    /// Hash of its instance.
+    pub hash: u64,
+    /// Hash of its failure domain.
+    pub domain: u64,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Tokens that its memory holds.
+    pub memory_tokens: u64,
+    /// It is in its cold start: the hosts ration what they send to it.
+    pub is_cold: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    service: u64,
+    server: u64,
+    unread_tokens: u32,
+    memory_tokens: u64,
+    planned: Duration,
+    reading: Duration,
+    has_begun: bool,
+    /// When it is forgotten if nothing is heard of it.
+    expires_at: Timestamp,
+}
+
+/// Engines of one service.
+#[derive(Debug, Default)]
+struct ServiceBook {
+    engines: HashMap<u64, EngineBook>,
+    shares: Shares,
+}
+
+/// Decisions on bids.
+#[derive(Debug)]
+pub struct Scheduler {
+    epoch: u32,
+    services: HashMap<u64, ServiceBook>,
+    records: SlotMap<RecordKey, Record>,
+    swept_at: Timestamp,
+}
+
+/// Where a bid may go and at what cost.
+struct Offer {
+    hash: u64,
+    unread: u32,
+    cost: Duration,
+    begins_after: Duration,
+}
+
+impl Scheduler {
+    /// A scheduler that knows nothing; `epoch` tells its records from those of another life.
+    pub fn new(epoch: u32) -> Self {
+        Self {
+            epoch,
+            services: HashMap::new(),
+            records: SlotMap::with_key(),
+            swept_at: Timestamp::ZERO,
+        }
+    }
+
+    /// Decides on a bid among the engines that may be used.
+    pub fn decide(&mut self, now: Timestamp, bid: &Bid, engines: &[EngineView]) -> Verdict {
+        self.sweep(now);
+        let book = self.services.entry(bid.service).or_default();
+        book.engines
+            .retain(|hash, engine| engine.running > 0 || engines.iter().any(|e| e.hash == *hash));
+        let tokens = bid.memory_tokens();
+        book.shares.on_asked(now, bid.workspace, tokens);
+        let usable = engines.iter().filter(|e| !bid.excluded.contains(&e.hash));
+        let offers: Vec<_> = usable
+            .filter_map(|engine| book.offer(now, bid, engine))
+            .collect();
+        if offers.is_empty() {
+            return Verdict::Unknown;
+        }
+        let limit = book.wait_limit(now, bid);
+        let best = offers
+            .iter()
+            .filter(|offer| offer.begins_after <= limit)
+            .min_by_key(|offer| (offer.cost, offer.hash));
+        let Some(best) = best else {
+            let soonest = offers.iter().map(|offer| offer.begins_after).min();
+            return Verdict::Refuse {
+                retry_after: retry_after(soonest.unwrap_or_default(), limit),
+            };
+        };
+        let room = engines
+            .iter()
+            .find(|engine| engine.hash == best.hash)
+            .map_or(0, |engine| engine.memory_tokens);
+        let (hash, unread) = (best.hash, best.unread);
+        book.shares.on_got(now, bid.workspace, tokens);
+        let engine = book.engines.entry(hash).or_default();
+        let wait = engine.wait(now);
+        let reading = engine.reading_time(unread, bid.input_tokens);
+        engine.begin(now, bid, unread, room);
+        let after = wait.saturating_sub(LOOKAHEAD);
+        let key = self.records.insert(Record {
+            service: bid.service,
+            server: hash,
+            unread_tokens: unread,
+            memory_tokens: tokens,
+            planned: wait - after + reading + FIRST_EVENT,
+            reading,
+            has_begun: false,
+            expires_at: now + bid.until_give_up,
+        });
+        Verdict::Start {
+            ticket: Ticket {
+                epoch: self.epoch,
+                number: key.data().as_ffi(),
+            },
+            server: hash,
+            after,
+            unread_tokens: unread,
+        }
+    }
+
+    /// Takes in what became of a request.
+    pub fn on_progress(&mut self, now: Timestamp, progress: &Progress) {
+        if progress.ticket.epoch != self.epoch {
+            return;
+        }
+        let key = RecordKey::from(KeyData::from_ffi(progress.ticket.number));
+        let Some(record) = self.records.get_mut(key) else {
+            return;
+        };
+        let book = self.services.get_mut(&record.service);
+        let engine = book.and_then(|book| book.engines.get_mut(&record.server));
+        match progress.step {
+            ProgressStep::Begun { after } => {
+                record.has_begun = true;
+                let (unread, planned) = (record.unread_tokens, record.planned);
+                if let Some(engine) = engine {
+                    engine.on_begun(now, unread, after, planned);
+                }
+            }
+            ProgressStep::Ended => {
+                if let Some(engine) = engine {
+                    engine.end(record.memory_tokens);
+                    if !record.has_begun {
+                        engine.refund(now, record.reading);
+                    }
+                }
+                self.records.remove(key);
+            }
+        }
+    }
+
+    /// Forgets requests whose end was not reported.
+    fn sweep(&mut self, now: Timestamp) {
+        if now.since(self.swept_at) < SWEEP_PERIOD {
+            return;
+        }
+        self.swept_at = now;
+        let services = &mut self.services;
+        self.records.retain(|_, record| {
+            if !record.expires_at.has_passed(now) {
+                return true;
+            }
+            let book = services.get_mut(&record.service);
+            if let Some(engine) = book.and_then(|book| book.engines.get_mut(&record.server)) {
+                engine.end(record.memory_tokens);
+            }
+            false
+        });
+    }
+}
+
+/// Period of the removal of records whose end was not reported.
+const SWEEP_PERIOD: Duration = Duration::from_millis(500);
+
+impl ServiceBook {
+    /// What it would take to send a bid to an engine, `None` if the engine has no room.
+    fn offer(&self, now: Timestamp, bid: &Bid, view: &EngineView) -> Option<Offer> {
+        let fresh = EngineBook::default();
+        let engine = self.engines.get(&view.hash).unwrap_or(&fresh);
+        let memory = (view.memory_tokens as f64 * MEMORY_USED) as u64;
+        let has_room = engine.memory_tokens + bid.memory_tokens() <= memory;
+        if engine.running >= view.slots || (!has_room && engine.running > 0) {
+            return None;
+        }
+        let mut kept = engine.prefixes.kept_tokens(&bid.shared_parts);
+        if kept == 0 && view.hash == bid.last_server {
+            // Another scheduler may have sent the session there.
+            kept = bid.shared_tokens();
+        }
+        let unread = bid.input_tokens.saturating_sub(kept);
+        let unread_shared = bid.shared_tokens().saturating_sub(kept);
+        let wait = engine.wait(now);
+        let reading = engine.reading_time(unread, bid.input_tokens);
+        let far = if view.domain == bid.domain {
+            Duration::ZERO
+        } else {
+            FAR_COST * bid.input_tokens
+        };
+        Some(Offer {
+            hash: view.hash,
+            unread,
+            cost: wait + reading + REREAD_COST * unread_shared + far,
+            begins_after: wait + reading + FIRST_EVENT,
+        })
+    }
+
+    /// Longest time to the first event for which a bid is let begin.
+    fn wait_limit(&mut self, now: Timestamp, bid: &Bid) -> Duration {
+        let whole = bid.until_objective.mul_f64(OBJECTIVE_USED);
+        let whole = if bid.is_returning {
+            whole.max(LATE_WAIT_MAX)
+        } else {
+            whole
+        };
+        let excess = self.shares.excess(now, bid.workspace);
+        if excess <= 1.0 {
+            return whole;
+        }
+        whole.div_f64(excess)
+    }
+}
+
+fn retry_after(soonest: Duration, limit: Duration) -> Duration {
+    let over = soonest.saturating_sub(limit);
+    over.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
+}
--- a/lib/src/entry/servers.rs
+++ b/lib/src/entry/servers.rs
@@ -11,7 +11,6 @@
 use super::dialect::ServerEntry;
 use super::health::FailureRate;
 use super::health::Reachability;
-use super::prefix::PrefixMemory;
 use crate::time::Timestamp;
 
 new_key_type! {
@@ -24,10 +23,6 @@
 pub struct Load {
     /// Requests without a final answer.
     pub requests: u32,
-    /// Prompt tokens to be read for requests whose answer has not begun.
-    pub waiting_tokens: u64,
-    /// Tokens that the requests hold in the server's memory at most.
-    pub memory_tokens: u64,
 }
 
 /// A backend server.
@@ -53,8 +48,6 @@
     pub failures: FailureRate,
     /// Whether connections come about.
     pub reachability: Reachability,
-    /// Parts of prompts that it has read.
-    pub prefixes: PrefixMemory,
 }
 
 impl Server {
@@ -69,7 +62,6 @@
             cold_share: ColdShare::default(),
             failures: FailureRate::default(),
             reachability: Reachability::default(),
-            prefixes: PrefixMemory::default(),
             entry,
         }
     }
