--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -48,9 +48,9 @@
 const PLATFORM_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// When to come back after a refusal for lack of a server: servers announce changes about as fast.
 const SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// How much shorter than the longest one of its route a deadline is if its caller has come back:
-/// well above the jitter of callers, well below the wait after a refusal.
-const RETURNING_BY: Duration = Duration::from_millis(50);
+/// Part of the longest deadline of its route below which a deadline tells that its caller has come
+/// back: callers' first deadlines differ by up to 15 in 100.
+const RETURNING_BELOW: f64 = 0.8;
 /// How long a server counts as cold after a sign of a restart, until its announcement tells:
 /// servers announce themselves about every second.
 const DOUBT_LASTS: Duration = Duration::from_secs(3);
@@ -349,9 +349,11 @@
         let given = head.deadline.map(|at| at.remaining(now));
         let longest = self.longest_deadlines.entry(route.name.clone()).or_default();
         *longest = (*longest).max(given.unwrap_or_default());
-        let used = given.map_or(Duration::ZERO, |given| longest.saturating_sub(given));
-        let is_returning = used > RETURNING_BY;
-        let used = if is_returning { used } else { Duration::ZERO };
+        let is_returning = given.is_some_and(|given| given < longest.mul_f64(RETURNING_BELOW));
+        let used = match given {
+            Some(given) if is_returning => longest.saturating_sub(given),
+            _ => Duration::ZERO,
+        };
         Ok(Admitted {
             objective_at: now + route.objective.saturating_sub(used),
             is_returning,
--- a/lib/src/entry/schedule/engine.rs
+++ b/lib/src/entry/schedule/engine.rs
@@ -70,15 +70,14 @@
         Duration::from_secs_f64(unread / self.speed * attention / 1000.0)
     }
 
-    /// Counts a request that begins. Gives the time by which its prompt should be read.
-    pub(crate) fn begin(&mut self, now: Timestamp, bid: &Bid, unread: u32, room: u64) -> Timestamp {
+    /// Counts a request that begins.
+    pub(crate) fn begin(&mut self, now: Timestamp, bid: &Bid, unread: u32, room: u64) {
         let start = self.busy_until.max(now);
         let reading = self.reading_time(unread, bid.input_tokens);
         self.busy_until = start + reading.div_f64(READING_SHARE);
         self.running += 1;
         self.memory_tokens += bid.memory_tokens();
         self.remember(now, &bid.shared_parts, room);
-        start + reading
     }
 
     fn remember(&mut self, now: Timestamp, parts: &[PromptPart], room: u64) {
@@ -87,7 +86,13 @@
     }
 
     /// Learns from an answer that began `late` after it should have, or early if negative.
-    pub(crate) fn on_begun(&mut self, now: Timestamp, unread: u32, took: Duration, planned: Duration) {
+    pub(crate) fn on_begun(
+        &mut self,
+        now: Timestamp,
+        unread: u32,
+        took: Duration,
+        planned: Duration,
+    ) {
         if unread >= SPEED_TOKENS_MIN {
             let ratio = planned.as_secs_f64() / took.as_secs_f64().max(0.001);
             let step = 1.0 + SPEED_GAIN * (ratio.clamp(0.25, 4.0) - 1.0);
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -31,10 +31,12 @@
 
 /// How long before an engine is free a request is sent to it, so that the engine does not run dry
 /// while the request is on its way or a prompt is read faster than expected.
-const LOOKAHEAD: Duration = Duration::from_millis(120);
+const LOOKAHEAD: Duration = Duration::from_millis(30);
 /// Part of the time until the objective that may be planned away; the rest covers what the plan
 /// does not know.
 const OBJECTIVE_USED: f64 = 0.8;
+/// Part of the limit that a prompt may wait whose reading alone takes the rest.
+const LONG_PROMPT_WAIT: f64 = 0.3;
 /// Longest wait planned for a request that cannot meet its objective any more, because its caller
 /// was refused before.
 const LATE_WAIT_MAX: Duration = Duration::from_millis(400);
@@ -44,9 +46,13 @@
 /// Cost of a request from another failure domain, as a wait, by the tokens of its prompt: a token
 /// is about two bytes.
 const FAR_COST: Duration = Duration::from_micros(4);
-/// Bounds on the wait after which a refused caller is told to come back.
-const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(200), Duration::from_millis(2_000));
+/// Shortest wait after which a refused caller is told to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
+/// Longest such wait.
+const RETRY_AFTER_MAX: Duration = Duration::from_millis(2_000);
+/// Times its even share up to which a workspace is not held back. Below one, since a workspace is to
+/// be held back before it has taken what others are owed.
+const EXCESS_FREE: f64 = 0.5;
 /// Part of an engine's memory that requests may fill; the rest keeps parts of prompts.
 const MEMORY_USED: f64 = 0.9;
 
@@ -99,9 +105,18 @@
     hash: u64,
     unread: u32,
     cost: Duration,
+    wait: Duration,
     begins_after: Duration,
 }
 
+impl Offer {
+    /// Whether the answer begins within `limit`. A prompt that takes long to read itself may
+    /// always wait for a part of the limit: refusing it would refuse all of its size.
+    fn is_in_time(&self, limit: Duration) -> bool {
+        self.begins_after <= limit || self.wait <= limit.mul_f64(LONG_PROMPT_WAIT)
+    }
+}
+
 impl Scheduler {
     /// A scheduler that knows nothing; `epoch` tells its records from those of another life.
     pub fn new(epoch: u32) -> Self {
@@ -131,7 +146,7 @@
         let limit = book.wait_limit(now, bid);
         let best = offers
             .iter()
-            .filter(|offer| offer.begins_after <= limit)
+            .filter(|offer| offer.is_in_time(limit))
             .min_by_key(|offer| (offer.cost, offer.hash));
         let Some(best) = best else {
             let soonest = offers.iter().map(|offer| offer.begins_after).min();
@@ -148,7 +163,6 @@
         let engine = book.engines.entry(hash).or_default();
         let wait = engine.wait(now);
         let reading = engine.reading_time(unread, bid.input_tokens);
-        engine.begin(now, bid, unread, room);
         let after = wait.saturating_sub(LOOKAHEAD);
         let key = self.records.insert(Record {
             service: bid.service,
@@ -160,10 +174,12 @@
             has_begun: false,
             expires_at: now + bid.until_give_up,
         });
+        let number = key.data().as_ffi();
+        engine.begin(now, bid, unread, room);
         Verdict::Start {
             ticket: Ticket {
                 epoch: self.epoch,
-                number: key.data().as_ffi(),
+                number,
             },
             server: hash,
             after,
@@ -253,6 +269,7 @@
             hash: view.hash,
             unread,
             cost: wait + reading + REREAD_COST * unread_shared + far,
+            wait,
             begins_after: wait + reading + FIRST_EVENT,
         })
     }
@@ -266,14 +283,14 @@
             whole
         };
         let excess = self.shares.excess(now, bid.workspace);
-        if excess <= 1.0 {
+        if excess <= EXCESS_FREE {
             return whole;
         }
-        whole.div_f64(excess)
+        whole.mul_f64(EXCESS_FREE / excess)
     }
 }
 
 fn retry_after(soonest: Duration, limit: Duration) -> Duration {
     let over = soonest.saturating_sub(limit);
-    over.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
+    over.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
 }
