--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -29,6 +29,8 @@
   isReturning @9 :Bool;
   lastServer @10 :UInt64;
   excluded @11 :List(UInt64);
+  shardIndex @12 :UInt32;
+  shardCount @13 :UInt32;
 }
 
 struct Part {
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -29,6 +29,7 @@
 use super::schedule::EngineView;
 use super::schedule::Progress;
 use super::schedule::Scheduler;
+use super::schedule::Shard;
 use super::schedule::Verdict;
 use super::servers::Server;
 use super::servers::ServerChange;
@@ -141,6 +142,7 @@
     bounds: FleetBounds,
     own: HostIdentity,
     own_hash: u64,
+    own_domain: u64,
     config: Option<Arc<FleetConfig>>,
     config_confirmed_at: Timestamp,
     servers: Servers,
@@ -162,6 +164,7 @@
     pub fn new(own: HostIdentity, bounds: FleetBounds, epoch: u32) -> Self {
         Self {
             own_hash: xxh3_64(own.name.as_bytes()),
+            own_domain: xxh3_64(own.domain.as_bytes()),
             bounds,
             own,
             config: None,
@@ -423,14 +426,17 @@
         }
         let sound: HashSet<_> = sound(&usable.candidates).iter().map(|c| c.hash).collect();
         let keys = self.servers.of_service(&admitted.service);
+        let subject = prompt.session().unwrap_or(admitted.arrived.as_micros());
+        let shard = Shard::of_session(subject, keys.len());
         let hashes = keys.iter().filter_map(|key| Some(self.servers.get(*key)?.hash));
         let excluded = hashes.filter(|hash| !sound.contains(hash)).collect();
         let workspace = admitted.workspace.as_deref();
         let last_server = prompt.session().and_then(|session| self.homes.get(session));
         Ok(Bid {
             service: xxh3_64(admitted.service.as_bytes()),
+            shard,
             workspace: workspace.map_or(0, |name| xxh3_64(name.as_bytes())),
-            domain: xxh3_64(self.own.domain.as_bytes()),
+            domain: self.own_domain,
             input_tokens: prompt.input_tokens,
             output_tokens: prompt.output_tokens(),
             shared_parts: prompt.shared_parts().to_vec(),
@@ -453,18 +459,20 @@
             return Verdict::Unknown;
         };
         let servers = self.servers.of_service(&spec.name);
-        let views: Vec<_> = servers
+        let servers = servers
             .iter()
-            .filter_map(|key| self.servers.get(*key))
+            .filter_map(|key| self.servers.get(*key));
+        let servers = bid.shard.select(servers.collect(), |server| server.hash);
+        let views: Vec<_> = servers
+            .into_iter()
             .filter(|server| {
                 server.is_announced(now) && !self.evacuated.contains(&server.entry.domain)
             })
             .map(|server| EngineView {
                 hash: server.hash,
-                domain: xxh3_64(server.entry.domain.as_bytes()),
+                domain: server.domain_hash,
                 slots: server.entry.slots.min(engine.slots),
                 memory_tokens: engine.memory_tokens,
-                is_cold: server.is_cold(now),
             })
             .collect();
         self.scheduler.decide(now, bid, &views)
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -221,6 +221,7 @@
         return Ok(Start { placed, flight });
     };
     let mut unusable = Vec::new();
+    let mut shards_passed = 0;
     loop {
         let now = host.clock.now();
         if call.admitted.give_up_at.has_passed(now) {
@@ -228,6 +229,7 @@
         }
         let mut bid = host.fleet().bid(now, &call.admitted, prompt, tried)?;
         bid.excluded.extend(&unusable);
+        bid.shard = bid.shard.shifted(shards_passed);
         let (verdict, scheduler) = host.link.decide(host, &bid).await;
         let (ticket, server, after, unread) = match verdict {
             Verdict::Start {
@@ -239,6 +241,11 @@
             Verdict::Refuse { retry_after } => {
                 return Err(Refusal::until(Reason::Overloaded, retry_after));
             }
+            // Engines of other shards may be usable.
+            Verdict::Unknown if shards_passed + 1 < bid.shard.count => {
+                shards_passed += 1;
+                continue;
+            }
             Verdict::Unknown => {
                 return Err(Refusal::until(Reason::NoServer, UNREACHABLE_RETRY_AFTER));
             }
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -34,6 +34,8 @@
 use super::fleet::HostIdentity;
 use super::forward::serve;
 use super::learn;
+use super::mirror;
+use super::mirror::Mirrors;
 use super::peers::Link;
 use super::peers::Peer;
 use super::source::Source;
@@ -97,6 +99,8 @@
 pub struct EntryParts {
     /// Who it is.
     pub identity: HostIdentity,
+    /// What other hosts know of it.
+    pub own: Peer,
     /// Bounds of the whole fleet.
     pub bounds: FleetBounds,
     /// Where it listens.
@@ -143,6 +147,7 @@
     pub(crate) pool: BackendPool,
     pub(crate) stats: EntryStats,
     pub(crate) link: Link,
+    pub(crate) mirrors: Mirrors,
     fleet: Mutex<Fleet>,
 }
 
@@ -190,16 +195,13 @@
             purpose: "peers",
             address,
         })?;
-        let own = Peer {
-            name: parts.identity.name.clone(),
-            address,
-        };
         let host = Arc::new(EntryHost {
             clock: parts.clock,
             dialect: parts.dialect,
             pool: BackendPool::new(parts.clock),
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
-            link: Link::new(socket, &own, rand::random()),
+            link: Link::new(socket, &parts.own, rand::random()),
+            mirrors: Mirrors::default(),
             fleet: Mutex::new(Fleet::new(parts.identity, parts.bounds, rand::random())),
         });
         let (stop, stopped) = watch::channel(false);
@@ -218,6 +220,8 @@
             .route(host.dialect.readiness_path, get(show_readiness))
             .with_state(host.clone());
         tasks.spawn(serve_router(readiness, checks));
+        let relay = listen("hosts of the failure domain", parts.listen.peers).await?;
+        tasks.spawn(serve_router(relay, mirror::router(host.clone())));
         if let Some(address) = parts.listen.metrics {
             let metrics = listen("measurements", address).await?;
             let router = Router::new()
--- a/lib/src/entry/learn.rs
+++ b/lib/src/entry/learn.rs
@@ -15,9 +15,7 @@
 use super::host::EntryHost;
 use super::host::RegisterFuture;
 use super::host::Sources;
-use super::peers::Peer;
 use super::servers::ServerChange;
-use super::source::Change;
 use super::source::Item;
 use super::source::Update;
 use super::source::follow;
@@ -34,29 +32,34 @@
 
 /// Follows all sources until the tasks are dropped.
 pub(crate) fn spawn_all(tasks: &mut JoinSet<()>, host: &Arc<EntryHost>, sources: Sources) {
-    let clock = host.clock;
     let at = host.clone();
-    tasks.spawn(follow(sources.config, clock, move |update| {
+    tasks.spawn(follow(sources.config, host.clone(), move |update| {
         on_config(&at, update);
     }));
     let at = host.clone();
     let mut regained_at = None;
-    tasks.spawn(follow(sources.servers, clock, move |update| {
+    tasks.spawn(follow(sources.servers, host.clone(), move |update| {
         on_servers(&at, &mut regained_at, update);
     }));
     let at = host.clone();
-    let mut evacuated = HashSet::new();
-    tasks.spawn(follow(sources.evacuations, clock, move |update| {
-        if apply_names(&mut evacuated, update) {
-            let domains: Vec<_> = evacuated.iter().map(CompactString::as_str).collect();
-            info!(target: "fleet", domains = domains.join(","); "domains out of service");
-            at.fleet().set_evacuated(evacuated.clone());
+    let mut evacuated = HashMap::new();
+    tasks.spawn(follow(sources.evacuations, host.clone(), move |update| {
+        if apply(&at, "evacuation", &mut evacuated, update) {
+            let domains: HashSet<_> = evacuated.keys().cloned().collect();
+            let names: Vec<_> = domains.iter().map(CompactString::as_str).collect();
+            info!(target: "fleet", domains = names.join(","); "domains out of service");
+            at.fleet().set_evacuated(domains);
         }
     }));
     let at = host.clone();
     let mut peers = HashMap::new();
-    tasks.spawn(follow(sources.hosts, clock, move |update| {
-        on_peers(&at, &mut peers, update);
+    tasks.spawn(follow(sources.hosts, host.clone(), move |update| {
+        if apply(&at, "host", &mut peers, update) {
+            info!(target: "fleet", hosts = peers.len(); "hosts known");
+            at.fleet().set_hosts(peers.keys().map(CompactString::as_str));
+            let list: Vec<_> = peers.values().cloned().collect();
+            at.link.set_peers(&list);
+        }
     }));
 }
 
@@ -73,7 +76,7 @@
 fn on_config(host: &EntryHost, update: Update<FleetConfig>) {
     let items = match update {
         Update::Listed(items) => items,
-        Update::Changed(changes) => changes.into_iter().filter_map(into_item).collect(),
+        Update::Set(item) => vec![item],
         Update::Confirmed(at) => {
             host.fleet().confirm_config(at);
             return;
@@ -82,7 +85,8 @@
             host.stats.platform_lost.with_label_values(&["config"]).inc();
             return;
         }
-        Update::Regained => return,
+        // A configuration stays in force until there is a newer one.
+        Update::Removed(_) | Update::Regained => return,
     };
     for item in items {
         match item.value {
@@ -126,12 +130,15 @@
                     "not announced any more");
             }
         }
-        Update::Changed(changes) => {
-            for change in changes {
-                on_server_change(host, usable_until(host, *regained_at, now), change);
+        Update::Set(item) => on_announcement(host, item),
+        Update::Removed(instance) => {
+            let until = usable_until(host, *regained_at, now);
+            if host.fleet().withdraw_server(&instance, until) {
+                info!(target: "server", server = instance.as_str(), kept = until.is_some();
+                    "not announced any more");
             }
         }
-        Update::Confirmed(_) => {}
+        Update::Confirmed(_) => return,
         Update::Lost => host.stats.platform_lost.with_label_values(&["server"]).inc(),
         Update::Regained => *regained_at = Some(now),
     }
@@ -147,29 +154,21 @@
     (!until.has_passed(now)).then_some(until)
 }
 
-fn on_server_change(host: &EntryHost, until: Option<Timestamp>, change: Change<ServerEntry>) {
-    match change {
-        Change::Removed(instance) => {
-            if host.fleet().withdraw_server(&instance, until) {
-                info!(target: "server", server = instance.as_str(), kept = until.is_some();
-                    "not announced any more");
+fn on_announcement(host: &EntryHost, item: Item<ServerEntry>) {
+    match item.value {
+        Ok(entry) => {
+            let cold = !entry.cold_until.has_passed(host.clock.now());
+            let service = entry.service.clone();
+            match host.fleet().announce_server(entry) {
+                ServerChange::Unchanged => {}
+                change => info!(target: "server", server = item.name.as_str(),
+                    service = service.as_str(), cold = cold, change:? = change; "announced"),
             }
         }
-        Change::Set(item) => match item.value {
-            Ok(entry) => {
-                let cold = !entry.cold_until.has_passed(host.clock.now());
-                let service = entry.service.clone();
-                match host.fleet().announce_server(entry) {
-                    ServerChange::Unchanged => {}
-                    change => info!(target: "server", server = item.name.as_str(),
-                        service = service.as_str(), cold = cold, change:? = change; "announced"),
-                }
-            }
-            Err(reason) => {
-                on_unreadable(host, "server", &item.name, &reason);
-                host.fleet().withdraw_server(&item.name, None);
-            }
-        },
+        Err(reason) => {
+            on_unreadable(host, "server", &item.name, &reason);
+            host.fleet().withdraw_server(&item.name, None);
+        }
     }
 }
 
@@ -178,58 +177,33 @@
     warn!(target: "platform", kind = kind, name = name, reason = reason; "unreadable object");
 }
 
-fn into_item<T>(change: Change<T>) -> Option<Item<T>> {
-    match change {
-        Change::Set(item) => Some(item),
-        Change::Removed(_) => None,
-    }
-}
-
-fn on_peers(host: &EntryHost, peers: &mut HashMap<CompactString, Peer>, update: Update<Peer>) {
-    match update {
-        Update::Listed(items) => {
-            peers.clear();
-            items.into_iter().for_each(|item| set_peer(host, peers, item));
-        }
-        Update::Changed(changes) => {
-            for change in changes {
-                match change {
-                    Change::Set(item) => set_peer(host, peers, item),
-                    Change::Removed(name) => drop(peers.remove(&name)),
-                }
-            }
+/// Keeps objects by name up to date. Says whether they have changed.
+fn apply<T: PartialEq>(
+    host: &EntryHost,
+    kind: &str,
+    known: &mut HashMap<CompactString, T>,
+    update: Update<T>,
+) -> bool {
+    let readable = |item: Item<T>| match item.value {
+        Ok(value) => Some((item.name, value)),
+        Err(reason) => {
+            on_unreadable(host, kind, &item.name, &reason);
+            None
         }
-        Update::Confirmed(_) | Update::Lost | Update::Regained => return,
-    }
-    info!(target: "fleet", hosts = peers.len(); "hosts known");
-    host.fleet().set_hosts(peers.keys().map(CompactString::as_str));
-    let list: Vec<_> = peers.values().cloned().collect();
-    host.link.set_peers(&list);
-}
-
-fn set_peer(host: &EntryHost, peers: &mut HashMap<CompactString, Peer>, item: Item<Peer>) {
-    match item.value {
-        Ok(peer) => drop(peers.insert(item.name, peer)),
-        Err(reason) => on_unreadable(host, "host", &item.name, &reason),
-    }
-}
-
-/// Keeps a set of names up to date. Says whether it has changed.
-fn apply_names(names: &mut HashSet<CompactString>, update: Update<()>) -> bool {
+    };
     match update {
         Update::Listed(items) => {
-            let listed: HashSet<_> = items.into_iter().map(|item| item.name).collect();
-            let is_changed = listed != *names;
-            *names = listed;
+            let listed: HashMap<_, _> = items.into_iter().filter_map(readable).collect();
+            let is_changed = listed != *known;
+            *known = listed;
             is_changed
         }
-        Update::Changed(changes) => changes.into_iter().fold(false, |changed, change| {
-            let is_new = match change {
-                Change::Set(item) => names.insert(item.name),
-                Change::Removed(name) => names.remove(&name),
-            };
-            changed || is_new
+        Update::Set(item) => readable(item).is_some_and(|(name, value)| {
+            let is_changed = known.get(&name) != Some(&value);
+            known.insert(name, value);
+            is_changed
         }),
+        Update::Removed(name) => known.remove(&name).is_some(),
         Update::Confirmed(_) | Update::Lost | Update::Regained => false,
     }
 }
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -16,6 +16,7 @@
 use crate::entry::schedule::Bid;
 use crate::entry::schedule::Progress;
 use crate::entry::schedule::ProgressStep;
+use crate::entry::schedule::Shard;
 use crate::entry::schedule::Ticket;
 use crate::entry::schedule::Verdict;
 
@@ -91,6 +92,8 @@
 
 fn write_bid(mut out: bid::Builder<'_>, bid: &Bid) {
     out.set_service(bid.service);
+    out.set_shard_index(bid.shard.index);
+    out.set_shard_count(bid.shard.count);
     out.set_workspace(bid.workspace);
     out.set_domain(bid.domain);
     out.set_input_tokens(bid.input_tokens);
@@ -183,6 +186,10 @@
     });
     Ok(Bid {
         service: bid.get_service(),
+        shard: Shard {
+            index: bid.get_shard_index(),
+            count: bid.get_shard_count(),
+        },
         workspace: bid.get_workspace(),
         domain: bid.get_domain(),
         input_tokens: bid.get_input_tokens(),
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -13,6 +13,7 @@
 use log::warn;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::codec::Datagram;
 use super::codec::decode;
@@ -128,11 +129,16 @@
         self.inner().peers.set(peers);
     }
 
+    /// Hosts to ask for objects of a kind in place of the platform.
+    pub(crate) fn readers(&self, kind: &str) -> Vec<SocketAddr> {
+        self.inner().peers.readers(xxh3_64(kind.as_bytes()))
+    }
+
     /// Asks for a decision until a scheduler gives one; the last one is this host itself.
     pub(crate) async fn decide(&self, host: &Arc<EntryHost>, bid: &Bid) -> (Verdict, Option<SocketAddr>) {
         loop {
             let now = host.clock.now();
-            let scheduler = self.inner().peers.scheduler(now, bid.service);
+            let scheduler = self.inner().peers.scheduler(now, bid.shard.subject(bid.service));
             let Some(address) = scheduler else {
                 return (host.fleet().decide(now, bid), None);
             };
--- a/lib/src/entry/peers/order.rs
+++ b/lib/src/entry/peers/order.rs
@@ -15,19 +15,33 @@
 /// Longest such time: each further question costs a request the time of an answer.
 const PASS_OVER_MAX: Duration = Duration::from_secs(4);
 
+/// Part of the largest host's cores from which a host counts as large.
+const LARGE_PART: f64 = 0.5;
+/// Hosts of a failure domain that read from the platform: one may be replaced while another fails.
+const READERS: usize = 2;
+/// Hosts of a failure domain from which on only some of them read from the platform. Below, relays
+/// would save less than half of the calls.
+const RELAY_HOSTS_MIN: usize = 5;
+
 /// A host of the fleet.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
     /// Its name.
     pub name: CompactString,
-    /// Where it takes datagrams.
+    /// Where it takes datagrams, and calls for what it has read of the platform.
     pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// Its share of processor cores.
+    pub cores: f64,
 }
 
 #[derive(Clone, Debug)]
 struct KnownPeer {
     hash: u64,
     address: SocketAddr,
+    is_near: bool,
+    cores: f64,
     passed_over_until: Timestamp,
     next_pass_over: Duration,
 }
@@ -35,7 +49,7 @@
 /// The hosts of the fleet.
 #[derive(Clone, Debug)]
 pub struct Peers {
-    own: SocketAddr,
+    own: Peer,
     own_hash: u64,
     known: HashMap<SocketAddr, KnownPeer>,
 }
@@ -44,7 +58,7 @@
     /// A host that knows no other.
     pub fn new(own: &Peer) -> Self {
         Self {
-            own: own.address,
+            own: own.clone(),
             own_hash: xxh3_64(own.name.as_bytes()),
             known: HashMap::new(),
         }
@@ -53,10 +67,12 @@
     /// These are all hosts. What is known of those that stay is kept.
     pub fn set(&mut self, peers: &[Peer]) {
         let mut known = HashMap::new();
-        for peer in peers.iter().filter(|peer| peer.address != self.own) {
+        for peer in peers.iter().filter(|peer| peer.address != self.own.address) {
             let fresh = || KnownPeer {
                 hash: xxh3_64(peer.name.as_bytes()),
                 address: peer.address,
+                is_near: peer.domain == self.own.domain,
+                cores: peer.cores,
                 passed_over_until: Timestamp::ZERO,
                 next_pass_over: PASS_OVER_FIRST,
             };
@@ -66,15 +82,40 @@
         self.known = known;
     }
 
-    /// The first host to ask about `subject`, `None` for this host itself.
+    /// The first host to ask about `subject`, `None` for this host itself. Hosts with a small share
+    /// of a core do not schedule while larger ones answer.
     pub fn scheduler(&self, now: Timestamp, subject: u64) -> Option<SocketAddr> {
-        let weight = |hash: u64| xxh3_64_with_seed(&hash.to_le_bytes(), subject);
-        let open = self.known.values().filter(|peer| peer.passed_over_until.has_passed(now));
-        let first = open.max_by_key(|peer| (weight(peer.hash), peer.hash))?;
-        let is_own = (weight(self.own_hash), self.own_hash) > (weight(first.hash), first.hash);
+        let open = || {
+            let known = self.known.values();
+            known.filter(|peer| peer.passed_over_until.has_passed(now))
+        };
+        let most = open().map(|peer| peer.cores).fold(self.own.cores, f64::max);
+        let is_large = |cores: f64| cores >= LARGE_PART * most;
+        let first = open()
+            .filter(|peer| is_large(peer.cores))
+            .max_by_key(|peer| rank(peer.hash, subject))?;
+        let is_own = is_large(self.own.cores)
+            && rank(self.own_hash, subject) > rank(first.hash, subject);
         (!is_own).then_some(first.address)
     }
 
+    /// Hosts of the own failure domain that read `subject` from the platform for the others, best
+    /// first; none if this host is one of them or the domain is too small for it to pay.
+    pub fn readers(&self, subject: u64) -> Vec<SocketAddr> {
+        let near = self.known.values().filter(|peer| peer.is_near);
+        let mut ranked: Vec<_> = near
+            .map(|peer| (rank(peer.hash, subject), Some(peer.address)))
+            .collect();
+        ranked.push((rank(self.own_hash, subject), None));
+        if ranked.len() < RELAY_HOSTS_MIN {
+            return Vec::new();
+        }
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.truncate(READERS);
+        let readers: Option<Vec<_>> = ranked.into_iter().map(|(_, address)| address).collect();
+        readers.unwrap_or_default()
+    }
+
     /// A host did not answer. Says whether it was asked until now.
     pub fn on_silent(&mut self, now: Timestamp, address: SocketAddr) -> bool {
         let Some(peer) = self.known.get_mut(&address) else {
@@ -97,3 +138,8 @@
         std::mem::replace(&mut peer.next_pass_over, PASS_OVER_FIRST) != PASS_OVER_FIRST
     }
 }
+
+/// Rendezvous rank of a host for a subject.
+fn rank(hash: u64, subject: u64) -> (u64, u64) {
+    (xxh3_64_with_seed(&hash.to_le_bytes(), subject), hash)
+}
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -652,6 +652,14 @@
         pub fn has_excluded(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_shard_index(self) -> u32 {
+            self.reader.get_data_field::<u32>(15)
+        }
+        #[inline]
+        pub fn get_shard_count(self) -> u32 {
+            self.reader.get_data_field::<u32>(18)
+        }
     }
 
     pub struct Builder<'a> {
@@ -660,7 +668,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 9,
+                data: 10,
                 pointers: 2,
             };
     }
@@ -892,6 +900,22 @@
         pub fn has_excluded(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_shard_index(self) -> u32 {
+            self.builder.get_data_field::<u32>(15)
+        }
+        #[inline]
+        pub fn set_shard_index(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(15, value);
+        }
+        #[inline]
+        pub fn get_shard_count(self) -> u32 {
+            self.builder.get_data_field::<u32>(18)
+        }
+        #[inline]
+        pub fn set_shard_count(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(18, value);
+        }
     }
 
     pub struct Pipeline {
@@ -906,108 +930,122 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 214] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 246] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 9, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 10, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 66),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1121,6 +1159,24 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 100, 73, 110, 100),
+            ::capnp::word(101, 120, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 100, 67, 111, 117),
+            ::capnp::word(110, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1136,6 +1192,8 @@
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1154,9 +1212,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
+        pub(crate) static NONUNION_MEMBERS: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 11, 0, 4, 9, 10, 5, 1, 6, 8, 7, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 11, 0, 4, 9, 10, 5, 1, 13, 12, 6, 8, 7, 2];
         pub(crate) const TYPE_ID: u64 = 0xfb00_7bc1_3044_86ea;
     }
 }
--- a/lib/src/entry/schedule/bid.rs
+++ b/lib/src/entry/schedule/bid.rs
@@ -2,13 +2,71 @@
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::super::dialect::PromptPart;
 
+/// A part of the engines of a service, with a scheduler of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Shard {
+    /// Number of the part.
+    pub index: u32,
+    /// Number of parts.
+    pub count: u32,
+}
+
+impl Shard {
+    /// The shard of a session among the shards of a service with so many engines.
+    pub fn of_session(session: u64, engines: usize) -> Self {
+        let count = u32::try_from(engines.div_ceil(SHARD_ENGINES_MAX)).unwrap_or(u32::MAX);
+        let count = count.max(1);
+        let index = xxh3_64(&session.to_le_bytes()) % u64::from(count);
+        Self {
+            // Less than the count.
+            index: index as u32,
+            count,
+        }
+    }
+
+    /// The shard that comes `by` after this one.
+    pub fn shifted(&self, by: u32) -> Self {
+        Self {
+            index: (self.index + by) % self.count,
+            ..*self
+        }
+    }
+
+    /// The engines of the shard: every `count`th in the order of their hashes, so that shards are
+    /// of one size.
+    pub fn select<T>(&self, mut engines: Vec<T>, hash: impl Fn(&T) -> u64) -> Vec<T> {
+        if self.count <= 1 {
+            return engines;
+        }
+        engines.sort_by_key(|engine| hash(engine));
+        let dealt = engines.into_iter().zip((0..self.count).cycle());
+        dealt
+            .filter(|(_, index)| *index == self.index)
+            .map(|(engine, _)| engine)
+            .collect()
+    }
+
+    /// A number that stands for the shard of a service.
+    pub fn subject(&self, service: u64) -> u64 {
+        service.wrapping_add(u64::from(self.index))
+    }
+}
+
+/// Engines that one scheduler decides on. At the rate of today's services, 14 requests a second for
+/// each engine, that is about 340 decisions a second: a hundredth of a core.
+const SHARD_ENGINES_MAX: usize = 24;
+
 /// A request to a model that wants to begin.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Bid {
     /// Hash of its service.
     pub service: u64,
+    /// Which part of the engines decides on it.
+    pub shard: Shard,
     /// Hash of its workspace, 0 if it has none.
     pub workspace: u64,
     /// Hash of the failure domain of its host.
--- a/lib/src/entry/schedule/mod.rs
+++ b/lib/src/entry/schedule/mod.rs
@@ -8,6 +8,7 @@
 pub use bid::Bid;
 pub use bid::Progress;
 pub use bid::ProgressStep;
+pub use bid::Shard;
 pub use bid::Ticket;
 pub use bid::Verdict;
 pub use scheduler::EngineView;
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -8,6 +8,7 @@
 //! answers keep growing.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use slotmap::Key;
@@ -67,8 +68,6 @@
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory_tokens: u64,
-    /// It is in its cold start: the hosts ration what they send to it.
-    pub is_cold: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -132,8 +131,7 @@
     pub fn decide(&mut self, now: Timestamp, bid: &Bid, engines: &[EngineView]) -> Verdict {
         self.sweep(now);
         let book = self.services.entry(bid.service).or_default();
-        book.engines
-            .retain(|hash, engine| engine.running > 0 || engines.iter().any(|e| e.hash == *hash));
+        book.forget_replaced(engines);
         let tokens = bid.memory_tokens();
         book.shares.on_asked(now, bid.workspace, tokens);
         let usable = engines.iter().filter(|e| !bid.excluded.contains(&e.hash));
@@ -238,10 +236,22 @@
     }
 }
 
+/// Books of engines that are gone which may stay besides as many as there are engines.
+const ENGINES_SPARE: usize = 16;
 /// Period of the removal of records whose end was not reported.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
 impl ServiceBook {
+    /// Drops the books of engines that are gone, once there are many of them.
+    fn forget_replaced(&mut self, engines: &[EngineView]) {
+        if self.engines.len() <= 2 * engines.len() + ENGINES_SPARE {
+            return;
+        }
+        let known: HashSet<_> = engines.iter().map(|engine| engine.hash).collect();
+        self.engines
+            .retain(|hash, engine| engine.running > 0 || known.contains(hash));
+    }
+
     /// What it would take to send a bid to an engine, `None` if the engine has no room.
     fn offer(&self, now: Timestamp, bid: &Bid, view: &EngineView) -> Option<Offer> {
         let fresh = EngineBook::default();
--- a/lib/src/entry/servers.rs
+++ b/lib/src/entry/servers.rs
@@ -32,6 +32,8 @@
     pub entry: ServerEntry,
     /// Hash of its instance, the same on every host.
     pub hash: u64,
+    /// Hash of its failure domain.
+    pub domain_hash: u64,
     /// It may not get anything new.
     pub is_gone: bool,
     /// Set while the announcement is missing and the server has time to announce itself again.
@@ -54,6 +56,7 @@
     fn new(entry: ServerEntry) -> Self {
         Self {
             hash: xxh3_64(entry.instance.as_bytes()),
+            domain_hash: xxh3_64(entry.domain.as_bytes()),
             is_gone: false,
             gone_at: None,
             is_misdirected: false,
@@ -215,6 +218,7 @@
         || server.entry.cold_until != entry.cold_until
         || server.entry.is_leaving != entry.is_leaving;
     server.cold_until = entry.cold_until;
+    server.domain_hash = xxh3_64(entry.domain.as_bytes());
     server.entry = entry;
     if server.entry.is_leaving && !was_leaving {
         ServerChange::Leaving
--- a/lib/src/entry/source.rs
+++ b/lib/src/entry/source.rs
@@ -1,14 +1,27 @@
 //! Objects of the platform that a host follows: a list first, then the changes after it.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use futures::future::BoxFuture;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
 use log::info;
 use log::warn;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
 use snafu::Snafu;
 
+use super::host::EntryHost;
+use super::mirror::Page;
+use super::mirror::path;
 use crate::platform::Backoff;
+use crate::platform::CallOptions;
+use crate::platform::HttpCaller;
 use crate::time::Clock;
 use crate::time::Timestamp;
 
@@ -17,6 +30,22 @@
 /// Longest pause after failed calls. Every call is paid for, and a host that is cut off must be
 /// current again well within the two seconds that a configuration may take.
 const RETRY_MAX: Duration = Duration::from_millis(600);
+/// Longest pause of a host that has others to ask for the platform's objects: all of them fail
+/// together while the platform is away.
+const RELAYED_RETRY_MAX: Duration = Duration::from_millis(2_000);
+/// How long another host holds a question. It must fail, and the next host be asked, within the
+/// two seconds that a configuration may take.
+const RELAY_HOLD: Duration = Duration::from_millis(700);
+/// Limits of questions to other hosts of the failure domain, a fraction of a millisecond away.
+const RELAY_CALLS: CallOptions = CallOptions {
+    connect_timeout: Duration::from_millis(200),
+    call_timeout: Duration::from_millis(300),
+    idle_timeout: Duration::from_secs(5),
+};
+/// Age from which another host's objects are not taken: two holds of its watch, and an answer.
+const RELAY_AGE_MAX: Duration = Duration::from_millis(3_500);
+/// How long a host that did not answer a question is not asked again.
+const RELAY_PAUSE: Duration = Duration::from_secs(3);
 
 /// Why a call brought nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -25,7 +54,7 @@
     /// The changes after the revision are no longer known.
     #[snafu(display("the history after the revision is gone"))]
     HistoryGone,
-    /// The platform answered with a status that brings nothing.
+    /// The answer has a status that brings nothing.
     #[snafu(display("status {status}"))]
     Status {
         /// The status.
@@ -45,57 +74,70 @@
     },
 }
 
-/// A named object, decoded.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Item<T> {
-    /// Name of the object.
+/// A named object as the platform holds it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Object {
+    /// Name, empty if the object has none.
     pub name: CompactString,
-    /// What it holds, or why it cannot be read.
-    pub value: Result<T, String>,
+    /// What it holds.
+    pub spec: Value,
 }
 
 /// All objects of a kind.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Listing<T> {
+pub struct Listing {
     /// The objects.
-    pub items: Vec<Item<T>>,
+    pub objects: Vec<Object>,
     /// Revision at which they were listed.
     pub revision: u64,
 }
 
 /// A change of an object.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Change<T> {
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Change {
     /// It was created or replaced.
-    Set(Item<T>),
+    Set(Object),
     /// It was removed.
     Removed(CompactString),
 }
 
 /// Changes after a revision.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Changes<T> {
+pub struct Changes {
     /// The changes in order, none if the wait ended without.
-    pub changes: Vec<Change<T>>,
+    pub changes: Vec<Change>,
     /// Revision up to which they go.
     pub revision: u64,
 }
 
 /// Answer to a list call, to come.
-pub type ListFuture<T> = BoxFuture<'static, Result<Listing<T>, SourceError>>;
+pub type ListFuture = BoxFuture<'static, Result<Listing, SourceError>>;
 /// Answer to a watch call, to come.
-pub type WatchFuture<T> = BoxFuture<'static, Result<Changes<T>, SourceError>>;
+pub type WatchFuture = BoxFuture<'static, Result<Changes, SourceError>>;
+/// Reads an object by its name and what it holds.
+pub type Decode<T> = Box<dyn Fn(&str, &Value) -> Result<T, String> + Send + Sync>;
 
 /// Calls that read the objects of one kind.
 pub struct Source<T> {
-    /// What the objects are, for logs.
+    /// What the objects are, for logs and other hosts.
     pub kind: &'static str,
     /// Longest time that a watch call is held.
     pub hold: Duration,
     /// Lists all objects.
-    pub list: Box<dyn Fn() -> ListFuture<T> + Send + Sync>,
+    pub list: Box<dyn Fn() -> ListFuture + Send + Sync>,
     /// Waits at most so long for changes after a revision.
-    pub watch: Box<dyn Fn(u64, Duration) -> WatchFuture<T> + Send + Sync>,
+    pub watch: Box<dyn Fn(u64, Duration) -> WatchFuture + Send + Sync>,
+    /// Reads an object.
+    pub decode: Decode<T>,
+}
+
+/// An object that was read, or why it cannot be.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Item<T> {
+    /// Name of the object.
+    pub name: CompactString,
+    /// What it says.
+    pub value: Result<T, String>,
 }
 
 /// What following a source brings.
@@ -103,8 +145,10 @@
 pub enum Update<T> {
     /// All objects.
     Listed(Vec<Item<T>>),
-    /// Changes since.
-    Changed(Vec<Change<T>>),
+    /// An object was created or replaced.
+    Set(Item<T>),
+    /// An object was removed.
+    Removed(CompactString),
     /// The objects known are those that there were at this time, or later.
     Confirmed(Timestamp),
     /// The platform does not answer.
@@ -113,57 +157,158 @@
     Regained,
 }
 
+/// What one call brought.
+struct Step {
+    content: Content,
+    revision: u64,
+    confirmed_at: Timestamp,
+}
+
+enum Content {
+    All(Vec<Object>),
+    Changes(Vec<Change>),
+}
+
+/// Another host that reads the platform.
+struct Reader {
+    address: SocketAddr,
+    http: HttpCaller,
+    ask_again_at: Timestamp,
+}
+
+/// Follows the objects of one kind, from the platform or from hosts that read it.
+struct Follower<T> {
+    host: Arc<EntryHost>,
+    source: Source<T>,
+    readers: Vec<Reader>,
+    revision: Option<u64>,
+}
+
 /// Follows a source until the task is dropped.
-pub async fn follow<T>(source: Source<T>, clock: Clock, mut on_update: impl FnMut(Update<T>)) {
+pub(crate) async fn follow<T>(
+    source: Source<T>,
+    host: Arc<EntryHost>,
+    mut on_update: impl FnMut(Update<T>),
+) {
+    let kind = source.kind;
     let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MAX);
-    let mut revision = None;
+    let mut relayed_backoff = Backoff::new(RETRY_FIRST, RELAYED_RETRY_MAX);
     let mut is_lost = false;
+    let mut follower = Follower {
+        host,
+        source,
+        readers: Vec::new(),
+        revision: None,
+    };
     loop {
-        let sent = clock.now();
-        let result = match revision {
-            None => list(&source, sent).await,
-            Some(after) => watch(&source, sent, clock, after).await,
-        };
-        match result {
-            Ok(step) => {
+        match follower.step().await {
+            Ok((step, is_direct)) => {
                 if std::mem::take(&mut is_lost) {
-                    info!(target: "platform", kind = source.kind; "regained");
+                    info!(target: "platform", kind = kind; "regained");
                     on_update(Update::Regained);
                 }
                 backoff.reset();
-                revision = Some(step.revision);
-                if let Some(update) = step.update {
-                    on_update(update);
-                }
-                on_update(Update::Confirmed(step.confirmed_at));
+                relayed_backoff.reset();
+                follower.take(step, is_direct, &mut on_update);
             }
             Err(SourceError::HistoryGone) => {
-                info!(target: "platform", kind = source.kind, after = revision; "history gone");
-                revision = None;
+                info!(target: "platform", kind = kind, after = follower.revision; "history gone");
+                follower.revision = None;
             }
             Err(err) => {
+                follower.host.mirrors.on_lost(kind);
                 if !std::mem::replace(&mut is_lost, true) {
-                    warn!(target: "platform", kind = source.kind, reason = err.to_string(); "lost");
+                    warn!(target: "platform", kind = kind, reason = err.to_string(); "lost");
                     on_update(Update::Lost);
                 }
                 // A list is answered at once, and shows sooner than a watch that all is well.
-                revision = None;
-                tokio::time::sleep(backoff.next_delay()).await;
+                follower.revision = None;
+                let pause = match follower.readers.is_empty() {
+                    true => backoff.next_delay(),
+                    false => relayed_backoff.next_delay(),
+                };
+                tokio::time::sleep(pause).await;
             }
         }
     }
 }
 
-struct Step<T> {
-    update: Option<Update<T>>,
-    revision: u64,
-    confirmed_at: Timestamp,
+impl<T> Follower<T> {
+    /// Makes one call: to a reader if there is one that answers, or else to the platform.
+    async fn step(&mut self) -> Result<(Step, bool), SourceError> {
+        self.update_readers();
+        let after = self.revision;
+        let clock = self.host.clock;
+        for reader in &mut self.readers {
+            let now = clock.now();
+            if !reader.ask_again_at.has_passed(now) {
+                continue;
+            }
+            match ask(reader, self.source.kind, after, clock).await {
+                Ok(step) => return Ok((step, false)),
+                Err(err) => {
+                    info!(target: "platform", kind = self.source.kind,
+                        peer = reader.address.to_string(), reason = err.to_string();
+                        "reader does not serve");
+                    reader.ask_again_at = clock.now() + RELAY_PAUSE;
+                }
+            }
+        }
+        let sent = clock.now();
+        let step = match after {
+            None => list(&self.source, sent).await?,
+            Some(after) => watch(&self.source, sent, clock, after).await?,
+        };
+        Ok((step, true))
+    }
+
+    /// Keeps what is known of readers that stay.
+    fn update_readers(&mut self) {
+        let addresses = self.host.link.readers(self.source.kind);
+        if self.readers.iter().map(|r| r.address).eq(addresses.iter().copied()) {
+            return;
+        }
+        let reader = |address| Reader {
+            address,
+            http: HttpCaller::new(address, RELAY_CALLS),
+            ask_again_at: Timestamp::ZERO,
+        };
+        self.readers = addresses.into_iter().map(reader).collect();
+    }
+
+    fn take(&mut self, step: Step, is_direct: bool, on_update: &mut impl FnMut(Update<T>)) {
+        let kind = self.source.kind;
+        let mirrors = &self.host.mirrors;
+        let decode = &self.source.decode;
+        let read = |object: &Object| Item {
+            name: object.name.clone(),
+            value: decode(&object.name, &object.spec),
+        };
+        self.revision = Some(step.revision);
+        match step.content {
+            Content::All(objects) => {
+                mirrors.on_listed(kind, &objects, step.revision);
+                on_update(Update::Listed(objects.iter().map(read).collect()));
+            }
+            Content::Changes(changes) => {
+                mirrors.on_changed(kind, &changes, step.revision);
+                for change in changes {
+                    on_update(match change {
+                        Change::Set(object) => Update::Set(read(&object)),
+                        Change::Removed(name) => Update::Removed(name),
+                    });
+                }
+            }
+        }
+        mirrors.confirm(kind, step.confirmed_at, is_direct);
+        on_update(Update::Confirmed(step.confirmed_at));
+    }
 }
 
-async fn list<T>(source: &Source<T>, sent: Timestamp) -> Result<Step<T>, SourceError> {
+async fn list<T>(source: &Source<T>, sent: Timestamp) -> Result<Step, SourceError> {
     let listing = (source.list)().await?;
     Ok(Step {
-        update: Some(Update::Listed(listing.items)),
+        content: Content::All(listing.objects),
         revision: listing.revision,
         confirmed_at: sent,
     })
@@ -174,21 +319,68 @@
     sent: Timestamp,
     clock: Clock,
     after: u64,
-) -> Result<Step<T>, SourceError> {
+) -> Result<Step, SourceError> {
     let changes = (source.watch)(after, source.hold).await?;
-    if changes.changes.is_empty() {
-        // The platform answered no sooner than the end of the hold, but the answer may have
-        // been on its way for long.
-        let held_until = sent + source.hold;
-        return Ok(Step {
-            update: None,
-            revision: changes.revision,
-            confirmed_at: held_until.min(clock.now()),
-        });
-    }
+    let confirmed_at = match changes.changes.is_empty() {
+        // The platform answered no sooner than the end of the hold, but the answer may have been
+        // on its way for long.
+        true => (sent + source.hold).min(clock.now()),
+        false => sent,
+    };
     Ok(Step {
-        update: Some(Update::Changed(changes.changes)),
+        content: Content::Changes(changes.changes),
         revision: changes.revision,
-        confirmed_at: sent,
+        confirmed_at,
     })
 }
+
+/// Asks another host for what it has read.
+async fn ask(
+    reader: &Reader,
+    kind: &str,
+    after: Option<u64>,
+    clock: Clock,
+) -> Result<Step, SourceError> {
+    let sent = clock.now();
+    let path = path(kind, after, RELAY_HOLD);
+    let no_answer = |reason: String| SourceError::NoAnswer { reason };
+    let req = Request::get(reader.http.uri(&path))
+        .body(Full::default())
+        .map_err(|err| no_answer(err.to_string()))?;
+    let reply = reader.http.call_waiting(req, RELAY_HOLD).await;
+    let reply = reply.map_err(|err| no_answer(err.to_string()))?;
+    if reply.status != StatusCode::OK {
+        let status = reply.status.as_u16();
+        return Err(SourceError::Status { status });
+    }
+    let page: Page =
+        serde_json::from_slice(&reply.body).map_err(|err| SourceError::Unreadable {
+            reason: err.to_string(),
+        })?;
+    let age = Duration::from_micros(page.age_micros);
+    if age > RELAY_AGE_MAX {
+        return Err(no_answer(format!("objects are {} ms old", age.as_millis())));
+    }
+    // The page was made after the question was sent, at the end of the hold if nothing is new.
+    let is_held = after.is_some() && page.changes.is_empty() && !page.is_full;
+    let made_at = match is_held {
+        true => (sent + RELAY_HOLD).min(clock.now()),
+        false => sent,
+    };
+    let before = made_at.since(Timestamp::ZERO).saturating_sub(age);
+    Ok(Step {
+        revision: page.revision,
+        confirmed_at: Timestamp::ZERO + before,
+        content: match page.is_full {
+            true => Content::All(page.changes.into_iter().filter_map(into_object).collect()),
+            false => Content::Changes(page.changes),
+        },
+    })
+}
+
+fn into_object(change: Change) -> Option<Object> {
+    match change {
+        Change::Set(object) => Some(object),
+        Change::Removed(_) => None,
+    }
+}
