--- a/bench/src/command/mod.rs
+++ b/bench/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! Commands of the bench.
 
 mod demo;
+mod experiment;
 mod host;
 mod load;
 mod measure;
@@ -30,6 +31,8 @@
     Demo(demo::DemoArgs),
     /// Takes a measurement and fails if its target is not met.
     Measure(measure::MeasureArgs),
+    /// Plays a load of prompts against the decisions of entry hosts, in simulated time.
+    Experiment(experiment::ExperimentArgs),
     /// Sends requests of several workspaces to running hosts and sums up what became of them.
     Load(load::LoadArgs),
     /// Starts the systems around a fleet and writes a settings file for each of its hosts.
@@ -95,6 +98,7 @@
         match self.command {
             Command::Demo(args) => args.run().await?,
             Command::Measure(args) => return args.run().await,
+            Command::Experiment(args) => args.run()?,
             Command::Load(args) => args.run().await?,
             Command::StandIns(args) => args.run().await?,
             Command::Host(args) => args.run().await?,
--- /dev/null
+++ b/bench/src/experiment/mod.rs
@@ -0,0 +1,121 @@
+//! Experiments on the decisions for model services, in simulated time.
+//!
+//! A load of the kinds of request that the deployments of today serve is played against ways of
+//! deciding, with several seeds, over a sweep of its rate.
+
+mod load;
+mod play;
+mod plot;
+
+use std::fmt::Write;
+use std::path::Path;
+
+pub use load::KINDS;
+pub use load::Kind;
+pub use load::LoadRequest;
+pub use load::LoadSpec;
+pub use load::draw;
+pub use play::Outcome;
+pub use play::Policy;
+pub use play::Tally;
+pub use play::play;
+
+/// Ways of deciding that are compared, with their names in tables.
+pub const POLICIES: [(Policy, &str); 3] = [
+    (Policy::Scheduler, "scheduler"),
+    (Policy::Home, "home"),
+    (Policy::InTurn, "in turn"),
+];
+
+/// Means over seeds.
+#[derive(Clone, Copy, Debug)]
+pub struct Cell {
+    /// Part of the requests that began in time.
+    pub timely: f64,
+    /// Lowest and highest such part of a seed.
+    pub spread: (f64, f64),
+    /// Part with a whole answer.
+    pub served: f64,
+    /// Such part in time of the worst workspace.
+    pub worst: f64,
+    /// Millions of prompt tokens read.
+    pub read_millions: f64,
+}
+
+/// One rate of a sweep.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Requests a second for each engine.
+    pub rate: f64,
+    /// Results in the order of [`POLICIES`].
+    pub cells: Vec<Cell>,
+}
+
+/// Plays the load at each rate with `seeds` seeds.
+pub fn sweep(base: &LoadSpec, rates: &[f64], seeds: u64) -> Vec<Row> {
+    let row = |rate: &f64| {
+        let spec = LoadSpec {
+            rate: *rate,
+            ..*base
+        };
+        let cells = POLICIES
+            .iter()
+            .map(|(policy, _)| cell(&spec, *policy, seeds));
+        Row {
+            rate: *rate,
+            cells: cells.collect(),
+        }
+    };
+    rates.iter().map(row).collect()
+}
+
+fn cell(spec: &LoadSpec, policy: Policy, seeds: u64) -> Cell {
+    let outcomes: Vec<_> = (1..=seeds).map(|seed| play(spec, policy, seed)).collect();
+    let mean = |value: &dyn Fn(&Outcome) -> f64| {
+        outcomes.iter().map(value).sum::<f64>() / outcomes.len().max(1) as f64
+    };
+    let timely = outcomes.iter().map(|outcome| outcome.all.timely());
+    Cell {
+        timely: mean(&|outcome| outcome.all.timely()),
+        spread: (
+            timely.clone().fold(1.0, f64::min),
+            timely.fold(0.0, f64::max),
+        ),
+        served: mean(&|outcome| outcome.all.served()),
+        worst: mean(&Outcome::worst_workspace),
+        read_millions: mean(&|outcome| outcome.read_tokens as f64 / 1e6),
+    }
+}
+
+/// The rows as a table.
+pub fn table(rows: &[Row]) -> String {
+    let mut text = String::from(
+        "rate  policy     in time (low-high)     whole  worst workspace  million tokens read\n",
+    );
+    for row in rows {
+        for (cell, (_, name)) in row.cells.iter().zip(&POLICIES) {
+            // Writing to a string cannot fail.
+            let _ = writeln!(
+                text,
+                "{:4.1}  {name:9}  {:.3} ({:.3}-{:.3})    {:.3}  {:.3}            {:.2}",
+                row.rate,
+                cell.timely,
+                cell.spread.0,
+                cell.spread.1,
+                cell.served,
+                cell.worst,
+                cell.read_millions
+            );
+        }
+    }
+    text
+}
+
+/// Draws the rows into an SVG file.
+///
+/// # Errors
+///
+/// Gives the library's words if the file cannot be written.
+pub fn plot(path: &Path, rows: &[Row]) -> Result<(), String> {
+    plot::draw(path, rows)
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod baseline;
 pub mod demo;
+pub mod experiment;
 pub mod fleet;
 pub mod load;
 pub mod measure;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod history;
 
 mod clock;
+mod engine_model;
 mod fault;
 mod host_list;
 mod link_relay;
@@ -16,6 +17,11 @@
 mod server;
 
 pub use clock::now_us;
+pub use engine_model::EngineEvent;
+pub use engine_model::EngineEventKind;
+pub use engine_model::EngineModel;
+pub use engine_model::EngineRequest;
+pub use engine_model::EngineSheet;
 pub use fault::AnswerFault;
 pub use host_list::HostListApi;
 pub use host_list::HostListHandle;
