schedule: keep room of engines for workspaces that got little, judge two servers apart

Tests of the decisions found: with two servers the median failure rate was the failing one's, so it was never avoided; memory of engines was filled by a workspace that floods (56 of 181 requests of the other one refused); a lone workspace was held back. Shared parts count once in an engine's memory.

--- a/bench/src/experiment/play.rs
+++ b/bench/src/experiment/play.rs
@@ -78,6 +78,8 @@
     pub workspaces: HashMap<u64, Tally>,
     /// Prompt tokens that the engines read.
     pub read_tokens: u64,
+    /// Prompt tokens of the requests sent to engines that no other request shares.
+    pub own_tokens: u64,
 }
 
 impl Outcome {
@@ -252,6 +254,9 @@
             return;
         };
         debug_assert!(at >= flight.sent_at, "requests are sent in order");
+        let parts = &flight.request.shared_parts;
+        let shared: u32 = parts.iter().map(|(_, tokens)| tokens).sum();
+        self.outcome.own_tokens += u64::from(flight.request.input_tokens - shared);
         self.engines[flight.engine].submit(EngineRequest {
             id,
             shared_parts: flight.request.shared_parts.clone(),
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -608,7 +608,9 @@
     }
 }
 
+/// The lower middle of the rates: of two servers the sound one tells what is usual.
 fn median(mut rates: Vec<f64>) -> f64 {
     rates.sort_by(f64::total_cmp);
-    rates.get(rates.len() / 2).copied().unwrap_or(0.0)
+    let middle = rates.len().saturating_sub(1) / 2;
+    rates.get(middle).copied().unwrap_or(0.0)
 }
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -55,8 +55,12 @@
     write_timeout: Duration::from_secs(15),
     drain_timeout: Duration::ZERO,
 };
-/// Part of the descriptors that connections of callers may take: the other half is for servers.
-const CALLER_DESCRIPTORS_SHARE: usize = 2;
+/// Part of descriptors and memory that connections of callers may take: the other half is for
+/// servers.
+const CALLER_SHARE: usize = 2;
+/// Memory of a connection with a request, bytes: about 25 KiB a descriptor were in use at 2,800
+/// descriptors and 81 MB.
+const CONNECTION_BYTES: usize = 28 << 10;
 /// How long a stopping host still accepts connections: two readiness checks, a second apart, and
 /// the time for the balancer to act on them.
 const STOP_ACCEPTS: Duration = Duration::from_millis(2_500);
@@ -80,6 +84,21 @@
     pub metrics: Option<SocketAddr>,
 }
 
+/// What a process may use for connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessRoom {
+    /// Descriptors.
+    pub descriptors: usize,
+    /// Memory, bytes.
+    pub memory_bytes: usize,
+}
+
+impl ProcessRoom {
+    fn connections(&self) -> usize {
+        self.descriptors.min(self.memory_bytes / CONNECTION_BYTES)
+    }
+}
+
 /// What an entry host follows.
 pub struct Sources {
     /// The configuration.
@@ -105,8 +124,8 @@
     pub bounds: FleetBounds,
     /// Where it listens.
     pub listen: ListenAddresses,
-    /// Descriptors that the process may use for connections.
-    pub descriptors: usize,
+    /// What the process may use.
+    pub room: ProcessRoom,
     /// What the wire says.
     pub dialect: Dialect,
     /// What it follows.
@@ -157,7 +176,7 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn connection_limits(&self, descriptors: usize) -> ConnectionLimits {
+    fn connection_limits(&self, room: ProcessRoom) -> ConnectionLimits {
         let fleet = self.fleet();
         let limits = fleet.config().map(|config| config.limits);
         let base = limits.map_or(FIRST_LIMITS, |limits| ConnectionLimits {
@@ -168,7 +187,7 @@
             ..FIRST_LIMITS
         });
         ConnectionLimits {
-            connections: descriptors / CALLER_DESCRIPTORS_SHARE,
+            connections: room.connections() / CALLER_SHARE,
             drain_timeout: fleet.bounds().stop_grace,
             ..base
         }
@@ -209,7 +228,7 @@
         let callers = Server {
             listener: listen("callers", parts.listen.callers).await?,
             router: Router::new().fallback(serve).with_state(host.clone()),
-            limits: Box::new(move || limits_host.connection_limits(parts.descriptors)),
+            limits: Box::new(move || limits_host.connection_limits(parts.room)),
             connections: host.stats.connections.clone(),
             connections_refused: host.stats.connections_refused.clone(),
             stop: stopped,
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -63,6 +63,7 @@
 pub use host::EntryError;
 pub use host::EntryParts;
 pub use host::ListenAddresses;
+pub use host::ProcessRoom;
 pub use host::RegisterFuture;
 pub use host::Sources;
 pub use peers::Datagram;
--- a/lib/src/entry/schedule/bid.rs
+++ b/lib/src/entry/schedule/bid.rs
@@ -95,9 +95,10 @@
         self.shared_parts.iter().map(|part| part.tokens).sum()
     }
 
-    /// Tokens that it takes in an engine's memory at most.
+    /// Tokens that it takes in an engine's memory beside the parts that are kept there in any case.
     pub fn memory_tokens(&self) -> u64 {
-        u64::from(self.input_tokens) + u64::from(self.output_tokens)
+        let own = self.input_tokens.saturating_sub(self.shared_tokens());
+        u64::from(own) + u64::from(self.output_tokens)
     }
 }
 
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -54,6 +54,8 @@
 /// Times its even share up to which a workspace is not held back. Below one, since a workspace is to
 /// be held back before it has taken what others are owed.
 const EXCESS_FREE: f64 = 0.5;
+/// Part of the room that a workspace may fill that is held back; the rest is left to others.
+const HELD_BACK_ROOM: f64 = 0.8;
 /// Part of an engine's memory that requests may fill; the rest keeps parts of prompts.
 const MEMORY_USED: f64 = 0.9;
 
@@ -132,16 +134,20 @@
         self.sweep(now);
         let book = self.services.entry(bid.service).or_default();
         book.forget_replaced(engines);
-        let tokens = bid.memory_tokens();
+        let tokens = u64::from(bid.input_tokens) + u64::from(bid.output_tokens);
         book.shares.on_asked(now, bid.workspace, tokens);
-        let usable = engines.iter().filter(|e| !bid.excluded.contains(&e.hash));
-        let offers: Vec<_> = usable
-            .filter_map(|engine| book.offer(now, bid, engine))
-            .collect();
-        if offers.is_empty() {
+        let mut usable = engines.to_vec();
+        usable.retain(|engine| !bid.excluded.contains(&engine.hash));
+        if usable.is_empty() {
             return Verdict::Unknown;
         }
-        let limit = book.wait_limit(now, bid);
+        let excess = book.shares.excess(now, bid.workspace);
+        let room = if excess > EXCESS_FREE { HELD_BACK_ROOM } else { 1.0 };
+        let offers: Vec<_> = usable
+            .iter()
+            .filter_map(|engine| book.offer(now, bid, engine, room))
+            .collect();
+        let limit = wait_limit(bid, excess);
         let best = offers
             .iter()
             .filter(|offer| offer.is_in_time(limit))
@@ -149,10 +155,10 @@
         let Some(best) = best else {
             let soonest = offers.iter().map(|offer| offer.begins_after).min();
             return Verdict::Refuse {
-                retry_after: retry_after(soonest.unwrap_or_default(), limit),
+                retry_after: retry_after(soonest.unwrap_or(FULL_LASTS), limit),
             };
         };
-        let room = engines
+        let memory = usable
             .iter()
             .find(|engine| engine.hash == best.hash)
             .map_or(0, |engine| engine.memory_tokens);
@@ -166,14 +172,14 @@
             service: bid.service,
             server: hash,
             unread_tokens: unread,
-            memory_tokens: tokens,
+            memory_tokens: bid.memory_tokens(),
             planned: wait - after + reading + FIRST_EVENT,
             reading,
             has_begun: false,
             expires_at: now + bid.until_give_up,
         });
         let number = key.data().as_ffi();
-        engine.begin(now, bid, unread, room);
+        engine.begin(now, bid, unread, memory);
         Verdict::Start {
             ticket: Ticket {
                 epoch: self.epoch,
@@ -238,6 +244,8 @@
 
 /// Books of engines that are gone which may stay besides as many as there are engines.
 const ENGINES_SPARE: usize = 16;
+/// Time to the end of some answer where all engines are full: short answers take about a second.
+const FULL_LASTS: Duration = Duration::from_secs(1);
 /// Period of the removal of records whose end was not reported.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
@@ -253,12 +261,20 @@
     }
 
     /// What it would take to send a bid to an engine, `None` if the engine has no room.
-    fn offer(&self, now: Timestamp, bid: &Bid, view: &EngineView) -> Option<Offer> {
+    /// Only the part `room` of its memory and slots may be filled.
+    fn offer(
+        &self,
+        now: Timestamp,
+        bid: &Bid,
+        view: &EngineView,
+        room: f64,
+    ) -> Option<Offer> {
         let fresh = EngineBook::default();
         let engine = self.engines.get(&view.hash).unwrap_or(&fresh);
-        let memory = (view.memory_tokens as f64 * MEMORY_USED) as u64;
-        let has_room = engine.memory_tokens + bid.memory_tokens() <= memory;
-        if engine.running >= view.slots || (!has_room && engine.running > 0) {
+        let memory = (view.memory_tokens as f64 * MEMORY_USED * room) as u64;
+        let slots = (f64::from(view.slots) * room) as u32;
+        let has_memory = engine.memory_tokens + bid.memory_tokens() <= memory;
+        if engine.running >= slots.max(1) || (!has_memory && engine.running > 0) {
             return None;
         }
         let mut kept = engine.prefixes.kept_tokens(&bid.shared_parts);
@@ -283,21 +299,20 @@
             begins_after: wait + reading + FIRST_EVENT,
         })
     }
+}
 
-    /// Longest time to the first event for which a bid is let begin.
-    fn wait_limit(&mut self, now: Timestamp, bid: &Bid) -> Duration {
-        let whole = bid.until_objective.mul_f64(OBJECTIVE_USED);
-        let whole = if bid.is_returning {
-            whole.max(LATE_WAIT_MAX)
-        } else {
-            whole
-        };
-        let excess = self.shares.excess(now, bid.workspace);
-        if excess <= EXCESS_FREE {
-            return whole;
-        }
-        whole.mul_f64(EXCESS_FREE / excess)
+/// Longest time to the first event for which a bid is let begin.
+fn wait_limit(bid: &Bid, excess: f64) -> Duration {
+    let whole = bid.until_objective.mul_f64(OBJECTIVE_USED);
+    let whole = if bid.is_returning {
+        whole.max(LATE_WAIT_MAX)
+    } else {
+        whole
+    };
+    if excess <= EXCESS_FREE {
+        return whole;
     }
+    whole.mul_f64(EXCESS_FREE / excess)
 }
 
 fn retry_after(soonest: Duration, limit: Duration) -> Duration {
--- a/lib/src/entry/schedule/shares.rs
+++ b/lib/src/entry/schedule/shares.rs
@@ -50,6 +50,10 @@
     pub(crate) fn excess(&mut self, now: Timestamp, workspace: u64) -> f64 {
         self.asked.retain(|_, usage| usage.at(now) > FORGOTTEN_BELOW);
         self.got.retain(|_, usage| usage.at(now) > FORGOTTEN_BELOW);
+        if self.asked.len() <= 1 {
+            // Nobody else asks.
+            return 0.0;
+        }
         let own = self.got.get(&workspace).map_or(0.0, |usage| usage.at(now));
         let served: f64 = self.got.values().map(|usage| usage.at(now)).sum();
         let asked = self.asked.values().map(|usage| usage.at(now)).collect();
--- /dev/null
+++ b/lib/tests/entry/mod.rs
@@ -0,0 +1,156 @@
+//! Configurations, servers and requests for tests of entry hosts.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::time::Duration;
+
+use cardamomshift_lib::entry::CallHead;
+use cardamomshift_lib::entry::CallerLimits;
+use cardamomshift_lib::entry::EngineSpec;
+use cardamomshift_lib::entry::Fleet;
+use cardamomshift_lib::entry::FleetBounds;
+use cardamomshift_lib::entry::FleetConfig;
+use cardamomshift_lib::entry::HostIdentity;
+use cardamomshift_lib::entry::Prompt;
+use cardamomshift_lib::entry::PromptPart;
+use cardamomshift_lib::entry::Repeat;
+use cardamomshift_lib::entry::Route;
+use cardamomshift_lib::entry::ServerEntry;
+use cardamomshift_lib::entry::Service;
+use cardamomshift_lib::entry::Target;
+use cardamomshift_lib::entry::Workspace;
+use cardamomshift_lib::time::Timestamp;
+
+pub const MODEL: &str = "model";
+pub const LEDGER: &str = "ledger";
+pub const KEY: &str = "key-one";
+
+pub fn at(millis: u64) -> Timestamp {
+    Timestamp::from_micros(millis * 1_000)
+}
+
+pub fn bounds() -> FleetBounds {
+    FleetBounds {
+        retry_ratio: 0.2,
+        retry_burst: 52.0,
+        retry_window: Duration::from_secs(10),
+        cold_overrun: 1.5,
+        key_lease: Duration::from_secs(5),
+        config_lag: Duration::from_secs(2),
+        stop_grace: Duration::from_secs(8),
+        announce_grace: Duration::from_secs(2),
+    }
+}
+
+pub fn route(name: &str, prefix: &str, service: &str, repeat: Repeat) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: prefix.into(),
+        repeat,
+        timeout: Duration::from_secs(6),
+        objective: Duration::from_millis(800),
+        rank: 1,
+        targets: vec![Target {
+            service: service.into(),
+            weight: 1,
+        }],
+        attempts_max: 2,
+        is_anonymous: service == LEDGER,
+    }
+}
+
+pub fn config(version: u64, routes: Vec<Route>, keys: &[&str]) -> FleetConfig {
+    let service = |name: &str, engine| Service {
+        name: name.into(),
+        health_path: "/healthz".into(),
+        connections_max: 360,
+        cold_rate: 9.8,
+        cold_for: Duration::from_secs(3),
+        engine,
+    };
+    let engine = EngineSpec {
+        slots: 64,
+        memory_tokens: 228_336,
+    };
+    let limits = CallerLimits {
+        head_bytes: 16 << 10,
+        body_bytes: 4 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+        tokens_per_second: None,
+    };
+    let workspace = Workspace {
+        name: "one".into(),
+        rank: None,
+        keys: keys.iter().map(|key| (*key).into()).collect(),
+    };
+    FleetConfig::new(
+        version,
+        routes,
+        vec![service(MODEL, Some(engine)), service(LEDGER, None)],
+        limits,
+        vec![workspace],
+    )
+}
+
+pub fn usual_routes() -> Vec<Route> {
+    vec![
+        route("stream", "/s/", MODEL, Repeat::Stream),
+        route("write", "/w/", LEDGER, Repeat::AtMostOnce),
+    ]
+}
+
+pub fn server(instance: &str, service: &str, domain: &str) -> ServerEntry {
+    ServerEntry {
+        instance: instance.into(),
+        service: service.into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        domain: domain.into(),
+        slots: 6,
+        is_leaving: false,
+        cold_until: Timestamp::ZERO,
+        started_at_ms: 0,
+    }
+}
+
+pub fn head(key: Option<&str>, deadline: Timestamp) -> CallHead {
+    CallHead {
+        id: "id-1".into(),
+        host: "a.example".into(),
+        deadline: Some(deadline),
+        key: key.map(Into::into),
+        prompt: None,
+        resumes_after: None,
+    }
+}
+
+pub fn prompt() -> Prompt {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Prompt {
+        input_tokens: 1_500,
+        output_tokens_max: 80,
+        output_tokens_hint: None,
+        parts: vec![part(1, 800), part(2, 400), part(3, 300)],
+    }
+}
+
+/// A host with a confirmed configuration, two servers of each service and six hosts.
+pub fn fleet(now: Timestamp) -> Fleet {
+    let identity = HostIdentity {
+        name: "h1".into(),
+        domain: "d1".into(),
+    };
+    let mut fleet = Fleet::new(identity, bounds(), 1);
+    fleet.apply_config(config(1, usual_routes(), &[KEY]));
+    fleet.confirm_config(now);
+    fleet.set_hosts(["h1", "h2", "h3", "h4", "h5", "h6"].into_iter());
+    let servers = vec![
+        server("m1", MODEL, "d1"),
+        server("m2", MODEL, "d2"),
+        server("l1", LEDGER, "d1"),
+        server("l2", LEDGER, "d2"),
+    ];
+    fleet.list_servers(servers, None);
+    fleet
+}
--- /dev/null
+++ b/lib/tests/test_entry_peers.rs
@@ -0,0 +1,192 @@
+//! Datagrams between entry hosts, and whom a host asks.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cardamomshift_lib::entry::Bid;
+use cardamomshift_lib::entry::Datagram;
+use cardamomshift_lib::entry::Peer;
+use cardamomshift_lib::entry::Peers;
+use cardamomshift_lib::entry::Progress;
+use cardamomshift_lib::entry::ProgressStep;
+use cardamomshift_lib::entry::PromptPart;
+use cardamomshift_lib::entry::Shard;
+use cardamomshift_lib::entry::Ticket;
+use cardamomshift_lib::entry::Verdict;
+use cardamomshift_lib::entry::decode;
+use cardamomshift_lib::entry::encode;
+use cardamomshift_lib::time::Timestamp;
+use proptest::prelude::*;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_micros(millis * 1_000)
+}
+
+fn peer(n: u8, domain: &str, cores: f64) -> Peer {
+    Peer {
+        name: format!("h{n}").into(),
+        address: SocketAddr::from(([10, 0, 0, n], 7_400)),
+        domain: domain.into(),
+        cores,
+    }
+}
+
+fn ticket() -> impl Strategy<Value = Ticket> {
+    (any::<u32>(), any::<u64>()).prop_map(|(epoch, number)| Ticket { epoch, number })
+}
+
+fn span() -> impl Strategy<Value = Duration> {
+    (0..u64::from(u32::MAX)).prop_map(Duration::from_micros)
+}
+
+fn bid() -> impl Strategy<Value = Bid> {
+    let part = (any::<u64>(), any::<u32>()).prop_map(|(id, tokens)| PromptPart { id, tokens });
+    let parts = proptest::collection::vec(part, 0..5);
+    let excluded = proptest::collection::vec(any::<u64>(), 0..100);
+    let numbers = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
+    let shard = (any::<u32>(), any::<u32>());
+    let rest = (any::<u32>(), any::<u32>(), span(), span(), any::<bool>());
+    (numbers, shard, rest, parts, excluded).prop_map(|(n, shard, rest, parts, excluded)| Bid {
+        service: n.0,
+        shard: Shard {
+            index: shard.0,
+            count: shard.1,
+        },
+        workspace: n.1,
+        domain: n.2,
+        input_tokens: rest.0,
+        output_tokens: rest.1,
+        shared_parts: parts,
+        until_objective: rest.2,
+        until_give_up: rest.3,
+        is_returning: rest.4,
+        last_server: n.3,
+        excluded,
+    })
+}
+
+fn verdict() -> impl Strategy<Value = Verdict> {
+    prop_oneof![
+        (ticket(), any::<u64>(), span(), any::<u32>()).prop_map(|(ticket, server, after, unread)| {
+            Verdict::Start {
+                ticket,
+                server,
+                after,
+                unread_tokens: unread,
+            }
+        }),
+        span().prop_map(|retry_after| Verdict::Refuse { retry_after }),
+        Just(Verdict::Unknown),
+    ]
+}
+
+fn progress() -> impl Strategy<Value = Progress> {
+    let step = prop_oneof![
+        span().prop_map(|after| ProgressStep::Begun { after }),
+        Just(ProgressStep::Ended),
+    ];
+    (ticket(), step).prop_map(|(ticket, step)| Progress { ticket, step })
+}
+
+fn datagram() -> impl Strategy<Value = Datagram> {
+    prop_oneof![
+        (any::<u64>(), bid()).prop_map(|(id, bid)| Datagram::Bid { id, bid }),
+        (any::<u64>(), verdict()).prop_map(|(id, verdict)| Datagram::Verdict { id, verdict }),
+        proptest::collection::vec(progress(), 0..40).prop_map(Datagram::Progress),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn datagrams_are_read_as_they_were_written(message in datagram()) {
+        prop_assert_eq!(decode(&encode(&message)).unwrap(), message);
+    }
+
+    #[test]
+    fn foreign_bytes_are_an_error_or_a_datagram(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode(&bytes);
+    }
+
+    #[test]
+    fn torn_datagrams_do_no_harm(message in datagram(), part in 0.0_f64..1.0) {
+        let bytes = encode(&message);
+        let _ = decode(&bytes[..(bytes.len() as f64 * part) as usize]);
+    }
+
+    /// All hosts that know the same hosts ask the same one.
+    #[test]
+    fn hosts_agree_on_the_scheduler(subject in any::<u64>()) {
+        let all: Vec<_> = (1..=9).map(|n| peer(n, "d", 0.25)).collect();
+        let choices: Vec<_> = all.iter().map(|own| {
+            let mut peers = Peers::new(own);
+            peers.set(&all);
+            peers.scheduler(at(0), subject).unwrap_or(own.address)
+        }).collect();
+        prop_assert!(choices.iter().all(|choice| *choice == choices[0]));
+    }
+}
+
+#[test]
+fn silent_hosts_are_passed_over_until_the_last_resort_is_the_host_itself() {
+    let own = peer(1, "d", 0.25);
+    let mut peers = Peers::new(&own);
+    peers.set(&[own.clone(), peer(2, "d", 0.25), peer(3, "d", 0.25)]);
+    let subject = (0..100).find(|s| peers.scheduler(at(0), *s).is_some()).unwrap();
+    while let Some(address) = peers.scheduler(at(0), subject) {
+        assert!(peers.on_silent(at(0), address));
+        // Many requests find out at the same time.
+        assert!(!peers.on_silent(at(0), address));
+    }
+    assert!(peers.scheduler(at(600), subject).is_some(), "asked again after a while");
+}
+
+#[test]
+fn a_host_that_answers_again_is_asked_as_before() {
+    let own = peer(1, "d", 0.25);
+    let mut peers = Peers::new(&own);
+    peers.set(&[peer(2, "d", 0.25)]);
+    let subject = (0..100).find(|s| peers.scheduler(at(0), *s).is_some()).unwrap();
+    let address = peers.scheduler(at(0), subject).unwrap();
+    peers.on_silent(at(0), address);
+    peers.on_silent(at(600), address);
+    assert!(peers.scheduler(at(1_500), subject).is_none(), "a longer pause");
+    assert!(peers.on_answer(address));
+    assert_eq!(peers.scheduler(at(1_500), subject), Some(address));
+}
+
+#[test]
+fn small_hosts_schedule_only_when_no_large_one_answers() {
+    let own = peer(1, "d", 0.12);
+    let mut peers = Peers::new(&own);
+    let large = peer(2, "d", 0.5);
+    peers.set(&[large.clone(), peer(3, "d", 0.12)]);
+    for subject in 0..50 {
+        assert_eq!(peers.scheduler(at(0), subject), Some(large.address));
+    }
+    peers.on_silent(at(0), large.address);
+    let own_turns = (0..50).filter(|subject| peers.scheduler(at(0), *subject).is_none());
+    assert!((5..45).contains(&own_turns.count()));
+}
+
+#[test]
+fn two_hosts_of_a_large_domain_read_the_platform() {
+    let all: Vec<_> = (1..=8).map(|n| peer(n, "d", 0.25)).collect();
+    let mut others = all.clone();
+    others.push(peer(9, "elsewhere", 0.25));
+    let reads_itself = |own: &Peer| {
+        let mut peers = Peers::new(own);
+        peers.set(&others);
+        let readers = peers.readers(5);
+        assert!(readers.iter().all(|a| all.iter().any(|peer| peer.address == *a)));
+        readers.is_empty()
+    };
+    assert_eq!(all.iter().filter(|own| reads_itself(own)).count(), 2);
+}
+
+#[test]
+fn every_host_of_a_small_domain_reads_the_platform() {
+    let own = peer(1, "d", 0.25);
+    let mut peers = Peers::new(&own);
+    peers.set(&(2..=4).map(|n| peer(n, "d", 0.25)).collect::<Vec<_>>());
+    assert!(peers.readers(5).is_empty());
+}
