--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -50,6 +50,8 @@
 /// When to come back after a server refused for lack of room: a plain service works through its
 /// queue in about this time.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When to come back to another host after this one was too busy.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Statuses that promise that a request has not run.
 const PROMISES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -121,6 +123,11 @@
     };
     let route = admitted.route.clone();
     let id = head.id.clone();
+    if host.lag.is_too_long() && head.prompt.is_some() {
+        // The body is not read, nor a line written: that is the work to be spared.
+        let refusal = Refusal::until(Reason::HostBusy, BUSY_RETRY_AFTER);
+        return refuse(&host, Some(&id), &route.name, refusal, Duration::ZERO);
+    }
     let deadline = host.clock.instant(admitted.give_up_at);
     let body = match tokio::time::timeout_at(deadline.into(), read_body(&host, body)).await {
         Ok(Ok(body)) => body,
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -33,6 +33,8 @@
 use super::fleet::Fleet;
 use super::fleet::HostIdentity;
 use super::forward::serve;
+use super::lag;
+use super::lag::Lag;
 use super::learn;
 use super::mirror;
 use super::mirror::Mirrors;
@@ -167,6 +169,7 @@
     pub(crate) stats: EntryStats,
     pub(crate) link: Link,
     pub(crate) mirrors: Mirrors,
+    pub(crate) lag: Lag,
     fleet: Mutex<Fleet>,
 }
 
@@ -221,6 +224,7 @@
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
             link: Link::new(socket, &parts.own, rand::random()),
             mirrors: Mirrors::default(),
+            lag: Lag::default(),
             fleet: Mutex::new(Fleet::new(parts.identity, parts.bounds, rand::random())),
         });
         let (stop, stopped) = watch::channel(false);
@@ -253,6 +257,7 @@
         tasks.spawn(sweep(host.clone()));
         tasks.spawn(Link::receive(host.clone()));
         tasks.spawn(Link::report(host.clone()));
+        tasks.spawn(lag::measure(host.clone()));
         Ok(Self {
             host,
             stop,
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod health;
 mod homes;
 mod host;
+mod lag;
 mod learn;
 mod mirror;
 mod peers;
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -27,6 +27,8 @@
     NoServer,
     /// No server can begin in time.
     Overloaded,
+    /// This host has no processor time left.
+    HostBusy,
     /// The workspace has had its share, and others need the servers.
     OverShare,
     /// The servers that could run it are in a cold start.
@@ -54,6 +56,7 @@
             | Self::StaleConfiguration
             | Self::NoServer
             | Self::Overloaded
+            | Self::HostBusy
             | Self::ServersCold
             | Self::RefusedByServer
             | Self::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -75,6 +78,7 @@
             Self::UnknownKey => "unknown-key",
             Self::NoServer => "no-server",
             Self::Overloaded => "overloaded",
+            Self::HostBusy => "host-busy",
             Self::OverShare => "over-share",
             Self::ServersCold => "servers-cold",
             Self::RefusedByServer => "refused-by-server",
