--- a/bench/src/experiment/load.rs
+++ b/bench/src/experiment/load.rs
@@ -140,7 +140,11 @@
     LoadRequest {
         at,
         kind,
-        workspace: if is_flood { 0 } else { rng.random_range(0..spec.workspaces) },
+        workspace: if is_flood {
+            0
+        } else {
+            rng.random_range(0..spec.workspaces)
+        },
         shared_parts,
         // Bounded above, so that the conversions keep the values.
         input_tokens: shared + own as u32,
--- a/bench/src/experiment/play.rs
+++ b/bench/src/experiment/play.rs
@@ -197,7 +197,8 @@
         };
         let sent_at = request.at + after;
         let give_up_at = request.at + kind.patience;
-        self.actions.push(Reverse((sent_at + WAY, Action::Submit(id))));
+        self.actions
+            .push(Reverse((sent_at + WAY, Action::Submit(id))));
         self.actions.push(Reverse((give_up_at, Action::GiveUp(id))));
         let flight = Flight {
             request,
@@ -215,7 +216,10 @@
         (session.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as usize % self.spec.engines
     }
 
-    fn ask_scheduler(&mut self, request: &LoadRequest) -> Option<(usize, Option<Ticket>, Duration)> {
+    fn ask_scheduler(
+        &mut self,
+        request: &LoadRequest,
+    ) -> Option<(usize, Option<Ticket>, Duration)> {
         let kind = &KINDS[request.kind];
         let part = |(id, tokens): &(u64, u32)| PromptPart {
             id: *id,
@@ -235,7 +239,10 @@
             last_server: 0,
             excluded: Vec::new(),
         };
-        match self.scheduler.decide(timestamp(request.at), &bid, &self.views) {
+        match self
+            .scheduler
+            .decide(timestamp(request.at), &bid, &self.views)
+        {
             Verdict::Start {
                 ticket,
                 server,
--- a/bench/tests/test_experiment.rs
+++ b/bench/tests/test_experiment.rs
@@ -64,12 +64,17 @@
             assert!(kind.served() > 0.25 * outcome.all.served(), "{outcome:?}");
         }
         for (workspace, tally) in &outcome.workspaces {
-            assert!(tally.served() > 0.25 * outcome.all.served(), "{workspace}: {tally:?}");
+            assert!(
+                tally.served() > 0.25 * outcome.all.served(),
+                "{workspace}: {tally:?}"
+            );
         }
         let flood = outcome.workspaces[&0];
         let others = outcome.workspaces.iter().filter(|(name, _)| **name != 0);
         assert!(
-            others.clone().all(|(_, tally)| tally.served() >= flood.served()),
+            others
+                .clone()
+                .all(|(_, tally)| tally.served() >= flood.served()),
             "{outcome:?}"
         );
     }
--- a/daemon/src/json_log.rs
+++ b/daemon/src/json_log.rs
@@ -121,7 +121,10 @@
         if record.target() != "request" {
             return true;
         }
-        let mut allowance = self.allowance.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut allowance = self
+            .allowance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         allowance.take()
     }
 }
--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -45,7 +45,7 @@
 
   union {
     start @1 :Start;
-    retryAfter @2 :UInt64;
+    refusal @2 :Refusal;
     # No server can begin in time.
     unknown @3 :Void;
     # The scheduler knows no server that may be used.
@@ -60,6 +60,12 @@
   unreadTokens @4 :UInt32;
 }
 
+struct Refusal {
+  retryAfter @0 :UInt64;
+  soonest @1 :UInt64;
+  limit @2 :UInt64;
+}
+
 struct Progress {
   epoch @0 :UInt32;
   number @1 :UInt64;
--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -68,11 +68,7 @@
 }
 
 impl Flight {
-    pub(crate) fn new(
-        host: Arc<EntryHost>,
-        key: FlightKey,
-        scheduled: Option<Scheduled>,
-    ) -> Self {
+    pub(crate) fn new(host: Arc<EntryHost>, key: FlightKey, scheduled: Option<Scheduled>) -> Self {
         Self {
             host,
             key,
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -350,7 +350,10 @@
         let by_route = now + route.timeout;
         let route = route.clone();
         let given = head.deadline.map(|at| at.remaining(now));
-        let longest = self.longest_deadlines.entry(route.name.clone()).or_default();
+        let longest = self
+            .longest_deadlines
+            .entry(route.name.clone())
+            .or_default();
         *longest = (*longest).max(given.unwrap_or_default());
         let is_returning = given.is_some_and(|given| given < longest.mul_f64(RETURNING_BELOW));
         let used = match given {
@@ -428,7 +431,9 @@
         let keys = self.servers.of_service(&admitted.service);
         let subject = prompt.session().unwrap_or(admitted.arrived.as_micros());
         let shard = Shard::of_session(subject, keys.len());
-        let hashes = keys.iter().filter_map(|key| Some(self.servers.get(*key)?.hash));
+        let hashes = keys
+            .iter()
+            .filter_map(|key| Some(self.servers.get(*key)?.hash));
         let excluded = hashes.filter(|hash| !sound.contains(hash)).collect();
         let workspace = admitted.workspace.as_deref();
         let last_server = prompt.session().and_then(|session| self.homes.get(session));
@@ -459,9 +464,7 @@
             return Verdict::Unknown;
         };
         let servers = self.servers.of_service(&spec.name);
-        let servers = servers
-            .iter()
-            .filter_map(|key| self.servers.get(*key));
+        let servers = servers.iter().filter_map(|key| self.servers.get(*key));
         let servers = bid.shard.select(servers.collect(), |server| server.hash);
         let views: Vec<_> = servers
             .into_iter()
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -35,6 +35,7 @@
 use super::peers::Link;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::refusal::Waits;
 use super::relay::Relay;
 use super::schedule::Verdict;
 use super::servers::ServerKey;
@@ -107,7 +108,13 @@
         Ok(head) => head,
         Err(fault) => {
             info!(target: "request", path = parts.uri.path(), reason = fault.to_string(); "bad head");
-            return refuse(&host, None, "", Refusal::new(Reason::BadHead), Duration::ZERO);
+            return refuse(
+                &host,
+                None,
+                "",
+                Refusal::new(Reason::BadHead),
+                Duration::ZERO,
+            );
         }
     };
     let admitted = host.fleet().admit(arrived, &head, parts.uri.path());
@@ -133,7 +140,13 @@
         Ok(Ok(body)) => body,
         Ok(Err(reason)) => {
             info!(target: "request", id = id.as_str(), reason = reason.name(); "no body");
-            return refuse(&host, Some(&id), &route.name, Refusal::new(reason), Duration::ZERO);
+            return refuse(
+                &host,
+                Some(&id),
+                &route.name,
+                Refusal::new(reason),
+                Duration::ZERO,
+            );
         }
         Err(_) => {
             let refusal = Refusal::new(Reason::ExpiredUnsent);
@@ -153,6 +166,8 @@
             info!(target: "request", id = id.as_str(), route = route.name.as_str(),
                 workspace = call.admitted.workspace.as_deref(),
                 config = call.admitted.config_version, reason = refusal.reason.name(),
+                soonest_ms = refusal.waits.map(|waits| millis(waits.soonest)),
+                limit_ms = refusal.waits.map(|waits| millis(waits.limit)),
                 retry_after_ms = refusal.retry_after.map(millis), ms = millis(elapsed);
                 "refused");
             refuse(&host, Some(&id), &route.name, refusal, elapsed)
@@ -245,8 +260,16 @@
                 after,
                 unread_tokens,
             } => (ticket, server, after, unread_tokens),
-            Verdict::Refuse { retry_after } => {
-                return Err(Refusal::until(Reason::Overloaded, retry_after));
+            Verdict::Refuse {
+                retry_after,
+                soonest,
+                limit,
+            } => {
+                return Err(Refusal {
+                    reason: Reason::Overloaded,
+                    retry_after: Some(retry_after),
+                    waits: Some(Waits { soonest, limit }),
+                });
             }
             // Engines of other shards may be usable.
             Verdict::Unknown if shards_passed + 1 < bid.shard.count => {
@@ -263,7 +286,9 @@
         }
         let now = host.clock.now();
         scheduled.on_sent(now);
-        let placed = host.fleet().start(now, &call.admitted, prompt, server, unread);
+        let placed = host
+            .fleet()
+            .start(now, &call.admitted, prompt, server, unread);
         if let Some(placed) = placed {
             let flight = Flight::new(host.clone(), placed.flight, Some(scheduled));
             return Ok(Start { placed, flight });
@@ -380,7 +405,12 @@
     }
     if PROMISES.contains(&status) {
         flight.end(FlightEnd::Failed);
-        log_failed(host, call, placed, &format!("status {status} without a promise"));
+        log_failed(
+            host,
+            call,
+            placed,
+            &format!("status {status} without a promise"),
+        );
         return Err(failed(Reason::ServerFailed, true));
     }
     if is_success && call.admitted.route.repeat.is_stream() {
@@ -468,7 +498,8 @@
     info!(target: "request", id = call.head.id.as_str(),
         server = placed.entry.instance.as_str(), status = status.as_u16(), ms = millis(elapsed);
         "answered");
-    host.stats.on_answer(&call.admitted.route.name, status.as_str(), elapsed);
+    host.stats
+        .on_answer(&call.admitted.route.name, status.as_str(), elapsed);
     count_attempt(host, call, "answered");
 }
 
@@ -482,7 +513,10 @@
 
 fn count_attempt(host: &EntryHost, call: &Call, outcome: &str) {
     let service = call.admitted.service.as_str();
-    host.stats.attempts.with_label_values(&[service, outcome]).inc();
+    host.stats
+        .attempts
+        .with_label_values(&[service, outcome])
+        .inc();
 }
 
 pub(crate) fn millis(span: Duration) -> u64 {
--- a/lib/src/entry/learn.rs
+++ b/lib/src/entry/learn.rs
@@ -56,7 +56,8 @@
     tasks.spawn(follow(sources.hosts, host.clone(), move |update| {
         if apply(&at, "host", &mut peers, update) {
             info!(target: "fleet", hosts = peers.len(); "hosts known");
-            at.fleet().set_hosts(peers.keys().map(CompactString::as_str));
+            at.fleet()
+                .set_hosts(peers.keys().map(CompactString::as_str));
             let list: Vec<_> = peers.values().cloned().collect();
             at.link.set_peers(&list);
         }
@@ -82,7 +83,10 @@
             return;
         }
         Update::Lost => {
-            host.stats.platform_lost.with_label_values(&["config"]).inc();
+            host.stats
+                .platform_lost
+                .with_label_values(&["config"])
+                .inc();
             return;
         }
         // A configuration stays in force until there is a newer one.
@@ -101,17 +105,15 @@
     let routes = config.route_count();
     let workspaces = config.workspaces.len();
     if host.fleet().apply_config(config) {
-        host.stats.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        host.stats
+            .config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
         info!(target: "config", version = version, routes = routes, workspaces = workspaces;
             "in force");
     }
 }
 
-fn on_servers(
-    host: &EntryHost,
-    regained_at: &mut Option<Timestamp>,
-    update: Update<ServerEntry>,
-) {
+fn on_servers(host: &EntryHost, regained_at: &mut Option<Timestamp>, update: Update<ServerEntry>) {
     let now = host.clock.now();
     match update {
         Update::Listed(items) => {
@@ -139,16 +141,26 @@
             }
         }
         Update::Confirmed(_) => return,
-        Update::Lost => host.stats.platform_lost.with_label_values(&["server"]).inc(),
+        Update::Lost => host
+            .stats
+            .platform_lost
+            .with_label_values(&["server"])
+            .inc(),
         Update::Regained => *regained_at = Some(now),
     }
     let servers = host.fleet().servers().iter().count();
-    host.stats.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
+    host.stats
+        .servers
+        .set(i64::try_from(servers).unwrap_or(i64::MAX));
 }
 
 /// Until when a server is used whose announcement goes missing now: for a while if the platform has
 /// just come back, not at all otherwise.
-fn usable_until(host: &EntryHost, regained: Option<Timestamp>, now: Timestamp) -> Option<Timestamp> {
+fn usable_until(
+    host: &EntryHost,
+    regained: Option<Timestamp>,
+    now: Timestamp,
+) -> Option<Timestamp> {
     let grace = host.fleet().bounds().announce_grace;
     let until = regained? + grace.saturating_sub(LAPSE_MARGIN);
     (!until.has_passed(now)).then_some(until)
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -131,7 +131,16 @@
             out.set_after(micros(*after));
             out.set_unread_tokens(*unread_tokens);
         }
-        Verdict::Refuse { retry_after } => out.set_retry_after(micros(*retry_after)),
+        Verdict::Refuse {
+            retry_after,
+            soonest,
+            limit,
+        } => {
+            let mut out = out.init_refusal();
+            out.set_retry_after(micros(*retry_after));
+            out.set_soonest(micros(*soonest));
+            out.set_limit(micros(*limit));
+        }
         Verdict::Unknown => out.set_unknown(()),
     }
 }
@@ -217,9 +226,14 @@
                 unread_tokens: start.get_unread_tokens(),
             }
         }
-        verdict::RetryAfter(wait) => Verdict::Refuse {
-            retry_after: Duration::from_micros(wait),
-        },
+        verdict::Refusal(refusal) => {
+            let refusal = refusal.context(EncodingSnafu)?;
+            Verdict::Refuse {
+                retry_after: Duration::from_micros(refusal.get_retry_after()),
+                soonest: Duration::from_micros(refusal.get_soonest()),
+                limit: Duration::from_micros(refusal.get_limit()),
+            }
+        }
         verdict::Unknown(()) => Verdict::Unknown,
     })
 }
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -135,10 +135,17 @@
     }
 
     /// Asks for a decision until a scheduler gives one; the last one is this host itself.
-    pub(crate) async fn decide(&self, host: &Arc<EntryHost>, bid: &Bid) -> (Verdict, Option<SocketAddr>) {
+    pub(crate) async fn decide(
+        &self,
+        host: &Arc<EntryHost>,
+        bid: &Bid,
+    ) -> (Verdict, Option<SocketAddr>) {
         loop {
             let now = host.clock.now();
-            let scheduler = self.inner().peers.scheduler(now, bid.shard.subject(bid.service));
+            let scheduler = self
+                .inner()
+                .peers
+                .scheduler(now, bid.shard.subject(bid.service));
             let Some(address) = scheduler else {
                 return (host.fleet().decide(now, bid), None);
             };
@@ -260,7 +267,9 @@
             let now = host.clock.now();
             let reports = {
                 let mut inner = host.link.inner();
-                inner.verdicts.retain(|_, kept| !kept.drop_at.has_passed(now));
+                inner
+                    .verdicts
+                    .retain(|_, kept| !kept.drop_at.has_passed(now));
                 std::mem::take(&mut inner.reports)
             };
             for (address, list) in reports {
--- a/lib/src/entry/peers/order.rs
+++ b/lib/src/entry/peers/order.rs
@@ -94,8 +94,8 @@
         let first = open()
             .filter(|peer| is_large(peer.cores))
             .max_by_key(|peer| rank(peer.hash, subject))?;
-        let is_own = is_large(self.own.cores)
-            && rank(self.own_hash, subject) > rank(first.hash, subject);
+        let is_own =
+            is_large(self.own.cores) && rank(self.own_hash, subject) > rank(first.hash, subject);
         (!is_own).then_some(first.address)
     }
 
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -1531,7 +1531,7 @@
 }
 
 pub mod verdict {
-    pub use self::Which::{RetryAfter, Start, Unknown};
+    pub use self::Which::{Refusal, Start, Unknown};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1647,6 +1647,13 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_refusal(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 1 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Start(
@@ -1655,7 +1662,12 @@
                         ::core::option::Option::None,
                     ),
                 )),
-                1 => ::core::result::Result::Ok(RetryAfter(self.reader.get_data_field::<u64>(2))),
+                1 => ::core::result::Result::Ok(Refusal(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 2 => ::core::result::Result::Ok(Unknown(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
@@ -1668,7 +1680,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 3,
+                data: 2,
                 pointers: 1,
             };
     }
@@ -1784,9 +1796,28 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn set_retry_after(&mut self, value: u64) {
+        pub fn set_refusal(
+            &mut self,
+            value: crate::entry::peers::schedule_capnp::refusal::Reader<'_>,
+        ) -> ::capnp::Result<()> {
             self.builder.set_data_field::<u16>(4, 1);
-            self.builder.set_data_field::<u64>(2, value);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_refusal(self) -> crate::entry::peers::schedule_capnp::refusal::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 1);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_refusal(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 1 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
         pub fn set_unknown(&mut self, _value: ()) {
@@ -1801,7 +1832,12 @@
                         ::core::option::Option::None,
                     ),
                 )),
-                1 => ::core::result::Result::Ok(RetryAfter(self.builder.get_data_field::<u64>(2))),
+                1 => ::core::result::Result::Ok(Refusal(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 2 => ::core::result::Result::Ok(Unknown(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
@@ -1820,10 +1856,10 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(56, 139, 120, 98, 184, 20, 139, 145),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
             ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
@@ -1852,20 +1888,20 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 254, 255, 2, 0, 0, 0),
+            ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1882,13 +1918,12 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 116, 114, 121, 65, 102, 116),
-            ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 102, 117, 115, 97, 108, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 183, 80, 101, 165, 96, 209, 214),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
@@ -1904,7 +1939,7 @@
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::entry::peers::schedule_capnp::start::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::entry::peers::schedule_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -1929,15 +1964,19 @@
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1, 3];
         pub(crate) const TYPE_ID: u64 = 0x918b_14b8_6278_8b38;
     }
-    pub enum Which<A0> {
+    pub enum Which<A0, A1> {
         Start(A0),
-        RetryAfter(u64),
+        Refusal(A1),
         Unknown(()),
     }
-    pub type WhichReader<'a> =
-        Which<::capnp::Result<crate::entry::peers::schedule_capnp::start::Reader<'a>>>;
-    pub type WhichBuilder<'a> =
-        Which<::capnp::Result<crate::entry::peers::schedule_capnp::start::Builder<'a>>>;
+    pub type WhichReader<'a> = Which<
+        ::capnp::Result<crate::entry::peers::schedule_capnp::start::Reader<'a>>,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::refusal::Reader<'a>>,
+    >;
+    pub type WhichBuilder<'a> = Which<
+        ::capnp::Result<crate::entry::peers::schedule_capnp::start::Builder<'a>>,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::refusal::Builder<'a>>,
+    >;
 }
 
 pub mod start {
@@ -2335,6 +2374,345 @@
     }
 }
 
+pub mod refusal {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_retry_after(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_soonest(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_limit(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_retry_after(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_retry_after(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_soonest(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_soonest(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_limit(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_limit(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(220, 183, 80, 101, 165, 96, 209, 214),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 82),
+            ::capnp::word(101, 102, 117, 115, 97, 108, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 101, 116, 114, 121, 65, 102, 116),
+            ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 111, 111, 110, 101, 115, 116, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xd6d1_60a5_6550_b7dc;
+    }
+}
+
 pub mod progress {
     pub use self::Which::{BegunAfter, Ended};
 
--- a/lib/src/entry/placement.rs
+++ b/lib/src/entry/placement.rs
@@ -25,7 +25,11 @@
 
 /// The servers that do not fail, or all if every one does.
 pub fn sound(candidates: &[Candidate]) -> Vec<Candidate> {
-    let sound: Vec<_> = candidates.iter().filter(|c| !c.is_failing).copied().collect();
+    let sound: Vec<_> = candidates
+        .iter()
+        .filter(|c| !c.is_failing)
+        .copied()
+        .collect();
     if sound.is_empty() {
         return candidates.to_vec();
     }
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -96,6 +96,17 @@
     pub reason: Reason,
     /// How long the caller had better wait before it asks again.
     pub retry_after: Option<Duration>,
+    /// What a scheduler compared, if one decided.
+    pub waits: Option<Waits>,
+}
+
+/// Times by which a scheduler refused a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Waits {
+    /// After which the first engine could have begun an answer.
+    pub soonest: Duration,
+    /// Longest such time that was allowed.
+    pub limit: Duration,
 }
 
 impl Refusal {
@@ -104,6 +115,7 @@
         Self {
             reason,
             retry_after: None,
+            waits: None,
         }
     }
 
@@ -112,6 +124,7 @@
         Self {
             reason,
             retry_after: Some(wait),
+            waits: None,
         }
     }
 }
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -105,7 +105,7 @@
     /// Waits for the first bytes, so that a stream that breaks before them can still be answered
     /// otherwise.
     pub(crate) async fn first(&mut self) -> Result<(), RelayError> {
-        self.first = self.from_server().await?;
+        self.first = self.next_piece().await?;
         let elapsed = self.host.clock.now().since(self.call.admitted.arrived);
         let route = self.call.admitted.route.name.as_str();
         let times = self.host.stats.first_byte.with_label_values(&[route]);
@@ -129,7 +129,7 @@
             return Some(Ok(first));
         }
         while !self.has_ended {
-            match self.from_server().await {
+            match self.next_piece().await {
                 Ok(Some(bytes)) => return Some(Ok(bytes)),
                 Ok(None) => self.has_ended = true,
                 Err(err) => {
@@ -145,7 +145,7 @@
     }
 
     /// Bytes of the server that may be passed on, `None` at the end of the whole stream.
-    async fn from_server(&mut self) -> Result<Option<Bytes>, RelayError> {
+    async fn next_piece(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
             let Some(upstream) = &mut self.upstream else {
                 return Ok(None);
--- a/lib/src/entry/schedule/bid.rs
+++ b/lib/src/entry/schedule/bid.rs
@@ -129,6 +129,10 @@
     Refuse {
         /// When the caller had better come back.
         retry_after: Duration,
+        /// Time after which the first engine could have begun an answer.
+        soonest: Duration,
+        /// Longest such time that was allowed.
+        limit: Duration,
     },
     /// The scheduler knows no server of the service that may be used.
     Unknown,
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -142,7 +142,11 @@
             return Verdict::Unknown;
         }
         let excess = book.shares.excess(now, bid.workspace);
-        let room = if excess > EXCESS_FREE { HELD_BACK_ROOM } else { 1.0 };
+        let room = if excess > EXCESS_FREE {
+            HELD_BACK_ROOM
+        } else {
+            1.0
+        };
         let offers: Vec<_> = usable
             .iter()
             .filter_map(|engine| book.offer(now, bid, engine, room))
@@ -154,8 +158,11 @@
             .min_by_key(|offer| (offer.cost, offer.hash));
         let Some(best) = best else {
             let soonest = offers.iter().map(|offer| offer.begins_after).min();
+            let soonest = soonest.unwrap_or(FULL_LASTS);
             return Verdict::Refuse {
-                retry_after: retry_after(soonest.unwrap_or(FULL_LASTS), limit),
+                retry_after: retry_after(soonest, limit),
+                soonest,
+                limit,
             };
         };
         let memory = usable
@@ -262,13 +269,7 @@
 
     /// What it would take to send a bid to an engine, `None` if the engine has no room.
     /// Only the part `room` of its memory and slots may be filled.
-    fn offer(
-        &self,
-        now: Timestamp,
-        bid: &Bid,
-        view: &EngineView,
-        room: f64,
-    ) -> Option<Offer> {
+    fn offer(&self, now: Timestamp, bid: &Bid, view: &EngineView, room: f64) -> Option<Offer> {
         let fresh = EngineBook::default();
         let engine = self.engines.get(&view.hash).unwrap_or(&fresh);
         let memory = (view.memory_tokens as f64 * MEMORY_USED * room) as u64;
--- a/lib/src/entry/schedule/shares.rs
+++ b/lib/src/entry/schedule/shares.rs
@@ -48,7 +48,8 @@
     /// How many times its even share a workspace has got. The even share is the level up to which
     /// every workspace could be served what it asks, with all that was served.
     pub(crate) fn excess(&mut self, now: Timestamp, workspace: u64) -> f64 {
-        self.asked.retain(|_, usage| usage.at(now) > FORGOTTEN_BELOW);
+        self.asked
+            .retain(|_, usage| usage.at(now) > FORGOTTEN_BELOW);
         self.got.retain(|_, usage| usage.at(now) > FORGOTTEN_BELOW);
         if self.asked.len() <= 1 {
             // Nobody else asks.
--- a/lib/src/entry/source.rs
+++ b/lib/src/entry/source.rs
@@ -265,7 +265,12 @@
     /// Keeps what is known of readers that stay.
     fn update_readers(&mut self) {
         let addresses = self.host.link.readers(self.source.kind);
-        if self.readers.iter().map(|r| r.address).eq(addresses.iter().copied()) {
+        if self
+            .readers
+            .iter()
+            .map(|r| r.address)
+            .eq(addresses.iter().copied())
+        {
             return;
         }
         let reader = |address| Reader {
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -130,7 +130,8 @@
     /// Gives the library's error if a measurement cannot be written.
     pub fn text(&self) -> Result<String, prometheus::Error> {
         let dropped = self.log_dropped_count.load(Ordering::Relaxed);
-        self.log_dropped.set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        self.log_dropped
+            .set(i64::try_from(dropped).unwrap_or(i64::MAX));
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         String::from_utf8(text).map_err(|err| prometheus::Error::Msg(err.to_string()))
--- a/lib/tests/test_entry_budget.rs
+++ b/lib/tests/test_entry_budget.rs
@@ -64,9 +64,14 @@
             .filter(|_| budget.take(at(1), &bounds, 6))
             .count()
     };
-    let sum: usize = (0..6).map(|_| take_all(&mut RetryBudget::new(&bounds))).sum();
+    let sum: usize = (0..6)
+        .map(|_| take_all(&mut RetryBudget::new(&bounds)))
+        .sum();
     let again = take_all(&mut RetryBudget::new(&bounds));
-    assert!((sum + again) as f64 <= bounds.retry_burst, "{sum} and {again}");
+    assert!(
+        (sum + again) as f64 <= bounds.retry_burst,
+        "{sum} and {again}"
+    );
 }
 
 #[test]
--- a/lib/tests/test_entry_fleet.rs
+++ b/lib/tests/test_entry_fleet.rs
@@ -77,11 +77,21 @@
     let mut fleet = fleet(at(START));
     let reason = |fleet: &mut cardamomshift_lib::entry::Fleet, now, key, path| {
         let head = head(key, at(now + 4_000));
-        fleet.admit(at(now), &head, path).map(|_| ()).unwrap_err().reason
+        fleet
+            .admit(at(now), &head, path)
+            .map(|_| ())
+            .unwrap_err()
+            .reason
     };
-    assert_eq!(reason(&mut fleet, START, Some(KEY), "/no/"), Reason::NoRoute);
+    assert_eq!(
+        reason(&mut fleet, START, Some(KEY), "/no/"),
+        Reason::NoRoute
+    );
     assert_eq!(reason(&mut fleet, START, None, "/s/x"), Reason::NoKey);
-    assert_eq!(reason(&mut fleet, START, Some("x"), "/s/x"), Reason::UnknownKey);
+    assert_eq!(
+        reason(&mut fleet, START, Some("x"), "/s/x"),
+        Reason::UnknownKey
+    );
     let later = START + 4_000;
     let stale = Reason::StaleConfiguration;
     assert_eq!(reason(&mut fleet, later, Some(KEY), "/no/"), stale);
@@ -96,9 +106,17 @@
     assert_eq!(refusal.unwrap_err().reason, Reason::StaleConfiguration);
     assert!(!fleet.is_ready(late));
     // Requests without keys are served on.
-    assert!(fleet.admit(late, &head(None, at(START + 9_000)), "/w/x").is_ok());
+    assert!(
+        fleet
+            .admit(late, &head(None, at(START + 9_000)), "/w/x")
+            .is_ok()
+    );
     fleet.confirm_config(late);
-    assert!(fleet.admit(late, &head(Some(KEY), at(START + 9_000)), "/s/x").is_ok());
+    assert!(
+        fleet
+            .admit(late, &head(Some(KEY), at(START + 9_000)), "/s/x")
+            .is_ok()
+    );
 }
 
 #[test]
@@ -226,7 +244,14 @@
     assert!(known.is_cold(at(START + 2_000)));
     let other = fleet.place(at(START), &LEDGER.into(), &[]).unwrap();
     assert_ne!(placed.server, other.server);
-    assert!(fleet.servers().get(placed.server).unwrap().reachability.is_open(at(START + 300)));
+    assert!(
+        fleet
+            .servers()
+            .get(placed.server)
+            .unwrap()
+            .reachability
+            .is_open(at(START + 300))
+    );
 }
 
 #[test]
@@ -250,7 +275,10 @@
         run(&mut fleet, "l2", FlightEnd::Failed);
     }
     let placed = fleet.place(at(START), &LEDGER.into(), &[]).unwrap();
-    assert_eq!(placed.entry.instance, "l1", "less occupied, and no worse than the other");
+    assert_eq!(
+        placed.entry.instance, "l1",
+        "less occupied, and no worse than the other"
+    );
 }
 
 #[test]
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -67,15 +67,21 @@
 
 fn verdict() -> impl Strategy<Value = Verdict> {
     prop_oneof![
-        (ticket(), any::<u64>(), span(), any::<u32>()).prop_map(|(ticket, server, after, unread)| {
-            Verdict::Start {
-                ticket,
-                server,
-                after,
-                unread_tokens: unread,
+        (ticket(), any::<u64>(), span(), any::<u32>()).prop_map(
+            |(ticket, server, after, unread)| {
+                Verdict::Start {
+                    ticket,
+                    server,
+                    after,
+                    unread_tokens: unread,
+                }
             }
+        ),
+        (span(), span(), span()).prop_map(|(retry_after, soonest, limit)| Verdict::Refuse {
+            retry_after,
+            soonest,
+            limit,
         }),
-        span().prop_map(|retry_after| Verdict::Refuse { retry_after }),
         Just(Verdict::Unknown),
     ]
 }
@@ -131,13 +137,18 @@
     let own = peer(1, "d", 0.25);
     let mut peers = Peers::new(&own);
     peers.set(&[own.clone(), peer(2, "d", 0.25), peer(3, "d", 0.25)]);
-    let subject = (0..100).find(|s| peers.scheduler(at(0), *s).is_some()).unwrap();
+    let subject = (0..100)
+        .find(|s| peers.scheduler(at(0), *s).is_some())
+        .unwrap();
     while let Some(address) = peers.scheduler(at(0), subject) {
         assert!(peers.on_silent(at(0), address));
         // Many requests find out at the same time.
         assert!(!peers.on_silent(at(0), address));
     }
-    assert!(peers.scheduler(at(600), subject).is_some(), "asked again after a while");
+    assert!(
+        peers.scheduler(at(600), subject).is_some(),
+        "asked again after a while"
+    );
 }
 
 #[test]
@@ -145,11 +156,16 @@
     let own = peer(1, "d", 0.25);
     let mut peers = Peers::new(&own);
     peers.set(&[peer(2, "d", 0.25)]);
-    let subject = (0..100).find(|s| peers.scheduler(at(0), *s).is_some()).unwrap();
+    let subject = (0..100)
+        .find(|s| peers.scheduler(at(0), *s).is_some())
+        .unwrap();
     let address = peers.scheduler(at(0), subject).unwrap();
     peers.on_silent(at(0), address);
     peers.on_silent(at(600), address);
-    assert!(peers.scheduler(at(1_500), subject).is_none(), "a longer pause");
+    assert!(
+        peers.scheduler(at(1_500), subject).is_none(),
+        "a longer pause"
+    );
     assert!(peers.on_answer(address));
     assert_eq!(peers.scheduler(at(1_500), subject), Some(address));
 }
@@ -177,7 +193,11 @@
         let mut peers = Peers::new(own);
         peers.set(&others);
         let readers = peers.readers(5);
-        assert!(readers.iter().all(|a| all.iter().any(|peer| peer.address == *a)));
+        assert!(
+            readers
+                .iter()
+                .all(|a| all.iter().any(|peer| peer.address == *a))
+        );
         readers.is_empty()
     };
     assert_eq!(all.iter().filter(|own| reads_itself(own)).count(), 2);
--- a/lib/tests/test_entry_schedule.rs
+++ b/lib/tests/test_entry_schedule.rs
@@ -104,7 +104,10 @@
     assert_eq!(started(scheduler.decide(at(0), &some, &engines)).1, 2);
     some.excluded = vec![1, 2, 3];
     assert_eq!(scheduler.decide(at(0), &some, &engines), Verdict::Unknown);
-    assert_eq!(scheduler.decide(at(0), &bid(7, 1_000), &[]), Verdict::Unknown);
+    assert_eq!(
+        scheduler.decide(at(0), &bid(7, 1_000), &[]),
+        Verdict::Unknown
+    );
 }
 
 #[test]
@@ -115,7 +118,7 @@
     let retry_after = loop {
         match scheduler.decide(at(0), &bid(7, 3_000), &engines) {
             Verdict::Start { .. } => starts += 1,
-            Verdict::Refuse { retry_after } => break retry_after,
+            Verdict::Refuse { retry_after, .. } => break retry_after,
             Verdict::Unknown => panic!("the engine is usable"),
         }
         assert!(starts < 50, "no limit");
--- a/testutils/src/engine_model/mod.rs
+++ b/testutils/src/engine_model/mod.rs
@@ -161,9 +161,10 @@
     }
 
     fn used_tokens(&self) -> u64 {
-        let sizes = self.running.iter().map(|run| {
-            u64::from(run.request.input_tokens) + u64::from(run.request.output_tokens)
-        });
+        let sizes = self
+            .running
+            .iter()
+            .map(|run| u64::from(run.request.input_tokens) + u64::from(run.request.output_tokens));
         sizes.sum()
     }
 
