--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -5,6 +5,8 @@
 //! given by an adapter, and nothing here knows their names. [`Fleet`] holds the decisions, which
 //! take the time as an argument and do no input or output.
 
+mod admission;
+mod answer;
 mod attempt;
 mod budget;
 mod config;
@@ -20,14 +22,17 @@
 mod mirror;
 mod peers;
 mod placement;
+mod placing;
 mod prefix;
 mod refusal;
 mod relay;
 mod schedule;
 mod servers;
 mod source;
+mod start;
 mod stats;
 
+pub use admission::Admitted;
 pub use budget::ColdShare;
 pub use budget::FleetBounds;
 pub use budget::RetryBudget;
@@ -51,12 +56,10 @@
 pub use dialect::PromptPart;
 pub use dialect::ServerEntry;
 pub use dialect::UnreadableSnafu;
-pub use fleet::Admitted;
 pub use fleet::Fleet;
 pub use fleet::FlightEnd;
 pub use fleet::FlightKey;
 pub use fleet::HostIdentity;
-pub use fleet::Placement;
 pub use health::FailureRate;
 pub use health::Reachability;
 pub use host::EntryControl;
@@ -76,6 +79,7 @@
 pub use placement::Candidate;
 pub use placement::choose;
 pub use placement::sound;
+pub use placing::Placement;
 pub use prefix::PrefixMemory;
 pub use refusal::Reason;
 pub use refusal::Refusal;
--- /dev/null
+++ b/lib/src/entry/placing.rs
@@ -0,0 +1,250 @@
+//! Which servers may get a request now, and the one that does.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::admission::Admitted;
+use super::budget::cold_share;
+use super::dialect::Prompt;
+use super::dialect::ServerEntry;
+use super::fleet::Fleet;
+use super::fleet::FlightKey;
+use super::health::is_failing;
+use super::placement::Candidate;
+use super::placement::choose;
+use super::placement::sound;
+use super::refusal::Reason;
+use super::refusal::Refusal;
+use super::schedule::Bid;
+use super::schedule::EngineView;
+use super::schedule::Progress;
+use super::schedule::Shard;
+use super::schedule::Verdict;
+use super::servers::ServerKey;
+use crate::time::Timestamp;
+
+/// When to come back after a refusal for lack of a server: servers announce changes about as fast.
+const SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Where to send a request.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Its record, to be ended by [`Fleet::end`].
+    pub flight: FlightKey,
+    /// The server.
+    pub server: ServerKey,
+    /// What the server announced.
+    pub entry: ServerEntry,
+    /// Prompt tokens that it has to read, as the scheduler believes.
+    pub unread_tokens: u32,
+}
+
+/// Servers that may get a request, and whether others were left out for being cold.
+struct Usable {
+    candidates: Vec<Candidate>,
+    has_cold: bool,
+}
+
+impl Usable {
+    fn refusal(&self) -> Refusal {
+        let reason = match self.has_cold {
+            true => Reason::ServersCold,
+            false => Reason::NoServer,
+        };
+        Refusal::until(reason, SERVER_RETRY_AFTER)
+    }
+}
+
+impl Fleet {
+    /// Chooses a server for a request to a plain service, other than those in `tried`, and counts
+    /// it there.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that no server can take now.
+    pub fn place(
+        &mut self,
+        now: Timestamp,
+        service: &CompactString,
+        tried: &[ServerKey],
+    ) -> Result<Placement, Refusal> {
+        let usable = self.usable(now, service, tried);
+        match choose(&usable.candidates) {
+            Some(key) => self.begin(now, key, 0),
+            None => Err(usable.refusal()),
+        }
+    }
+
+    /// What to ask a scheduler for a request to a model that may not go to those in `tried`.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that no server can take now.
+    pub fn bid(
+        &mut self,
+        now: Timestamp,
+        admitted: &Admitted,
+        prompt: &Prompt,
+        tried: &[ServerKey],
+    ) -> Result<Bid, Refusal> {
+        let usable = self.usable(now, &admitted.service, tried);
+        if usable.candidates.is_empty() {
+            return Err(usable.refusal());
+        }
+        let sound: HashSet<_> = sound(&usable.candidates).iter().map(|c| c.hash).collect();
+        let keys = self.servers.of_service(&admitted.service);
+        let subject = prompt.session().unwrap_or(admitted.arrived.as_micros());
+        let shard = Shard::of_session(subject, keys.len());
+        let hashes = keys
+            .iter()
+            .filter_map(|key| Some(self.servers.get(*key)?.hash));
+        let excluded = hashes.filter(|hash| !sound.contains(hash)).collect();
+        let workspace = admitted.workspace.as_deref();
+        let last_server = prompt.session().and_then(|session| self.homes.get(session));
+        Ok(Bid {
+            service: xxh3_64(admitted.service.as_bytes()),
+            shard,
+            workspace: workspace.map_or(0, |name| xxh3_64(name.as_bytes())),
+            domain: self.own_domain,
+            input_tokens: prompt.input_tokens,
+            output_tokens: prompt.output_tokens(),
+            shared_parts: prompt.shared_parts().to_vec(),
+            until_objective: admitted.objective_at.remaining(now),
+            until_give_up: admitted.give_up_at.remaining(now),
+            is_returning: admitted.is_returning,
+            last_server: last_server.unwrap_or(0),
+            excluded,
+        })
+    }
+
+    /// Decides on a bid as the scheduler.
+    pub fn decide(&mut self, now: Timestamp, bid: &Bid) -> Verdict {
+        let Some(config) = &self.config else {
+            return Verdict::Unknown;
+        };
+        let mut services = config.services.values();
+        let spec = services.find(|spec| xxh3_64(spec.name.as_bytes()) == bid.service);
+        let Some((spec, engine)) = spec.and_then(|spec| Some((spec, spec.engine?))) else {
+            return Verdict::Unknown;
+        };
+        let servers = self.servers.of_service(&spec.name);
+        let servers = servers.iter().filter_map(|key| self.servers.get(*key));
+        let servers = bid.shard.select(servers.collect(), |server| server.hash);
+        let views: Vec<_> = servers
+            .into_iter()
+            .filter(|server| {
+                server.is_announced(now) && !self.evacuated.contains(&server.entry.domain)
+            })
+            .map(|server| EngineView {
+                hash: server.hash,
+                domain: server.domain_hash,
+                slots: server.entry.slots.min(engine.slots),
+                memory_tokens: engine.memory_tokens,
+            })
+            .collect();
+        self.scheduler.decide(now, bid, &views)
+    }
+
+    /// Takes in what became of a request that this host let begin as the scheduler.
+    pub fn on_progress(&mut self, now: Timestamp, progress: &Progress) {
+        self.scheduler.on_progress(now, progress);
+    }
+
+    /// Counts a request at the server that a scheduler chose, if this host may still use it.
+    pub fn start(
+        &mut self,
+        now: Timestamp,
+        admitted: &Admitted,
+        prompt: &Prompt,
+        server: u64,
+        unread_tokens: u32,
+    ) -> Option<Placement> {
+        let usable = self.usable(now, &admitted.service, &[]);
+        let chosen = usable.candidates.iter().find(|c| c.hash == server)?;
+        let key = chosen.key;
+        if let Some(session) = prompt.session() {
+            self.homes.set(now, session, server);
+        }
+        self.begin(now, key, unread_tokens).ok()
+    }
+
+    /// Servers that may get a request now.
+    fn usable(&mut self, now: Timestamp, service: &CompactString, tried: &[ServerKey]) -> Usable {
+        let keys = self.servers.of_service(service).to_vec();
+        let rates: Vec<f64> = keys
+            .iter()
+            .filter_map(|key| self.servers.get(*key)?.failures.rate(now))
+            .collect();
+        let service_rate = median(rates);
+        let spec = self.config.as_ref().and_then(|c| c.services.get(service));
+        let cold_rate = spec.map_or(0.0, |spec| spec.cold_rate);
+        let connections = spec.map_or(u32::MAX, |spec| spec.connections_max);
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX).max(1);
+        let connections_each = (connections / hosts).max(1);
+        let mut usable = Usable {
+            candidates: Vec::with_capacity(keys.len()),
+            has_cold: false,
+        };
+        for key in keys {
+            let Some(server) = self.servers.get_mut(key) else {
+                continue;
+            };
+            let is_usable = server.is_announced(now)
+                && server.reachability.is_open(now)
+                && server.load.requests < connections_each
+                && !tried.contains(&key)
+                && !self.evacuated.contains(&server.entry.domain);
+            if !is_usable {
+                continue;
+            }
+            if server.is_cold(now) && cold_rate > 0.0 {
+                let hash = server.hash;
+                let share = cold_share(cold_rate, &self.bounds, &self.hosts, self.own_hash, hash);
+                if !server.cold_share.has_room(now, share) {
+                    usable.has_cold = true;
+                    continue;
+                }
+            }
+            usable.candidates.push(Candidate {
+                key,
+                hash: server.hash,
+                slots: server.entry.slots,
+                requests: server.load.requests,
+                is_local: server.entry.domain == self.own.domain,
+                is_failing: is_failing(server.failures.rate(now), service_rate),
+            });
+        }
+        usable
+    }
+
+    fn begin(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        unread_tokens: u32,
+    ) -> Result<Placement, Refusal> {
+        let server = self
+            .servers
+            .get_mut(key)
+            .ok_or_else(|| Refusal::until(Reason::NoServer, SERVER_RETRY_AFTER))?;
+        server.load.requests += 1;
+        server.cold_share.on_sent(now);
+        let entry = server.entry.clone();
+        Ok(Placement {
+            flight: self.flights.insert(key),
+            server: key,
+            entry,
+            unread_tokens,
+        })
+    }
+}
+
+/// The lower middle of the rates: of two servers the sound one tells what is usual.
+fn median(mut rates: Vec<f64>) -> f64 {
+    rates.sort_by(f64::total_cmp);
+    let middle = rates.len().saturating_sub(1) / 2;
+    rates.get(middle).copied().unwrap_or(0.0)
+}
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -11,6 +11,8 @@
 use log::info;
 use snafu::Snafu;
 
+use super::answer::log_answered;
+use super::answer::log_failed;
 use super::attempt::Answer;
 use super::attempt::Flight;
 use super::attempt::keep;
@@ -19,15 +21,13 @@
 use super::dialect::AnswerHead;
 use super::events::EventBuffer;
 use super::fleet::FlightEnd;
-use super::fleet::Placement;
 use super::forward::Call;
-use super::forward::Start;
-use super::forward::log_answered;
-use super::forward::log_failed;
 use super::forward::millis;
-use super::forward::place;
 use super::host::EntryHost;
+use super::placing::Placement;
 use super::refusal::Reason;
+use super::start::Start;
+use super::start::place;
 use crate::gateway::Connection;
 use crate::platform::describe;
 
