schedule: refuse less urgent ranks first

Cause: ranks of workspaces and routes were read and not used, so a service with several of them would have served all alike. Each more urgent rank of the last five seconds takes a third of the wait that a rank may have. Names of the wire that nothing used are gone.

--- a/bench/src/experiment/play.rs
+++ b/bench/src/experiment/play.rs
@@ -235,6 +235,7 @@
             shared_parts: request.shared_parts.iter().map(part).collect(),
             until_objective: kind.objective,
             until_give_up: kind.patience,
+            rank: 1,
             is_returning: false,
             last_server: 0,
             excluded: Vec::new(),
--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -31,6 +31,7 @@
   excluded @11 :List(UInt64);
   shardIndex @12 :UInt32;
   shardCount @13 :UInt32;
+  rank @14 :UInt32;
 }
 
 struct Part {
--- a/lib/src/entry/admission.rs
+++ b/lib/src/entry/admission.rs
@@ -45,6 +45,8 @@
     pub give_up_at: Timestamp,
     /// When its answer should have begun, counted from the caller's first attempt.
     pub objective_at: Timestamp,
+    /// Rank of its workspace, or of its route, 0 is the most urgent.
+    pub rank: u32,
     /// Its caller seems to have been refused before: it has less time than others of the route.
     pub is_returning: bool,
     /// Version of the configuration that decided.
@@ -113,6 +115,8 @@
             .service(point)
             .ok_or_else(|| Refusal::until(Reason::NoServer, ROUTE_RETRY_AFTER))?
             .clone();
+        let rank = workspace.and_then(|workspace| workspace.rank);
+        let rank = rank.unwrap_or(route.rank);
         let workspace = workspace.map(|workspace| workspace.name.clone());
         let hides_key = !config.workspaces.is_empty();
         let config_version = config.version;
@@ -131,6 +135,7 @@
         };
         Ok(Admitted {
             objective_at: now + route.objective.saturating_sub(used),
+            rank,
             is_returning,
             route,
             service,
--- a/lib/src/entry/config.rs
+++ b/lib/src/entry/config.rs
@@ -96,20 +96,16 @@
 pub struct Service {
     /// Name of the service.
     pub name: CompactString,
-    /// Path of the health check.
-    pub health_path: CompactString,
     /// Connections that one server accepts from the whole fleet.
     pub connections_max: u32,
     /// Requests a second that a cold server bears from the whole fleet, 0 if none is ever cold.
     pub cold_rate: f64,
-    /// How long a server is cold after its start.
-    pub cold_for: Duration,
     /// Set for model services.
     pub engine: Option<EngineSpec>,
 }
 
 /// Limits on what callers send.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
     /// Largest head, bytes.
     pub head_bytes: usize,
@@ -119,8 +115,6 @@
     pub head_timeout: Duration,
     /// How long a connection may stay unused.
     pub idle_timeout: Duration,
-    /// Tokens a second that all engines work through: one each read, two each generated.
-    pub tokens_per_second: Option<f64>,
 }
 
 /// A workspace and its keys.
--- a/lib/src/entry/dialect.rs
+++ b/lib/src/entry/dialect.rs
@@ -116,12 +116,8 @@
     pub not_run: bool,
     /// The server vouches for the answer.
     pub is_sealed: bool,
-    /// The server's instance.
-    pub instance: Option<CompactString>,
     /// How long the server keeps an unused connection, if it says so.
     pub idle_timeout: Option<Duration>,
-    /// How long the server stays cold, in the answer to a health check.
-    pub cold_for: Option<Duration>,
 }
 
 /// Functions between heads and types.
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -100,6 +100,7 @@
     out.set_output_tokens(bid.output_tokens);
     out.set_until_objective(micros(bid.until_objective));
     out.set_until_give_up(micros(bid.until_give_up));
+    out.set_rank(bid.rank);
     out.set_is_returning(bid.is_returning);
     out.set_last_server(bid.last_server);
     let count = u32::try_from(bid.shared_parts.len()).unwrap_or(u32::MAX);
@@ -206,6 +207,7 @@
         shared_parts: parts.collect(),
         until_objective: Duration::from_micros(bid.get_until_objective()),
         until_give_up: Duration::from_micros(bid.get_until_give_up()),
+        rank: bid.get_rank(),
         is_returning: bid.get_is_returning(),
         last_server: bid.get_last_server(),
         excluded: bid.get_excluded()?.iter().collect(),
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -660,6 +660,10 @@
         pub fn get_shard_count(self) -> u32 {
             self.reader.get_data_field::<u32>(18)
         }
+        #[inline]
+        pub fn get_rank(self) -> u32 {
+            self.reader.get_data_field::<u32>(19)
+        }
     }
 
     pub struct Builder<'a> {
@@ -916,6 +920,14 @@
         pub fn set_shard_count(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(18, value);
         }
+        #[inline]
+        pub fn get_rank(self) -> u32 {
+            self.builder.get_data_field::<u32>(19)
+        }
+        #[inline]
+        pub fn set_rank(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(19, value);
+        }
     }
 
     pub struct Pipeline {
@@ -930,7 +942,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 246] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 261] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
             ::capnp::word(15, 0, 0, 0, 1, 0, 10, 0),
@@ -940,112 +952,119 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 66),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1177,6 +1196,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 97, 110, 107, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1194,6 +1221,7 @@
                 11 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 13 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1213,9 +1241,10 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 11, 0, 4, 9, 10, 5, 1, 13, 12, 6, 8, 7, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] =
+            &[3, 11, 0, 4, 9, 10, 5, 14, 1, 13, 12, 6, 8, 7, 2];
         pub(crate) const TYPE_ID: u64 = 0xfb00_7bc1_3044_86ea;
     }
 }
--- a/lib/src/entry/placing.rs
+++ b/lib/src/entry/placing.rs
@@ -114,6 +114,7 @@
             shared_parts: prompt.shared_parts().to_vec(),
             until_objective: admitted.objective_at.remaining(now),
             until_give_up: admitted.give_up_at.remaining(now),
+            rank: admitted.rank,
             is_returning: admitted.is_returning,
             last_server: last_server.unwrap_or(0),
             excluded,
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -29,8 +29,6 @@
     Overloaded,
     /// This host has no processor time left.
     HostBusy,
-    /// The workspace has had its share, and others need the servers.
-    OverShare,
     /// The servers that could run it are in a cold start.
     ServersCold,
     /// A server refused it, and it may not be sent to another.
@@ -51,7 +49,6 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::OverShare => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
             | Self::StaleConfiguration
             | Self::NoServer
@@ -79,7 +76,6 @@
             Self::NoServer => "no-server",
             Self::Overloaded => "overloaded",
             Self::HostBusy => "host-busy",
-            Self::OverShare => "over-share",
             Self::ServersCold => "servers-cold",
             Self::RefusedByServer => "refused-by-server",
             Self::ExpiredUnsent => "expired-unsent",
--- a/lib/src/entry/schedule/bid.rs
+++ b/lib/src/entry/schedule/bid.rs
@@ -81,6 +81,8 @@
     pub until_objective: Duration,
     /// Time until its caller gives up.
     pub until_give_up: Duration,
+    /// Rank of its workspace or route, 0 is the most urgent.
+    pub rank: u32,
     /// Its caller was refused before.
     pub is_returning: bool,
     /// Hash of the server that last read the session of the prompt for the host, 0 if none did.
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -7,6 +7,7 @@
 //! domains. It is refused at once if no engine can begin in time. Reading is paced so that running
 //! answers keep growing.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
@@ -90,6 +91,8 @@
 struct ServiceBook {
     engines: HashMap<u64, EngineBook>,
     shares: Shares,
+    /// When requests of a rank were last let begin or refused.
+    ranks: BTreeMap<u32, Timestamp>,
 }
 
 /// Decisions on bids.
@@ -151,7 +154,7 @@
             .iter()
             .filter_map(|engine| book.offer(now, bid, engine, room))
             .collect();
-        let limit = wait_limit(bid, excess);
+        let limit = wait_limit(bid, excess).mul_f64(book.rank_part(now, bid.rank));
         let best = offers
             .iter()
             .filter(|offer| offer.is_in_time(limit))
@@ -249,6 +252,13 @@
     }
 }
 
+/// Part of the wait limit that each more urgent rank takes from a rank: with a third less of the
+/// wait a rank is refused first in every overload, and still served.
+const RANK_PART: f64 = 0.65;
+/// Ranks that are told apart.
+const RANKS_MAX: i32 = 4;
+/// How long a rank counts after its last request: the span over which callers see a rank served.
+const RANK_LASTS: Duration = Duration::from_secs(5);
 /// Books of engines that are gone which may stay besides as many as there are engines.
 const ENGINES_SPARE: usize = 16;
 /// Time to the end of some answer where all engines are full: short answers take about a second.
@@ -257,6 +267,16 @@
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
 impl ServiceBook {
+    /// Part of the wait limit for a rank: requests of a less urgent one are refused sooner, while
+    /// more urgent ones are about.
+    fn rank_part(&mut self, now: Timestamp, rank: u32) -> f64 {
+        self.ranks.insert(rank, now);
+        self.ranks.retain(|_, at| now.since(*at) < RANK_LASTS);
+        let above = self.ranks.range(..rank).count();
+        // A service has a few ranks at most; the bound keeps the power small.
+        RANK_PART.powi(i32::try_from(above).unwrap_or(i32::MAX).min(RANKS_MAX))
+    }
+
     /// Drops the books of engines that are gone, once there are many of them.
     fn forget_replaced(&mut self, engines: &[EngineView]) {
         if self.engines.len() <= 2 * engines.len() + ENGINES_SPARE {
--- a/lib/tests/entry/mod.rs
+++ b/lib/tests/entry/mod.rs
@@ -63,10 +63,8 @@
 pub fn config(version: u64, routes: Vec<Route>, keys: &[&str]) -> FleetConfig {
     let service = |name: &str, engine| Service {
         name: name.into(),
-        health_path: "/healthz".into(),
         connections_max: 360,
         cold_rate: 9.8,
-        cold_for: Duration::from_secs(3),
         engine,
     };
     let engine = EngineSpec {
@@ -78,7 +76,6 @@
         body_bytes: 4 << 20,
         head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
-        tokens_per_second: None,
     };
     let workspace = Workspace {
         name: "one".into(),
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -60,6 +60,7 @@
         until_objective: rest.2,
         until_give_up: rest.3,
         is_returning: rest.4,
+        rank: rest.0,
         last_server: n.3,
         excluded,
     })
--- a/lib/tests/test_entry_schedule.rs
+++ b/lib/tests/test_entry_schedule.rs
@@ -47,6 +47,7 @@
         ],
         until_objective: Duration::from_millis(800),
         until_give_up: Duration::from_secs(6),
+        rank: 1,
         is_returning: false,
         last_server: 0,
         excluded: Vec::new(),
@@ -212,6 +213,40 @@
     assert!(part(1) < 0.1, "{refused:?} of {asked:?}");
 }
 
+#[test]
+fn less_urgent_requests_are_refused_before_more_urgent_ones() {
+    let engines: Vec<_> = (1..=2).map(engine).collect();
+    let mut scheduler = Scheduler::new(1);
+    let mut refused = [0_u32; 2];
+    let mut running = std::collections::VecDeque::new();
+    for n in 0..2_000_u64 {
+        let now = at(n * 12);
+        while running.front().is_some_and(|(until, _)| *until <= n) {
+            let (_, ticket) = running.pop_front().unwrap();
+            end(&mut scheduler, now, ticket);
+        }
+        let rank = n % 2;
+        let mut next = bid(n % 20, 2_000);
+        next.rank = rank as u32;
+        match scheduler.decide(now, &next, &engines) {
+            Verdict::Start { ticket, .. } => {
+                let after = Duration::from_millis(100);
+                let step = ProgressStep::Begun { after };
+                scheduler.on_progress(now, &Progress { ticket, step });
+                // Answers take half a second.
+                running.push_back((n + 42, ticket));
+            }
+            Verdict::Refuse { .. } | Verdict::Unknown => refused[rank as usize] += 1,
+        }
+    }
+    assert!(refused[1] > 200, "no overload: {refused:?}");
+    assert!(refused[0] * 4 < refused[1], "{refused:?}");
+    assert!(
+        refused[1] < 1_000,
+        "the less urgent rank starves: {refused:?}"
+    );
+}
+
 #[test]
 fn idle_engines_refuse_nobody() {
     let engines: Vec<_> = (1..=4).map(engine).collect();
