schedule: begin work that is owed to a workspace

One whose prompts are long and share little is refused at a limit at which short ones of kept parts begin.

A workspace that has got less than 0.7 of what it asks, or of what the best served one got, may wait up to a second.

--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -42,6 +42,9 @@
 /// Longest wait planned for a request that cannot meet its objective any more, because its caller
 /// was refused before.
 const LATE_WAIT_MAX: Duration = Duration::from_millis(400);
+/// Longest wait planned for a request of a workspace that is owed work: callers give up a stream
+/// that has not begun after two seconds at the least.
+const OWED_WAIT_MAX: Duration = Duration::from_millis(1_000);
 /// Cost of reading a token of a shared part again, as a wait: beyond the time that it takes, it
 /// displaces other parts.
 const REREAD_COST: Duration = Duration::from_micros(100);
@@ -154,7 +157,10 @@
             .iter()
             .filter_map(|engine| book.offer(now, bid, engine, room))
             .collect();
-        let limit = wait_limit(bid, excess).mul_f64(book.rank_part(now, bid.rank));
+        let mut limit = wait_limit(bid, excess).mul_f64(book.rank_part(now, bid.rank));
+        if book.shares.is_owed(now, bid.workspace) {
+            limit = limit.max(OWED_WAIT_MAX.min(bid.until_give_up));
+        }
         let best = offers
             .iter()
             .filter(|offer| offer.is_in_time(limit))
--- a/lib/src/entry/schedule/shares.rs
+++ b/lib/src/entry/schedule/shares.rs
@@ -11,6 +11,9 @@
 
 /// Time after which work counts half. Shares are judged over spans of four to six seconds.
 const HALF_LIFE: Duration = Duration::from_secs(2);
+/// Part of what it asks, or of what the best served workspace got, below which a workspace is
+/// owed work. Half is the least that each is promised; the rest is the time until it is served.
+const OWED_PART: f64 = 0.7;
 /// Work below which a workspace is forgotten, tokens: less than one small prompt.
 const FORGOTTEN_BELOW: f64 = 50.0;
 
@@ -45,6 +48,15 @@
         add(&mut self.got, now, workspace, tokens as f64);
     }
 
+    /// Whether a workspace has got far less than it asks and than another one has got.
+    pub(crate) fn is_owed(&self, now: Timestamp, workspace: u64) -> bool {
+        let tokens = |usage: &Usage| usage.at(now);
+        let asked = self.asked.get(&workspace).map_or(0.0, tokens);
+        let own = self.got.get(&workspace).map_or(0.0, tokens);
+        let most = self.got.values().map(tokens).fold(0.0, f64::max);
+        own < OWED_PART * asked.min(most)
+    }
+
     /// How many times its even share a workspace has got. The even share is the level up to which
     /// every workspace could be served what it asks, with all that was served.
     pub(crate) fn excess(&mut self, now: Timestamp, workspace: u64) -> f64 {
--- a/lib/tests/test_entry_schedule.rs
+++ b/lib/tests/test_entry_schedule.rs
@@ -283,3 +283,44 @@
         prop_assert_eq!(seen, all);
     }
 }
+
+/// Two workspaces flood four engines. The bids of one are far longer, so that each waits longer.
+#[test]
+fn a_workspace_whose_requests_are_harder_to_place_gets_half_of_the_other_at_least() {
+    let engines: Vec<_> = (1..=4).map(engine).collect();
+    let mut scheduler = Scheduler::new(1);
+    let mut got = [0_u64; 2];
+    let mut waiting: Vec<(u64, Ticket)> = Vec::new();
+    for millis in 0..12_000_u64 {
+        let now = at(millis);
+        waiting.retain(|(end_at, ticket)| {
+            let has_ended = *end_at <= millis;
+            if has_ended {
+                end(&mut scheduler, now, *ticket);
+            }
+            !has_ended
+        });
+        // Short prompts of kept parts come all the time; long prompts of new parts do as well.
+        let short = Bid {
+            workspace: 1,
+            ..bid(7, 900)
+        };
+        let long = Bid {
+            workspace: 2,
+            until_objective: Duration::from_millis(600),
+            ..bid(1_000 + millis, 6_000)
+        };
+        for (index, bid) in [short, long].into_iter().enumerate() {
+            let tokens = u64::from(bid.input_tokens);
+            if let Verdict::Start { ticket, after, .. } = scheduler.decide(now, &bid, &engines) {
+                let lasts = u64::try_from(after.as_millis()).unwrap_or(0) + 800;
+                waiting.push((millis + lasts, ticket));
+                if millis >= 6_000 {
+                    got[index] += tokens;
+                }
+            }
+        }
+    }
+    let (short, long) = (got[0], got[1]);
+    assert!(2 * long >= short && 2 * short >= long, "{short} and {long}");
+}
