lag: leave the balance when even refusing is too much

A host of 0.12 of a core drowned in the calls of a flooding workspace: requests waited a second for it, 7,500 of 77,000 tries got no answer before their deadline, and all others of it were refused. Its log shows the lag swinging about the limit of 150 ms, since the worst of the last periods decided.

The mean of the lag decides now, 60 ms: a request waits for the host about eight times. A host that stays behind is not ready for 8 s, longer if that happens again, and from 2.2 s on it closes connections with their answers. Transitions are logged with the number of requests refused for it.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -80,6 +80,16 @@
 
 /// Serves a request.
 pub(crate) async fn serve(State(host): State<Arc<EntryHost>>, req: Request) -> Response<Body> {
+    host.lag.on_request();
+    let mut answer = serve_caller(&host, req).await;
+    if host.lag.lag().sheds_connections(host.clock.now()) {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+async fn serve_caller(host: &Arc<EntryHost>, req: Request) -> Response<Body> {
     let arrived = host.clock.now();
     let (parts, body) = req.into_parts();
     let head = match (host.dialect.read_call)(&parts, arrived) {
@@ -87,7 +97,7 @@
         Err(fault) => {
             info!(target: "request", path = parts.uri.path(), reason = fault.to_string(); "bad head");
             return refuse(
-                &host,
+                host,
                 None,
                 "",
                 Refusal::new(Reason::BadHead),
@@ -103,23 +113,26 @@
             info!(target: "request", id = head.id.as_str(), host = head.host.as_str(), path = path,
                 config_age_ms = millis(host.fleet().config_age(arrived)),
                 reason = refusal.reason.name(); "not admitted");
-            return refuse(&host, Some(&head.id), "", refusal, Duration::ZERO);
+            return refuse(host, Some(&head.id), "", refusal, Duration::ZERO);
         }
     };
     let route = admitted.route.clone();
     let id = head.id.clone();
-    if host.lag.is_too_long() && head.prompt.is_some() {
-        // The body is not read, nor a line written: that is the work to be spared.
+    let is_behind = host.lag.lag().is_too_long();
+    if is_behind && head.prompt.is_some() {
+        // The body is not read, nor a line written: that is the work to be spared. A line of the
+        // host tells of the lag.
+        host.stats.refused_behind.inc();
         let refusal = Refusal::until(Reason::HostBusy, BUSY_RETRY_AFTER);
-        return refuse(&host, Some(&id), &route.name, refusal, Duration::ZERO);
+        return refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
     }
     let deadline = host.clock.instant(admitted.give_up_at);
-    let body = match tokio::time::timeout_at(deadline.into(), read_body(&host, body)).await {
+    let body = match tokio::time::timeout_at(deadline.into(), read_body(host, body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(reason)) => {
             info!(target: "request", id = id.as_str(), reason = reason.name(); "no body");
             return refuse(
-                &host,
+                host,
                 Some(&id),
                 &route.name,
                 Refusal::new(reason),
@@ -128,7 +141,7 @@
         }
         Err(_) => {
             let refusal = Refusal::new(Reason::ExpiredUnsent);
-            return refuse(&host, Some(&id), &route.name, refusal, route.timeout);
+            return refuse(host, Some(&id), &route.name, refusal, route.timeout);
         }
     };
     let call = Arc::new(Call {
@@ -137,7 +150,7 @@
         admitted,
         body,
     });
-    match run(&host, &call).await {
+    match run(host, &call).await {
         Ok(answer) => answer,
         Err(refusal) => {
             let elapsed = host.clock.now().since(arrived);
@@ -148,7 +161,7 @@
                 limit_ms = refusal.waits.map(|waits| millis(waits.limit)),
                 retry_after_ms = refusal.retry_after.map(millis), ms = millis(elapsed);
                 "refused");
-            refuse(&host, Some(&id), &route.name, refusal, elapsed)
+            refuse(host, Some(&id), &route.name, refusal, elapsed)
         }
     }
 }
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -34,7 +34,7 @@
 use super::fleet::HostIdentity;
 use super::forward::serve;
 use super::lag;
-use super::lag::Lag;
+use super::lag::LagMeter;
 use super::learn;
 use super::mirror;
 use super::mirror::Mirrors;
@@ -169,7 +169,7 @@
     pub(crate) stats: EntryStats,
     pub(crate) link: Link,
     pub(crate) mirrors: Mirrors,
-    pub(crate) lag: Lag,
+    pub(crate) lag: LagMeter,
     fleet: Mutex<Fleet>,
 }
 
@@ -224,7 +224,7 @@
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
             link: Link::new(socket, &parts.own, rand::random()),
             mirrors: Mirrors::default(),
-            lag: Lag::default(),
+            lag: LagMeter::default(),
             fleet: Mutex::new(Fleet::new(parts.identity, parts.bounds, rand::random())),
         });
         let (stop, stopped) = watch::channel(false);
@@ -330,7 +330,9 @@
 }
 
 async fn show_readiness(State(host): State<Arc<EntryHost>>) -> StatusCode {
-    match host.fleet().is_ready(host.clock.now()) {
+    let now = host.clock.now();
+    let is_ready = host.fleet().is_ready(now) && host.lag.lag().is_ready(now);
+    match is_ready {
         true => StatusCode::OK,
         false => StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -1,50 +1,160 @@
-//! How far a host is behind its own work.
+//! How far a host is behind its own work, and what it does about it.
 //!
 //! Answers callers of one busy workspace that all enter at one small host: a host without
-//! processor time left would let every request wait, and refuses at once in place of that.
-//! Callers that are refused come back through other hosts.
+//! processor time left would let every request wait, and refuses at once in place of that. If it
+//! stays behind, even refusing is too much for it: it says that it is not ready, and once the
+//! platform sends it no new connections it closes those that it has after their next answer, so
+//! that their callers come back through other hosts.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
+use futures::FutureExt;
+use log::info;
+use log::warn;
+use tokio::sync::Notify;
+
+use super::forward::millis;
 use super::host::EntryHost;
+use crate::time::Timestamp;
 
 /// Period in which the lag is measured.
 const PERIOD: Duration = Duration::from_millis(25);
-/// Lag from which requests are refused: timers of a host with time left are a few milliseconds
-/// late, and a host whose processor time is a quota may pause for a tenth of a second.
-const LAG_MAX: Duration = Duration::from_millis(150);
-/// Part of the lag that remains after a period without delay.
-const DECAY: f64 = 0.8;
+/// Periods without a request after which the measuring rests: an idle host need not wake up.
+const REST_AFTER: u32 = 10;
+/// Mean lag from which requests are refused: a request waits for the host about eight times from
+/// its arrival to the first event of its answer, half a second in all, which is most of an
+/// objective. Timers of a host with time left are a few milliseconds late.
+const LAG_MAX: Duration = Duration::from_millis(60);
+/// Span of the mean that decides on requests. One pause of a tenth of a second, as of a host whose
+/// processor time is a quota, is not enough.
+const REFUSAL_SPAN: Duration = Duration::from_millis(150);
+/// Span of the mean that decides whether the host is ready: longer than a burst of connections
+/// after the loss of another host lasts.
+const READINESS_SPAN: Duration = Duration::from_millis(700);
+/// First time for which a host is not ready: a few of the seconds that it takes to leave and enter
+/// the balance again, so that the times behind are a small part.
+const WITHDRAWN_FIRST: Duration = Duration::from_secs(8);
+/// Longest such time; each one soon after another lasts twice as long.
+const WITHDRAWN_MAX: Duration = Duration::from_secs(64);
+/// Time after which new connections go elsewhere: two readiness checks, one a second.
+const BALANCED_AFTER: Duration = Duration::from_millis(2_200);
 
-/// The lag of a host.
-#[derive(Debug, Default)]
-pub(crate) struct Lag {
-    micros: AtomicU64,
+/// A mean in which older values count less, seconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean(f64);
+
+impl Mean {
+    fn add(&mut self, value: Duration, lasted: Duration, span: Duration) {
+        let kept = (-lasted.as_secs_f64() / span.as_secs_f64()).exp();
+        self.0 = self.0 * kept + value.as_secs_f64() * (1.0 - kept);
+    }
+}
+
+/// How far a host is behind.
+#[derive(Clone, Debug, Default)]
+pub struct Lag {
+    recent: Mean,
+    lasting: Mean,
+    updated: Timestamp,
+    withdrawn_at: Timestamp,
+    ready_at: Timestamp,
+    withdrawn_for: Duration,
 }
 
 impl Lag {
+    /// Takes in how late a timer was. Says whether the host withdraws by that.
+    pub fn update(&mut self, now: Timestamp, late: Duration) -> bool {
+        let lasted = late + PERIOD;
+        // The measuring may have rested before, since nothing was to be done.
+        let rested = now.since(self.updated).saturating_sub(lasted);
+        self.updated = now;
+        for (mean, span) in [
+            (&mut self.recent, REFUSAL_SPAN),
+            (&mut self.lasting, READINESS_SPAN),
+        ] {
+            mean.add(Duration::ZERO, rested, span);
+            mean.add(late, lasted, span);
+        }
+        if self.lasting.0 <= LAG_MAX.as_secs_f64() || !self.is_ready(now) {
+            return false;
+        }
+        let calm_for = now.since(self.ready_at);
+        let is_first = self.withdrawn_for.is_zero() || calm_for > WITHDRAWN_MAX;
+        self.withdrawn_for = match is_first {
+            true => WITHDRAWN_FIRST,
+            false => (self.withdrawn_for * 2).min(WITHDRAWN_MAX),
+        };
+        self.withdrawn_at = now;
+        self.ready_at = now + self.withdrawn_for;
+        true
+    }
+
     /// Whether the host is too far behind to take more work.
-    pub(crate) fn is_too_long(&self) -> bool {
-        Duration::from_micros(self.micros.load(Ordering::Relaxed)) > LAG_MAX
+    pub fn is_too_long(&self) -> bool {
+        self.recent.0 > LAG_MAX.as_secs_f64()
+    }
+
+    /// Whether new connections are welcome.
+    pub fn is_ready(&self, now: Timestamp) -> bool {
+        self.ready_at.has_passed(now)
+    }
+
+    /// Whether callers are to come back over another connection, which leads elsewhere.
+    pub fn sheds_connections(&self, now: Timestamp) -> bool {
+        !self.is_ready(now) && now.since(self.withdrawn_at) >= BALANCED_AFTER
+    }
+}
+
+/// Measures the lag of a host.
+#[derive(Debug, Default)]
+pub(crate) struct LagMeter {
+    lag: Mutex<Lag>,
+    /// Told of each request.
+    has_work: Notify,
+}
+
+impl LagMeter {
+    /// A request has arrived.
+    pub(crate) fn on_request(&self) {
+        self.has_work.notify_one();
     }
 
-    fn update(&self, late: Duration) {
-        let before = Duration::from_micros(self.micros.load(Ordering::Relaxed));
-        let lag = before.mul_f64(DECAY).max(late);
-        let micros = u64::try_from(lag.as_micros()).unwrap_or(u64::MAX);
-        self.micros.store(micros, Ordering::Relaxed);
+    /// The lag.
+    pub(crate) fn lag(&self) -> MutexGuard<'_, Lag> {
+        self.lag.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Measures the lag until the task is dropped.
+/// Measures the lag, while there are requests, until the task is dropped.
 pub(crate) async fn measure(host: Arc<EntryHost>) {
+    let meter = &host.lag;
     loop {
-        let due = host.clock.now() + PERIOD;
-        tokio::time::sleep(PERIOD).await;
-        let late = host.clock.now().since(due);
-        host.lag.update(late);
+        meter.has_work.notified().await;
+        let mut idle_periods = 0;
+        while idle_periods < REST_AFTER {
+            let due = host.clock.now() + PERIOD;
+            tokio::time::sleep(PERIOD).await;
+            let now = host.clock.now();
+            let (was_behind, is_behind, withdraws) = {
+                let mut lag = meter.lag();
+                let was_behind = lag.is_too_long();
+                let withdraws = lag.update(now, now.since(due));
+                (was_behind, lag.is_too_long(), withdraws)
+            };
+            if was_behind != is_behind {
+                info!(target: "host", last_ms = millis(now.since(due)), behind = is_behind,
+                    refused = host.stats.refused_behind.get(); "lag");
+            }
+            if withdraws {
+                warn!(target: "host", last_ms = millis(now.since(due)),
+                    requests = host.fleet().flight_count(); "not ready, behind its work");
+            }
+            let has_work = meter.has_work.notified().now_or_never().is_some();
+            idle_periods = if has_work { 0 } else { idle_periods + 1 };
+        }
     }
 }
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -70,6 +70,7 @@
 pub use host::ProcessRoom;
 pub use host::RegisterFuture;
 pub use host::Sources;
+pub use lag::Lag;
 pub use peers::Datagram;
 pub use peers::DatagramError;
 pub use peers::Peer;
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -33,6 +33,8 @@
     pub(crate) whole: HistogramVec,
     /// Ends of attempts at servers, by service and outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Requests refused since the host was behind its own work.
+    pub(crate) refused_behind: IntCounter,
     /// Connections opened to servers.
     pub(crate) connections_opened: IntCounter,
     /// Open connections of callers.
@@ -89,6 +91,10 @@
                 "Requests sent to servers",
                 &["service", "outcome"],
             )?,
+            refused_behind: counter(
+                "refused_behind_total",
+                "Requests refused since the host was behind its work",
+            )?,
             connections_opened: counter(
                 "server_connections_total",
                 "Connections opened to servers",
