--- a/lib/src/entry/mirror.rs
+++ b/lib/src/entry/mirror.rs
@@ -212,10 +212,9 @@
     let mut news = host.mirrors.subscribe(&kind).ok_or(unavailable)?;
     let hold = Duration::from_millis(question.hold_ms.unwrap_or(0)).min(HOLD_MAX);
     let known = *news.borrow_and_update();
-    if question.after.is_some_and(|after| after >= known) {
-        if let Ok(Ok(())) = tokio::time::timeout(hold, news.changed()).await {
-            tokio::time::sleep(NEWS_DELAY).await;
-        }
+    let is_current = question.after.is_some_and(|after| after >= known);
+    if is_current && let Ok(Ok(())) = tokio::time::timeout(hold, news.changed()).await {
+        tokio::time::sleep(NEWS_DELAY).await;
     }
     let page = host.mirrors.page(&kind, question.after, host.clock.now());
     page.map(Json).ok_or(unavailable)
