daemon: end without a word when dropped

Cause of the red test slot_of_a_crashed_host_is_free_once_the_list_drops_it: a dropped daemon is to end as a crash does, but its traffic threads ended first, and the control thread could still report the ends of their requests. The slot was then free at once, rightly, the second request never waited, and the test waited for that. A traced run shows it: granted 30 ms after it was asked, no slot held, the first request cancelled 2 ms after its begin. Ruled out: a lost grant, a scheduler that forgets a slot.

The control thread's end is signalled first now, and it takes no request after that.

--- a/lib/src/runtime/control_loop.rs
+++ b/lib/src/runtime/control_loop.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::oneshot::error::TryRecvError;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
@@ -92,6 +93,8 @@
             tokio::select! {
                 _ = &mut self.channels.end => return,
                 req = self.channels.requests.recv() => match req {
+                    // What the end of the traffic threads brings is not told any more.
+                    Some(_) if self.has_ended() => return,
                     Some(req) => self.requested(req),
                     None => return,
                 },
@@ -106,6 +109,10 @@
         }
     }
 
+    fn has_ended(&mut self) -> bool {
+        !matches!(self.channels.end.try_recv(), Err(TryRecvError::Empty))
+    }
+
     fn requested(&mut self, req: ControlRequest) {
         let event = match req {
             ControlRequest::Submit {
--- a/lib/src/runtime/daemon.rs
+++ b/lib/src/runtime/daemon.rs
@@ -88,12 +88,14 @@
     },
 }
 
-/// A running host of the fleet.
+/// A running host of the fleet. Dropping it ends the host as a crash does: nothing more is told to
+/// other hosts.
 pub struct Daemon {
+    /// Held so that the control thread runs. Dropped first, so that it does not report the ends of
+    /// the requests that the traffic threads drop.
+    _end: oneshot::Sender<()>,
     /// Held so that its tasks run.
     _runtime: TrafficRuntime,
-    /// Held so that the control thread runs.
-    _end: oneshot::Sender<()>,
     control: ControlHandle,
     stop: watch::Sender<bool>,
     stopped: watch::Receiver<bool>,
@@ -150,8 +152,8 @@
         };
         traffic.spawn(runtime.handle(), listeners, stopped_tx)?;
         Ok(Self {
-            _runtime: runtime,
             _end: end,
+            _runtime: runtime,
             control,
             stop,
             stopped,
