entry: bound server connections, hand over scheduling at a stop

Cause of the processes of 88 MB that ended: connections to servers had no bound, and idle ones stayed in the pool until their server got another request. Connections of callers and servers now share what is left of memory after 20 MB for the rest. An idle connection gives way to a new one; without any, the request is refused as not run. Expired ones are closed at once.

--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -9,6 +9,8 @@
     bid @0 :Bid;
     verdict @1 :Verdict;
     progress @2 :List(Progress);
+    leaving @3 :UInt64;
+    # Answer to the bid of this identifier: the host is going to stop, and decides no more.
   }
 }
 
--- a/lib/src/entry/answer.rs
+++ b/lib/src/entry/answer.rs
@@ -59,6 +59,7 @@
 ) -> Failure {
     let (end, reason, was_sent) = match err {
         AttemptError::NotSent { .. } => (FlightEnd::Unreachable, Reason::NoServer, false),
+        AttemptError::NoRoom { .. } => (FlightEnd::Abandoned, Reason::HostBusy, false),
         AttemptError::NoAnswer { .. } => (FlightEnd::Failed, Reason::ServerFailed, true),
         AttemptError::Silent => (FlightEnd::Silent, Reason::ExpiredSent, true),
     };
--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -16,6 +16,7 @@
 use super::fleet::FlightKey;
 use super::host::EntryHost;
 use super::peers::Scheduled;
+use crate::gateway::ConnectError;
 use crate::gateway::Connection;
 use crate::gateway::Written;
 use crate::platform::describe;
@@ -38,6 +39,12 @@
         /// What was seen.
         reason: String,
     },
+    /// The host has no room for another connection. No byte was sent.
+    #[snafu(display("not sent: {reason}"))]
+    NoRoom {
+        /// What was seen.
+        reason: String,
+    },
     /// The server may have run the request.
     #[snafu(display("no answer: {reason}"))]
     NoAnswer {
@@ -123,7 +130,10 @@
         Ok(Ok(connection)) => connection,
         Ok(Err(err)) => {
             let reason = err.to_string();
-            return Err(AttemptError::NotSent { reason });
+            return Err(match err {
+                ConnectError::NoRoom { .. } => AttemptError::NoRoom { reason },
+                _ => AttemptError::NotSent { reason },
+            });
         }
         Err(_) => {
             let reason = format!("no connection to {} in time", entry.address);
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -63,6 +63,11 @@
 /// Memory of a connection with a request, bytes: about 25 KiB a descriptor were in use at 2,800
 /// descriptors and 81 MB.
 const CONNECTION_BYTES: usize = 28 << 10;
+/// Memory of the process without connections, bytes.
+const BASE_BYTES: usize = 20 << 20;
+/// Descriptors other than those of callers and servers: listeners, calls to the platform and
+/// between hosts, those of the runtime.
+const BASE_DESCRIPTORS: usize = 64;
 /// How long a stopping host still accepts connections: two readiness checks, a second apart, and
 /// the time for the balancer to act on them.
 const STOP_ACCEPTS: Duration = Duration::from_millis(2_500);
@@ -97,7 +102,16 @@
 
 impl ProcessRoom {
     fn connections(&self) -> usize {
-        self.descriptors.min(self.memory_bytes / CONNECTION_BYTES)
+        let memory = self.memory_bytes.saturating_sub(BASE_BYTES) / CONNECTION_BYTES;
+        memory.min(self.descriptors.saturating_sub(BASE_DESCRIPTORS))
+    }
+
+    fn caller_connections(&self) -> usize {
+        self.connections() / CALLER_SHARE
+    }
+
+    fn server_connections(&self) -> usize {
+        self.connections() - self.caller_connections()
     }
 }
 
@@ -190,7 +204,7 @@
             ..FIRST_LIMITS
         });
         ConnectionLimits {
-            connections: room.connections() / CALLER_SHARE,
+            connections: room.caller_connections(),
             drain_timeout: fleet.bounds().stop_grace,
             ..base
         }
@@ -220,7 +234,7 @@
         let host = Arc::new(EntryHost {
             clock: parts.clock,
             dialect: parts.dialect,
-            pool: BackendPool::new(parts.clock),
+            pool: BackendPool::new(parts.clock, parts.room.server_connections()),
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
             link: Link::new(socket, &parts.own, rand::random()),
             mirrors: Mirrors::default(),
@@ -284,6 +298,7 @@
             () = stop_requested => {}
         }
         host.fleet().stop();
+        host.link.leave();
         let stopped_at = host.clock.now();
         let end_at = stopped_at + grace.saturating_sub(STOP_MARGIN);
         info!(target: "host", requests = host.fleet().flight_count(); "stopping");
@@ -339,6 +354,8 @@
 }
 
 async fn show_metrics(State(host): State<Arc<EntryHost>>) -> Response {
+    let open = i64::try_from(host.pool.open_count()).unwrap_or(i64::MAX);
+    host.stats.server_connections.set(open);
     match host.stats.text() {
         Ok(text) => ([(header::CONTENT_TYPE, TEXT_FORMAT)], text).into_response(),
         Err(err) => {
@@ -348,10 +365,12 @@
     }
 }
 
-/// Forgets servers that did not announce themselves again, until the task is dropped.
+/// Forgets servers that did not announce themselves again, and closes connections that are no
+/// longer used, until the task is dropped.
 async fn sweep(host: Arc<EntryHost>) {
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
+        host.pool.close_expired();
         let lapsed: Vec<CompactString> = host.fleet().sweep(host.clock.now());
         for instance in lapsed {
             info!(target: "server", server = instance.as_str(); "gone, not announced again");
--- a/lib/src/entry/learn.rs
+++ b/lib/src/entry/learn.rs
@@ -148,7 +148,7 @@
             .inc(),
         Update::Regained => *regained_at = Some(now),
     }
-    let servers = host.fleet().servers().iter().count();
+    let servers = host.fleet().servers().count();
     host.stats
         .servers
         .set(i64::try_from(servers).unwrap_or(i64::MAX));
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -43,6 +43,11 @@
     },
     /// What became of requests.
     Progress(Vec<Progress>),
+    /// The host is going to stop, and decides no more.
+    Leaving {
+        /// Identifier of the bid that it was asked about.
+        id: u64,
+    },
 }
 
 /// Why bytes are no datagram.
@@ -65,7 +70,7 @@
 /// Writes a datagram.
 pub fn encode(message: &Datagram) -> Vec<u8> {
     let mut builder = Builder::new_default();
-    let root = builder.init_root::<datagram::Builder<'_>>();
+    let mut root = builder.init_root::<datagram::Builder<'_>>();
     match message {
         Datagram::Bid { id, bid } => {
             let mut out = root.init_bid();
@@ -84,6 +89,7 @@
                 write_progress(out.reborrow().get(at), progress);
             }
         }
+        Datagram::Leaving { id } => root.set_leaving(*id),
     }
     let mut bytes = Vec::new();
     serialize_packed::write_message(&mut bytes, &builder).expect("memory takes all bytes");
@@ -186,6 +192,7 @@
             let list: Result<_, _> = list.iter().map(read_progress).collect();
             Ok(Datagram::Progress(list?))
         }
+        datagram::Leaving(id) => Ok(Datagram::Leaving { id }),
     }
 }
 
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -57,13 +57,21 @@
 struct Inner {
     peers: Peers,
     next_id: u64,
-    waiting: HashMap<u64, oneshot::Sender<Verdict>>,
+    waiting: HashMap<u64, oneshot::Sender<Reply>>,
     verdicts: HashMap<(SocketAddr, u64), KeptVerdict>,
     /// Number of kept verdicts at which those that are old are dropped.
     verdicts_swept_from: usize,
     reports: HashMap<SocketAddr, Vec<Progress>>,
 }
 
+/// Answer to a bid.
+#[derive(Clone, Copy)]
+enum Reply {
+    Verdict(Verdict),
+    /// The host is going to stop.
+    Leaving,
+}
+
 #[derive(Clone, Copy)]
 struct KeptVerdict {
     verdict: Verdict,
@@ -143,6 +151,11 @@
         self.inner().peers.set(peers);
     }
 
+    /// This host is going to stop: others decide from now on.
+    pub(crate) fn leave(&self) {
+        self.inner().peers.leave();
+    }
+
     /// Hosts to ask for objects of a kind in place of the platform.
     pub(crate) fn readers(&self, kind: &str) -> Vec<SocketAddr> {
         self.inner().peers.readers(xxh3_64(kind.as_bytes()))
@@ -163,7 +176,14 @@
             let Some(address) = scheduler else {
                 return (host.fleet().decide(now, bid), None);
             };
-            if let Some(verdict) = self.ask(address, bid).await {
+            let reply = self.ask(address, bid).await;
+            if let Some(Reply::Leaving) = reply {
+                if self.inner().peers.on_leaving(host.clock.now(), address) {
+                    info!(target: "peer", peer = address.to_string(); "is going to stop");
+                }
+                continue;
+            }
+            if let Some(Reply::Verdict(verdict)) = reply {
                 if self.inner().peers.on_answer(address) {
                     info!(target: "peer", peer = address.to_string(); "answers again");
                 }
@@ -176,7 +196,7 @@
     }
 
     /// Puts a question to one host.
-    async fn ask(&self, address: SocketAddr, bid: &Bid) -> Option<Verdict> {
+    async fn ask(&self, address: SocketAddr, bid: &Bid) -> Option<Reply> {
         let (tx, mut rx) = oneshot::channel();
         let id = {
             let mut inner = self.inner();
@@ -192,8 +212,8 @@
         let mut answer = None;
         for timeout in ANSWER_TIMEOUTS {
             self.send(address, &bytes).await;
-            if let Ok(verdict) = tokio::time::timeout(timeout, &mut rx).await {
-                answer = verdict.ok();
+            if let Ok(reply) = tokio::time::timeout(timeout, &mut rx).await {
+                answer = reply.ok();
                 break;
             }
         }
@@ -233,6 +253,14 @@
 
     async fn on_datagram(&self, host: &Arc<EntryHost>, from: SocketAddr, datagram: Datagram) {
         match datagram {
+            Datagram::Bid { id, .. } if host.fleet().is_stopping() => {
+                self.send(from, &encode(&Datagram::Leaving { id })).await;
+            }
+            Datagram::Leaving { id } => {
+                let waiting = self.inner().waiting.remove(&id);
+                // Whoever asked may have turned to another host.
+                let _ = waiting.map(|tx| tx.send(Reply::Leaving));
+            }
             Datagram::Bid { id, bid } => {
                 let verdict = self.verdict_on(host, from, id, &bid);
                 let bytes = encode(&Datagram::Verdict { id, verdict });
@@ -241,7 +269,7 @@
             Datagram::Verdict { id, verdict } => {
                 let waiting = self.inner().waiting.remove(&id);
                 let is_unclaimed = match waiting {
-                    Some(tx) => tx.send(verdict).is_err(),
+                    Some(tx) => tx.send(Reply::Verdict(verdict)).is_err(),
                     None => true,
                 };
                 if is_unclaimed && let Verdict::Start { ticket, .. } = verdict {
--- a/lib/src/entry/peers/order.rs
+++ b/lib/src/entry/peers/order.rs
@@ -15,6 +15,9 @@
 /// Longest such time: each further question costs a request the time of an answer.
 const PASS_OVER_MAX: Duration = Duration::from_secs(4);
 
+/// How long a host that is going to stop is not asked: it ends within its grace of seconds, and its
+/// successor must find the fleet first.
+const LEAVING_PASSED_OVER: Duration = Duration::from_secs(10);
 /// Part of the largest host's cores from which a host counts as large.
 const LARGE_PART: f64 = 0.5;
 /// Hosts of a failure domain that read from the platform: one may be replaced while another fails.
@@ -51,6 +54,7 @@
 pub struct Peers {
     own: Peer,
     own_hash: u64,
+    is_leaving: bool,
     known: HashMap<SocketAddr, KnownPeer>,
 }
 
@@ -60,6 +64,7 @@
         Self {
             own: own.clone(),
             own_hash: xxh3_64(own.name.as_bytes()),
+            is_leaving: false,
             known: HashMap::new(),
         }
     }
@@ -89,13 +94,14 @@
             let known = self.known.values();
             known.filter(|peer| peer.passed_over_until.has_passed(now))
         };
-        let most = open().map(|peer| peer.cores).fold(self.own.cores, f64::max);
+        let own_cores = if self.is_leaving { 0.0 } else { self.own.cores };
+        let most = open().map(|peer| peer.cores).fold(own_cores, f64::max);
         let is_large = |cores: f64| cores >= LARGE_PART * most;
         let first = open()
             .filter(|peer| is_large(peer.cores))
             .max_by_key(|peer| rank(peer.hash, subject))?;
         let is_own =
-            is_large(self.own.cores) && rank(self.own_hash, subject) > rank(first.hash, subject);
+            is_large(own_cores) && rank(self.own_hash, subject) > rank(first.hash, subject);
         (!is_own).then_some(first.address)
     }
 
@@ -129,6 +135,21 @@
         true
     }
 
+    /// This host is going to stop: others decide.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// A host said that it is going to stop. Says whether that is new.
+    pub fn on_leaving(&mut self, now: Timestamp, address: SocketAddr) -> bool {
+        let Some(peer) = self.known.get_mut(&address) else {
+            return false;
+        };
+        let is_new = peer.passed_over_until.has_passed(now);
+        peer.passed_over_until = now + LEAVING_PASSED_OVER;
+        is_new
+    }
+
     /// A host answered. Says whether it had been passed over.
     pub fn on_answer(&mut self, address: SocketAddr) -> bool {
         let Some(peer) = self.known.get_mut(&address) else {
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -5,7 +5,7 @@
 // capnpc crate version: 0.27.0
 
 pub mod datagram {
-    pub use self::Which::{Bid, Progress, Verdict};
+    pub use self::Which::{Bid, Leaving, Progress, Verdict};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -151,6 +151,7 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                3 => ::core::result::Result::Ok(Leaving(self.reader.get_data_field::<u64>(1))),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -162,7 +163,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
+                data: 2,
                 pointers: 1,
             };
     }
@@ -328,6 +329,11 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_leaving(&mut self, value: u64) {
+            self.builder.set_data_field::<u16>(0, 3);
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Bid(
@@ -348,6 +354,7 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                3 => ::core::result::Result::Ok(Leaving(self.builder.get_data_field::<u64>(1))),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -365,45 +372,52 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(15, 207, 249, 96, 47, 214, 11, 227),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 68),
             ::capnp::word(97, 116, 97, 103, 114, 97, 109, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 252, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(98, 105, 100, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
@@ -433,12 +447,21 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::entry::peers::schedule_capnp::bid::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::entry::peers::schedule_capnp::verdict::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::progress::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -458,14 +481,15 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 2, 1];
         pub(crate) const TYPE_ID: u64 = 0xe30b_d62f_60f9_cf0f;
     }
     pub enum Which<A0, A1, A2> {
         Bid(A0),
         Verdict(A1),
         Progress(A2),
+        Leaving(u64),
     }
     pub type WhichReader<'a> = Which<
         ::capnp::Result<crate::entry::peers::schedule_capnp::bid::Reader<'a>>,
--- a/lib/src/entry/servers.rs
+++ b/lib/src/entry/servers.rs
@@ -123,6 +123,11 @@
         self.arena.iter()
     }
 
+    /// Number of servers that are announced.
+    pub fn count(&self) -> usize {
+        self.by_instance.len()
+    }
+
     /// The key of an instance.
     pub fn key_of(&self, instance: &str) -> Option<ServerKey> {
         self.by_instance.get(instance).copied()
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -37,6 +37,8 @@
     pub(crate) refused_behind: IntCounter,
     /// Connections opened to servers.
     pub(crate) connections_opened: IntCounter,
+    /// Open connections to servers.
+    pub(crate) server_connections: IntGauge,
     /// Open connections of callers.
     pub(crate) connections: IntGauge,
     /// Connections of callers that were refused.
@@ -99,6 +101,7 @@
                 "server_connections_total",
                 "Connections opened to servers",
             )?,
+            server_connections: gauge("server_connections", "Open connections to servers")?,
             connections: gauge("caller_connections", "Open connections of callers")?,
             connections_refused: counter(
                 "caller_connections_refused_total",
--- a/lib/src/gateway/backend/mod.rs
+++ b/lib/src/gateway/backend/mod.rs
@@ -6,4 +6,5 @@
 pub(crate) use gate::WriteGate;
 pub(crate) use gate::Written;
 pub(crate) use pool::BackendPool;
+pub(crate) use pool::ConnectError;
 pub(crate) use pool::Connection;
--- a/lib/src/gateway/backend/pool.rs
+++ b/lib/src/gateway/backend/pool.rs
@@ -14,6 +14,8 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 
 use super::gate::GatedIo;
@@ -37,6 +39,14 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// As many connections are open as the process has room for.
+    #[snafu(display("no room for a connection to {address}: {open_max} are open and in use"))]
+    NoRoom {
+        /// The server.
+        address: SocketAddr,
+        /// Most connections at once.
+        open_max: usize,
+    },
     /// The HTTP connection could not be set up.
     #[snafu(display("cannot set up HTTP with {address}"))]
     Setup {
@@ -53,6 +63,7 @@
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
     pub(crate) gate: Arc<WriteGate>,
     driver: AbortHandle,
+    _permit: OwnedSemaphorePermit,
 }
 
 impl Drop for Connection {
@@ -69,17 +80,28 @@
 /// Idle connections by server.
 pub(crate) struct BackendPool {
     clock: Clock,
+    open_max: usize,
+    permits: Arc<Semaphore>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl BackendPool {
-    pub(crate) fn new(clock: Clock) -> Self {
+    /// A pool of at most `open_max` connections, those in use included.
+    pub(crate) fn new(clock: Clock, open_max: usize) -> Self {
+        let open_max = open_max.min(Semaphore::MAX_PERMITS);
         Self {
             clock,
+            open_max,
+            permits: Arc::new(Semaphore::new(open_max)),
             idle: Mutex::default(),
         }
     }
 
+    /// Connections that are open, in use or idle.
+    pub(crate) fn open_count(&self) -> usize {
+        self.open_max - self.permits.available_permits()
+    }
+
     /// Takes an idle connection to a server, if there is an open one.
     pub(crate) fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = self.clock.now();
@@ -97,6 +119,10 @@
 
     /// Opens a connection to a server.
     pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
+        let permit = self.permit().ok_or(ConnectError::NoRoom {
+            address,
+            open_max: self.open_max,
+        })?;
         let stream = TcpStream::connect(address)
             .await
             .context(RefusedSnafu { address })?;
@@ -113,9 +139,41 @@
             sender,
             gate,
             driver: driver.abort_handle(),
+            _permit: permit,
+        })
+    }
+
+    /// Room for one more connection, if need be that of an idle one.
+    fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        let permit = self.permits.clone().try_acquire_owned().ok();
+        permit.or_else(|| {
+            drop(self.take_any_idle()?);
+            self.permits.clone().try_acquire_owned().ok()
         })
     }
 
+    /// The idle connection that would be closed first.
+    fn take_any_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let stack = idle
+            .values_mut()
+            .filter(|stack| !stack.is_empty())
+            .min_by_key(|stack| stack.first().map(|entry| entry.close_at))?;
+        Some(stack.remove(0).connection)
+    }
+
+    /// Closes idle connections whose time is over.
+    pub(crate) fn close_expired(&self) {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|_, stack| {
+            stack.retain(|entry| {
+                !entry.close_at.has_passed(now) && !entry.connection.sender.is_closed()
+            });
+            !stack.is_empty()
+        });
+    }
+
     /// Keeps a connection whose exchange ended with a clean and whole answer.
     pub(crate) fn put_back(&self, connection: Connection) {
         self.put_back_until(connection, self.clock.now() + IDLE_MAX);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 
 use self::access::Access;
 pub(crate) use self::backend::BackendPool;
+pub(crate) use self::backend::ConnectError;
 pub(crate) use self::backend::Connection;
 pub(crate) use self::backend::Written;
 pub use self::code::Code;
@@ -85,7 +86,7 @@
             limits: parts.limits.clone(),
             clock: parts.clock,
             metrics: parts.metrics.clone(),
-            pool: BackendPool::new(parts.clock),
+            pool: BackendPool::new(parts.clock, usize::MAX),
             estimates: Arc::default(),
             waiting: WaitingLimit::new(parts.limits.waiting_per_workspace),
         });
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -100,6 +100,7 @@
         (any::<u64>(), bid()).prop_map(|(id, bid)| Datagram::Bid { id, bid }),
         (any::<u64>(), verdict()).prop_map(|(id, verdict)| Datagram::Verdict { id, verdict }),
         proptest::collection::vec(progress(), 0..40).prop_map(Datagram::Progress),
+        any::<u64>().prop_map(|id| Datagram::Leaving { id }),
     ]
 }
 
@@ -211,3 +212,37 @@
     peers.set(&(2..=4).map(|n| peer(n, "d", 0.25)).collect::<Vec<_>>());
     assert!(peers.readers(5).is_empty());
 }
+
+#[test]
+fn hosts_that_are_going_to_stop_decide_no_more() {
+    let all: Vec<_> = (1..=4).map(|n| peer(n, "d", 0.25)).collect();
+    let mut peers = Peers::new(&all[0]);
+    peers.set(&all);
+    for subject in 0..50 {
+        let Some(first) = peers.scheduler(at(0), subject) else {
+            continue;
+        };
+        peers.on_leaving(at(0), first);
+        assert_ne!(peers.scheduler(at(1), subject), Some(first));
+        // Its successor has the same address.
+        assert_eq!(peers.scheduler(at(10_000), subject), Some(first));
+        peers = Peers::new(&all[0]);
+        peers.set(&all);
+    }
+    peers.leave();
+    for subject in 0..50 {
+        assert!(
+            peers.scheduler(at(0), subject).is_some(),
+            "subject {subject}"
+        );
+    }
+}
+
+#[test]
+fn a_host_that_is_going_to_stop_decides_for_itself_if_no_other_is_there() {
+    let own = peer(1, "d", 0.25);
+    let mut peers = Peers::new(&own);
+    peers.set(std::slice::from_ref(&own));
+    peers.leave();
+    assert_eq!(peers.scheduler(at(0), 7), None);
+}
