--- /dev/null
+++ b/daemon/tests/soak/proxy.rs
@@ -0,0 +1,104 @@
+//! A link on loopback that misbehaves when told to.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
+
+/// Time by which each piece is late on a slow link: many times an answer on loopback.
+const DELAY: Duration = Duration::from_millis(80);
+
+/// What a link does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkState {
+    Sound,
+    /// Everything is late.
+    Slow,
+    /// Nothing gets through, and nobody is told.
+    Silent,
+    /// Requests get through, answers do not.
+    AnswersLost,
+    /// Connections are reset.
+    Reset,
+}
+
+/// A link to one address.
+pub(crate) struct Proxy {
+    pub(crate) address: SocketAddr,
+    state: watch::Sender<LinkState>,
+}
+
+impl Proxy {
+    pub(crate) async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = watch::Sender::new(LinkState::Sound);
+        let rx = state.subscribe();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                tokio::spawn(carry(near, target, rx.clone()));
+            }
+        });
+        Self { address, state }
+    }
+
+    pub(crate) fn set(&self, state: LinkState) {
+        self.state.send_replace(state);
+    }
+}
+
+async fn carry(near: TcpStream, target: SocketAddr, state: watch::Receiver<LinkState>) {
+    let Ok(far) = TcpStream::connect(target).await else {
+        return;
+    };
+    // A socket that is dropped with a linger of zero resets its connection.
+    let _ = near.set_zero_linger();
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let (near_rx, near_tx) = near.into_split();
+    let (far_rx, far_tx) = far.into_split();
+    tokio::select! {
+        () = pump(near_rx, far_tx, state.clone(), false) => {}
+        () = pump(far_rx, near_tx, state, true) => {}
+    }
+}
+
+/// Carries bytes in one direction until the connection ends or is reset.
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut state: watch::Receiver<LinkState>,
+    is_answer: bool,
+) {
+    let mut buf = vec![0; 16 << 10];
+    loop {
+        let len = tokio::select! {
+            read = from.read(&mut buf) => match read {
+                Ok(len) if len > 0 => len,
+                _ => return,
+            },
+            _ = state.wait_for(|state| *state == LinkState::Reset) => return,
+        };
+        let now = *state.borrow();
+        match now {
+            LinkState::Slow => tokio::time::sleep(DELAY).await,
+            LinkState::Silent => wait_for_change(&mut state, now).await,
+            LinkState::AnswersLost if is_answer => wait_for_change(&mut state, now).await,
+            _ => {}
+        }
+        if *state.borrow() == LinkState::Reset || to.write_all(&buf[..len]).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn wait_for_change(state: &mut watch::Receiver<LinkState>, now: LinkState) {
+    // The link lives as long as the soak.
+    let _ = state.wait_for(|state| *state != now).await;
+}
