entry: call for news of servers every 400 ms at most

Cause: servers announce themselves every second, each at another time, and each reader of the platform called again for each announcement.

--- a/lib/src/entry/learn.rs
+++ b/lib/src/entry/learn.rs
@@ -25,6 +25,9 @@
 /// How long after the platform came back an announcement may be missing because it lapsed while
 /// the platform was away. A little less than the bounds give servers, to keep within them.
 const LAPSE_MARGIN: Duration = Duration::from_millis(200);
+/// Time between calls for news of servers. Each server announces itself every second, at another
+/// time, and each call is paid for; a leaving server may get requests for two seconds.
+const SERVER_NEWS_PACE: Duration = Duration::from_millis(400);
 /// First pause after a failed registration: about twenty answer times of the platform.
 const REGISTER_RETRY_FIRST: Duration = Duration::from_millis(100);
 /// Longest pause after failed registrations: nothing waits for it but the share of this host.
@@ -33,35 +36,55 @@
 /// Follows all sources until the tasks are dropped.
 pub(crate) fn spawn_all(tasks: &mut JoinSet<()>, host: &Arc<EntryHost>, sources: Sources) {
     let at = host.clone();
-    tasks.spawn(follow(sources.config, host.clone(), move |update| {
-        on_config(&at, update);
-    }));
+    tasks.spawn(follow(
+        sources.config,
+        Duration::ZERO,
+        host.clone(),
+        move |update| {
+            on_config(&at, update);
+        },
+    ));
     let at = host.clone();
     let mut regained_at = None;
-    tasks.spawn(follow(sources.servers, host.clone(), move |update| {
-        on_servers(&at, &mut regained_at, update);
-    }));
+    tasks.spawn(follow(
+        sources.servers,
+        SERVER_NEWS_PACE,
+        host.clone(),
+        move |update| {
+            on_servers(&at, &mut regained_at, update);
+        },
+    ));
     let at = host.clone();
     let mut evacuated = HashMap::new();
-    tasks.spawn(follow(sources.evacuations, host.clone(), move |update| {
-        if apply(&at, "evacuation", &mut evacuated, update) {
-            let domains: HashSet<_> = evacuated.keys().cloned().collect();
-            let names: Vec<_> = domains.iter().map(CompactString::as_str).collect();
-            info!(target: "fleet", domains = names.join(","); "domains out of service");
-            at.fleet().set_evacuated(domains);
-        }
-    }));
+    tasks.spawn(follow(
+        sources.evacuations,
+        Duration::ZERO,
+        host.clone(),
+        move |update| {
+            if apply(&at, "evacuation", &mut evacuated, update) {
+                let domains: HashSet<_> = evacuated.keys().cloned().collect();
+                let names: Vec<_> = domains.iter().map(CompactString::as_str).collect();
+                info!(target: "fleet", domains = names.join(","); "domains out of service");
+                at.fleet().set_evacuated(domains);
+            }
+        },
+    ));
     let at = host.clone();
     let mut peers = HashMap::new();
-    tasks.spawn(follow(sources.hosts, host.clone(), move |update| {
-        if apply(&at, "host", &mut peers, update) {
-            info!(target: "fleet", hosts = peers.len(); "hosts known");
-            at.fleet()
-                .set_hosts(peers.keys().map(CompactString::as_str));
-            let list: Vec<_> = peers.values().cloned().collect();
-            at.link.set_peers(&list);
-        }
-    }));
+    tasks.spawn(follow(
+        sources.hosts,
+        Duration::ZERO,
+        host.clone(),
+        move |update| {
+            if apply(&at, "host", &mut peers, update) {
+                info!(target: "fleet", hosts = peers.len(); "hosts known");
+                at.fleet()
+                    .set_hosts(peers.keys().map(CompactString::as_str));
+                let list: Vec<_> = peers.values().cloned().collect();
+                at.link.set_peers(&list);
+            }
+        },
+    ));
 }
 
 /// Registers this host, again and again until it is known to be.
--- a/lib/src/entry/source.rs
+++ b/lib/src/entry/source.rs
@@ -164,6 +164,15 @@
     confirmed_at: Timestamp,
 }
 
+impl Step {
+    fn has_news(&self) -> bool {
+        match &self.content {
+            Content::All(_) => false,
+            Content::Changes(changes) => !changes.is_empty(),
+        }
+    }
+}
+
 enum Content {
     All(Vec<Object>),
     Changes(Vec<Change>),
@@ -184,9 +193,11 @@
     revision: Option<u64>,
 }
 
-/// Follows a source until the task is dropped.
+/// Follows a source until the task is dropped. After news from the platform it waits for `pace`, so
+/// that one call brings all the news of that time.
 pub(crate) async fn follow<T>(
     source: Source<T>,
+    pace: Duration,
     host: Arc<EntryHost>,
     mut on_update: impl FnMut(Update<T>),
 ) {
@@ -209,7 +220,11 @@
                 }
                 backoff.reset();
                 relayed_backoff.reset();
+                let has_news = step.has_news();
                 follower.take(step, is_direct, &mut on_update);
+                if is_direct && has_news {
+                    tokio::time::sleep(pace).await;
+                }
             }
             Err(SourceError::HistoryGone) => {
                 info!(target: "platform", kind = kind, after = follower.revision; "history gone");
