lag: count a suspension as one delay of 200 ms

Found when reading the change again: one delay of seconds, as of a host that was frozen, weighed as much as seconds of being behind; the host withdrew for 8 s after it woke. The new test fails without the bound.

--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -35,6 +35,8 @@
 /// Span of the mean that decides whether the host is ready: longer than a burst of connections
 /// after the loss of another host lasts.
 const READINESS_SPAN: Duration = Duration::from_millis(700);
+/// Most of one delay that counts: a host that was suspended is seconds late once, and not behind.
+const LATE_MAX: Duration = Duration::from_millis(200);
 /// First time for which a host is not ready: a few of the seconds that it takes to leave and enter
 /// the balance again, so that the times behind are a small part.
 const WITHDRAWN_FIRST: Duration = Duration::from_secs(8);
@@ -68,10 +70,11 @@
 impl Lag {
     /// Takes in how late a timer was. Says whether the host withdraws by that.
     pub fn update(&mut self, now: Timestamp, late: Duration) -> bool {
-        let lasted = late + PERIOD;
         // The measuring may have rested before, since nothing was to be done.
-        let rested = now.since(self.updated).saturating_sub(lasted);
+        let rested = now.since(self.updated).saturating_sub(late + PERIOD);
         self.updated = now;
+        let late = late.min(LATE_MAX);
+        let lasted = late + PERIOD;
         for (mean, span) in [
             (&mut self.recent, REFUSAL_SPAN),
             (&mut self.lasting, READINESS_SPAN),
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -27,7 +27,7 @@
     NoServer,
     /// No server can begin in time.
     Overloaded,
-    /// This host has no processor time left.
+    /// This host has no processor time left, or no room for a connection to a server.
     HostBusy,
     /// The servers that could run it are in a cold start.
     ServersCold,
--- a/lib/tests/test_entry_lag.rs
+++ b/lib/tests/test_entry_lag.rs
@@ -94,3 +94,23 @@
     assert!(!lag.is_ready(at(second + 7_900)));
     assert!(lag.is_ready(at(second + 8_000)), "first at {first}");
 }
+
+#[test]
+fn a_host_that_was_suspended_is_not_behind_its_work() {
+    let mut lag = Lag::default();
+    let (now, _) = play(&mut lag, 10_000, 2, 1_000);
+    let (now, withdrew_at) = play(&mut lag, now, 5_000, 1);
+    assert_eq!(withdrew_at, None);
+    let (_, withdrew_at) = play(&mut lag, now, 2, 300);
+    assert_eq!(withdrew_at, None);
+    assert!(!lag.is_too_long());
+}
+
+#[test]
+fn however_late_it_is_a_host_that_stays_behind_withdraws() {
+    for late in [80, 300, 1_000, 3_000] {
+        let mut lag = Lag::default();
+        let (_, withdrew_at) = play(&mut lag, 10_000, late, 20_000);
+        assert!(withdrew_at.is_some(), "late by {late} ms");
+    }
+}
