--- a/daemon/tests/soak/check.rs
+++ b/daemon/tests/soak/check.rs
@@ -53,7 +53,7 @@
         match status {
             200 => {
                 let vouches = |(instance, _): &&(&str, &Seen)| answer.sealed_by() == Some(instance);
-                if !ran.iter().any(|run| vouches(&run)) {
+                if !ran.iter().any(vouches) {
                     fault("no server that ran it vouches for a success");
                 }
                 match &answer.body {
