--- a/daemon/tests/soak/site.rs
+++ b/daemon/tests/soak/site.rs
@@ -65,6 +65,7 @@
     let site = Arc::new(Site::start(folder.path()).await);
     let mut wrong = Vec::new();
     if !site.becomes_ready().await {
+        println!("logs are kept in {}", folder.keep().display());
         return vec!["the hosts did not become ready at the start".to_owned()];
     }
     let record = Record::default();
