entry: log who a host refuses by itself and how late engines seem to a scheduler

The logs could not tell whether a workspace was refused by its own host, by schedulers that took the engines for busy, or because engines were busy.

The line on the lag limit names the workspace with the most refusals, a stream's start has the lag of its host's timers, a silent peer how long was waited for it. A scheduler that refuses writes one line a second for each service, with the lateness that hosts have reported.

--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -117,6 +117,8 @@
     /// Tokens of the requests to models that this host has refused without a schedule request, by
     /// service and workspace, until the next schedule request.
     pub(super) refused_tokens: HashMap<(CompactString, Option<CompactString>), u64>,
+    /// Number of these requests by workspace, for log lines.
+    pub(super) refused_counts: HashMap<CompactString, u64>,
     /// Server to which this host last sent each session (requests whose prompts begin alike).
     /// Schedule requests name this server, because it may still have that beginning cached.
     pub(super) session_affinity: SessionAffinity,
@@ -152,6 +154,7 @@
             in_flight: SlotMap::with_key(),
             scheduler: Scheduler::new(epoch),
             refused_tokens: HashMap::new(),
+            refused_counts: HashMap::new(),
             session_affinity: SessionAffinity::default(),
             longest_deadlines: HashMap::new(),
             is_stopping: false,
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -46,6 +46,7 @@
 use super::dialect::UnreadableHeader;
 use super::fleet::Fleet;
 use super::fleet::HostIdentity;
+use super::forward::millis;
 use super::forward::serve;
 use super::lag;
 use super::lag::LagMeter;
@@ -93,6 +94,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// How often expired servers and expired idle connections are removed.
 const SWEEP_PERIOD: Duration = Duration::from_millis(100);
+/// Interval between log lines on refusals by this host's scheduler.
+const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
 /// Most different unreadable headers that are logged.
 const REPORTED_HEADERS_MAX: usize = 64;
 /// Media type of the Prometheus text format.
@@ -463,10 +466,15 @@
 /// Periodically removes servers that did not announce themselves again in time, and closes idle
 /// connections that have expired. Runs until the task is dropped.
 async fn sweep(host: Arc<EntryHost>) {
+    let mut next_summary_at = host.clock.now() + SUMMARY_PERIOD;
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         host.pool.close_expired();
         let now = host.clock.now();
+        if next_summary_at.has_passed(now) {
+            next_summary_at = now + SUMMARY_PERIOD;
+            log_schedule_summaries(&host);
+        }
         if let Some(version) = host.fleet().adopt_stored_config(now) {
             info!(target: "config", version = version;
                 "older configuration activated: the platform has lost the newer one");
@@ -478,3 +486,14 @@
         }
     }
 }
+
+/// Logs what this host's scheduler has decided for each service of which it has refused requests.
+fn log_schedule_summaries(host: &EntryHost) {
+    let summaries = host.fleet().take_schedule_summaries();
+    for (service, summary) in summaries {
+        info!(target: "schedule", service = service.as_str(), granted = summary.granted,
+            refused = summary.refused, contention = summary.contention,
+            responses = summary.responses, late_ms = millis(summary.late);
+            "requests refused by scheduler");
+    }
+}
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -113,6 +113,11 @@
         true
     }
 
+    /// Mean lag of the last moments.
+    pub fn recent(&self) -> Duration {
+        Duration::from_secs_f64(self.recent.0)
+    }
+
     /// Whether the lag is so long that the host should refuse requests.
     pub fn is_overloaded(&self) -> bool {
         self.recent.0 > LAG_MAX.as_secs_f64()
@@ -169,8 +174,12 @@
                 (was_overloaded, lag.is_overloaded(), becomes_unready)
             };
             if was_overloaded != is_overloaded {
+                // The workspace with the most refusals since the lag crossed the limit before.
+                let most = host.fleet().take_most_refused();
+                let (workspace, count) = most.unzip();
                 info!(target: "host", last_ms = millis(now.since(due)), behind = is_overloaded,
-                    refused = host.stats.refused_overloaded.get();
+                    refused = host.stats.refused_overloaded.get(),
+                    workspace = workspace.as_deref(), refused_of_workspace = count;
                     "timer lag crossed refusal limit");
             }
             if becomes_unready {
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -98,6 +98,7 @@
 pub use schedule::ReservationId;
 pub use schedule::ScheduleDecision;
 pub use schedule::ScheduleRequest;
+pub use schedule::ScheduleSummary;
 pub use schedule::Scheduler;
 pub use schedule::SearchStep;
 pub use schedule::Shard;
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -36,6 +36,7 @@
 use super::selection::Peer;
 use super::selection::Peers;
 use crate::entry::fleet::RequestOutcome;
+use crate::entry::forward::millis;
 use crate::entry::host::EntryHost;
 use crate::entry::schedule::Progress;
 use crate::entry::schedule::ProgressStep;
@@ -275,8 +276,10 @@
                 }
                 return (decision, Some(address));
             }
-            if self.inner().peers.on_no_reply(host.clock.now(), address) {
-                warn!(target: "peer", peer = address.to_string(); "peer does not answer");
+            let now_silent = host.clock.now();
+            if self.inner().peers.on_no_reply(now_silent, address) {
+                warn!(target: "peer", peer = address.to_string(),
+                    waited_ms = millis(now_silent.since(now)); "peer does not answer");
             }
         }
     }
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -128,8 +128,10 @@
         let route = self.call.admitted.route.name.as_str();
         let times = self.host.stats.first_byte.with_label_values(&[route]);
         times.observe(elapsed.as_secs_f64());
+        let lag = self.host.lag.lag().recent();
         info!(target: "request", id = self.call.head.id.as_str(),
-            server = self.placed.entry.instance.as_str(), ms = millis(elapsed); "stream started");
+            server = self.placed.entry.instance.as_str(), ms = millis(elapsed),
+            lag_ms = millis(lag); "stream started");
         Ok(())
     }
 
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -29,6 +29,7 @@
 use super::schedule::ProgressStep;
 use super::schedule::ScheduleDecision;
 use super::schedule::ScheduleRequest;
+use super::schedule::ScheduleSummary;
 use super::schedule::Shard;
 use super::schedule::ShardWork;
 use super::selection::Candidate;
@@ -207,6 +208,16 @@
         let key = (admitted.service.clone(), admitted.workspace.clone());
         let tokens = u64::from(prompt.input_tokens) + u64::from(prompt.output_tokens());
         *self.refused_tokens.entry(key).or_default() += tokens;
+        if let Some(workspace) = &admitted.workspace {
+            *self.refused_counts.entry(workspace.clone()).or_default() += 1;
+        }
+    }
+
+    /// The workspace of which this host has refused the most requests by itself since the last call,
+    /// and their number.
+    pub fn take_most_refused(&mut self) -> Option<(CompactString, u64)> {
+        let counts = std::mem::take(&mut self.refused_counts);
+        counts.into_iter().max_by_key(|(_, count)| *count)
     }
 
     /// Takes the tokens of the requests that were refused for a workspace since the last call.
@@ -218,6 +229,23 @@
         self.refused_tokens.remove(&key).unwrap_or(0)
     }
 
+    /// What the scheduler of this host has decided since the last call for each service of which it
+    /// has refused requests, by the name of the service.
+    pub fn take_schedule_summaries(&mut self) -> Vec<(CompactString, ScheduleSummary)> {
+        let summaries = self.scheduler.take_summaries();
+        let Some(config) = &self.config else {
+            return Vec::new();
+        };
+        let name = |hash| {
+            let mut services = config.services.values();
+            services.find(|spec| xxh3_64(spec.name.as_bytes()) == hash)
+        };
+        summaries
+            .into_iter()
+            .filter_map(|(service, summary)| Some((name(service)?.name.clone(), summary)))
+            .collect()
+    }
+
     /// Records a report of the scheduler at `from` on its shards of a service.
     pub fn on_shares(&mut self, now: Timestamp, from: SocketAddr, service: u64, shards: ShardWork) {
         self.scheduler.on_shares(now, from, service, shards);
--- a/lib/src/entry/schedule/mod.rs
+++ b/lib/src/entry/schedule/mod.rs
@@ -19,6 +19,7 @@
 pub use request::ScheduleRequest;
 pub use request::Shard;
 pub use scheduler::EngineView;
+pub use scheduler::ScheduleSummary;
 pub use scheduler::Scheduler;
 pub use shard_search::SearchStep;
 pub use shard_search::ShardSearch;
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -124,6 +124,22 @@
     expires_at: Timestamp,
 }
 
+/// What a scheduler has decided and heard about the engines of one service over some time, for log
+/// lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ScheduleSummary {
+    /// Requests that were allowed to start.
+    pub granted: u32,
+    /// Requests that were refused.
+    pub refused: u32,
+    /// Responses that hosts have reported as started.
+    pub responses: u32,
+    /// Sum of the times by which these started later than planned.
+    pub late: Duration,
+    /// Contention for the engines at the last request, 0 to 1.
+    pub contention: f64,
+}
+
 /// What the scheduler knows of one service.
 #[derive(Debug, Default)]
 struct ServiceState {
@@ -141,6 +157,8 @@
     asked_at: Timestamp,
     /// Contention for the engines at the last request.
     contention: f64,
+    /// Decisions and reports since the last summary.
+    summary: ScheduleSummary,
     /// When idle engines were last removed.
     engines_swept_at: Timestamp,
 }
@@ -275,6 +293,7 @@
             .filter(|candidate| candidate.is_in_time(limit, usual_prefill))
             .min_by_key(|candidate| (candidate.cost, candidate.hash));
         let Some(best) = best else {
+            state.summary.refused += 1;
             let soonest = candidates
                 .iter()
                 .map(|candidate| candidate.first_event_after)
@@ -310,6 +329,7 @@
         let state = self.services.entry(request.service).or_default();
         let tokens = request.work_tokens();
         state.shares.on_granted(now, request.workspace, tokens);
+        state.summary.granted += 1;
         let engine = state.engines.entry(server).or_default();
         let wait = engine.wait(now);
         let prefill = engine.prefill_time(uncached, request.input_tokens);
@@ -367,6 +387,20 @@
             .collect()
     }
 
+    /// Summaries since the last call of the services of which requests were refused, by the hash of
+    /// the service's name.
+    pub fn take_summaries(&mut self) -> Vec<(u64, ScheduleSummary)> {
+        let mut summaries = Vec::new();
+        for (service, state) in &mut self.services {
+            let mut summary = std::mem::take(&mut state.summary);
+            summary.contention = state.contention;
+            if summary.refused > 0 {
+                summaries.push((*service, summary));
+            }
+        }
+        summaries
+    }
+
     /// Hash of the server of a reservation, `None` if the reservation is not known.
     pub fn server_of(&self, reservation: ReservationId) -> Option<u64> {
         if reservation.epoch != self.epoch {
@@ -386,12 +420,16 @@
         let Some(reservation) = self.reservations.get_mut(key) else {
             return;
         };
-        let state = self.services.get_mut(&reservation.service);
-        let engine = state.and_then(|state| state.engines.get_mut(&reservation.server));
+        let Some(state) = self.services.get_mut(&reservation.service) else {
+            return;
+        };
+        let engine = state.engines.get_mut(&reservation.server);
         match progress.step {
             ProgressStep::ResponseStarted { after } => {
                 reservation.response_started = true;
                 let (uncached, planned) = (reservation.uncached_tokens, reservation.planned);
+                state.summary.responses += 1;
+                state.summary.late += after.saturating_sub(planned);
                 if let Some(engine) = engine {
                     engine.on_response_started(now, uncached, after, planned);
                     engine.health.on_response(now, reservation.domain);
