--- a/daemon/src/json_log.rs
+++ b/daemon/src/json_log.rs
@@ -40,8 +40,8 @@
 const LINES_BURST: f64 = 1200.0;
 /// Log targets of this project, which follow the configured level. Other libraries only log
 /// warnings and errors.
-const OWN_TARGETS: [&str; 7] = [
-    "request", "server", "config", "fleet", "platform", "host", "peer",
+const OWN_TARGETS: [&str; 8] = [
+    "request", "schedule", "server", "config", "fleet", "platform", "host", "peer",
 ];
 
 /// Installs the logger, for messages of `level` and more severe ones.
