peers: read the socket once more before a peer counts as silent

Cause: the waits of 100 ms had taken 660 to 813 ms. The timers of these hosts fired late, and the replies lay in their sockets.

Checking the lag instead was weighed: a host that stays a little late would never find out that a scheduler is gone.

busy_host_does_not_take_its_peers_for_silent failed before, with one datagram already.

--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -87,6 +87,7 @@
 pub use peers::Peers;
 pub use peers::decode;
 pub use peers::encode;
+pub use peers::wait_for_reply;
 pub use prefix_cache::PrefixCache;
 pub use refusal::Reason;
 pub use refusal::Refusal;
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -33,6 +33,7 @@
 use super::codec::Datagram;
 use super::codec::decode;
 use super::codec::encode;
+use super::reply::wait_for_reply;
 use super::selection::Peer;
 use super::selection::Peers;
 use crate::entry::fleet::RequestOutcome;
@@ -310,15 +311,13 @@
             id,
             request: request.clone(),
         });
-        let mut received = None;
         for timeout in REPLY_TIMEOUTS {
             self.send(address, &bytes).await;
-            if let Ok(reply) = tokio::time::timeout(timeout, &mut rx).await {
-                received = reply.ok();
-                break;
+            if let Some(reply) = wait_for_reply(&mut rx, timeout).await {
+                return Some(reply);
             }
         }
-        received
+        None
     }
 
     fn stop_waiting(&self, id: u64) {
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -22,8 +22,11 @@
 use cardamomshift_lib::entry::WorkspaceWork;
 use cardamomshift_lib::entry::decode;
 use cardamomshift_lib::entry::encode;
+use cardamomshift_lib::entry::wait_for_reply;
 use cardamomshift_lib::time::Timestamp;
 use proptest::prelude::*;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_micros(millis * 1_000)
@@ -310,3 +313,45 @@
     peers.leave();
     assert_eq!(peers.scheduler(at(0), 7), None);
 }
+
+/// Sends `count` datagrams to a host that is busy for 200 ms meanwhile, the awaited reply as the last
+/// one. Returns whether the host gets the reply, for which it waits for 40 ms.
+async fn receives_reply(count: usize) -> bool {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let (tx, mut rx) = oneshot::channel();
+    let receiving = async move {
+        let mut buf = [0; 8];
+        for _ in 0..count {
+            socket.recv_from(&mut buf).await.unwrap();
+        }
+        tx.send(()).unwrap();
+        std::future::pending::<()>().await;
+    };
+    let busy = tokio::task::spawn(async move {
+        let peer = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        for _ in 0..count {
+            peer.send_to(b"reply", address).unwrap();
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    });
+    let receiving = tokio::task::spawn(receiving);
+    let reply = wait_for_reply(&mut rx, Duration::from_millis(40)).await;
+    busy.await.unwrap();
+    receiving.abort();
+    reply.is_some()
+}
+
+#[tokio::test]
+async fn busy_host_does_not_take_its_peers_for_silent() {
+    assert!(receives_reply(1).await);
+    // More than the runtime lets a task receive in one turn.
+    assert!(receives_reply(200).await);
+}
+
+#[tokio::test]
+async fn peer_without_a_reply_counts_as_silent() {
+    let (_tx, mut rx) = oneshot::channel::<()>();
+    let reply = wait_for_reply(&mut rx, Duration::from_millis(40)).await;
+    assert_eq!(reply, None);
+}
