gateway: close idle connections to make room for new ones

Callers of one workspace got 503 for nearly every request, although their host had few requests in flight: 48 to 390 on 1,243 connections, the limit that its memory allows. Their client opens a connection for nearly every request and keeps it. The host kept them after the balancer had moved the callers, so it was full from the first moment when they came back.

Cause: idle connections held their permits, and nothing made them give way, unlike those to servers. Below a sixteenth of the limit the ones that have been idle for longest are now closed, and all idle ones once the balancer sends callers elsewhere.

--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -327,6 +327,7 @@
             listener: listen("callers", parts.listen.callers).await?,
             router: Router::new().fallback(serve).with_state(host.clone()),
             limits: Box::new(move || limits_host.connection_limits(parts.process_limits)),
+            close_idle: host.lag.close_idle(),
             connections: host.stats.connections.clone(),
             connections_refused: host.stats.connections_refused.clone(),
             stop: stopped,
@@ -474,6 +475,9 @@
         if next_summary_at.has_passed(now) {
             next_summary_at = now + SUMMARY_PERIOD;
             log_schedule_summaries(&host);
+            if host.lag.lag().closes_connections(now) {
+                host.lag.close_idle().notify_one();
+            }
         }
         if let Some(version) = host.fleet().adopt_stored_config(now) {
             info!(target: "config", version = version;
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -147,6 +147,8 @@
     due_micros: AtomicU64,
     /// Notified of each request.
     has_work: Notify,
+    /// Notified when callers' idle connections are to be closed.
+    close_idle: Arc<Notify>,
 }
 
 impl LagMeter {
@@ -165,6 +167,12 @@
         late.max(self.lag().recent())
     }
 
+    /// Is notified when the idle connections of callers are to be closed, because the load balancer
+    /// sends the callers to other hosts.
+    pub(crate) fn close_idle(&self) -> Arc<Notify> {
+        self.close_idle.clone()
+    }
+
     /// Locks and returns the lag.
     pub(crate) fn lag(&self) -> MutexGuard<'_, Lag> {
         self.lag.lock().unwrap_or_else(PoisonError::into_inner)
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod estimate;
 mod headers;
 mod http2_body;
+mod idle_connections;
 mod keyed;
 mod model;
 mod preface;
@@ -110,6 +111,7 @@
                 listener: parts.listener,
                 router: router(Arc::new(state)),
                 limits: Box::new(move || limits),
+                close_idle: Arc::default(),
                 connections: parts.metrics.connections.clone(),
                 connections_refused: parts.metrics.connections_refused.clone(),
                 stop: parts.stop,
--- a/lib/src/gateway/request_counter.rs
+++ b/lib/src/gateway/request_counter.rs
@@ -23,13 +23,33 @@
 use hyper_util::service::TowerToHyperService;
 
 /// Numbers of started and finished requests of one connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct RequestCounter {
     started: AtomicU64,
     finished: AtomicU64,
+    /// Last number that was given out in the order in which all connections became idle.
+    idle_order: Arc<AtomicU64>,
+    /// Number of this connection in that order.
+    idle_since: AtomicU64,
 }
 
 impl RequestCounter {
+    /// Counter of a new connection, which is idle until its first request. `idle_order` is shared
+    /// by all connections.
+    pub(crate) fn new(idle_order: Arc<AtomicU64>) -> Self {
+        Self {
+            started: AtomicU64::new(0),
+            finished: AtomicU64::new(0),
+            idle_since: AtomicU64::new(idle_order.fetch_add(1, Ordering::AcqRel)),
+            idle_order,
+        }
+    }
+
+    /// Position of the connection in the order in which all connections became idle.
+    pub(crate) fn idle_since(&self) -> u64 {
+        self.idle_since.load(Ordering::Acquire)
+    }
+
     /// Number of requests whose head has arrived completely.
     pub(crate) fn started(&self) -> u64 {
         self.started.load(Ordering::Acquire)
@@ -42,10 +62,10 @@
 }
 
 /// Counts one request as in flight until it is dropped.
-struct InFlight(Arc<RequestCounter>);
+pub(crate) struct InFlight(Arc<RequestCounter>);
 
 impl InFlight {
-    fn start(counter: Arc<RequestCounter>) -> Self {
+    pub(crate) fn start(counter: Arc<RequestCounter>) -> Self {
         counter.started.fetch_add(1, Ordering::AcqRel);
         Self(counter)
     }
@@ -53,6 +73,8 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        let order = self.0.idle_order.fetch_add(1, Ordering::AcqRel);
+        self.0.idle_since.store(order, Ordering::Release);
         self.0.finished.fetch_add(1, Ordering::AcqRel);
     }
 }
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -2,6 +2,8 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::Router;
@@ -16,16 +18,18 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::idle_connections::OpenConnections;
 use super::preface::CallerStream;
 use super::preface::Protocol;
 use super::preface::Timeouts;
 use super::preface::read_preface;
 use super::request_counter::CountingRouter;
+use super::request_counter::InFlight;
 use super::request_counter::RequestCounter;
 use crate::settings::LimitSettings;
 
@@ -38,6 +42,9 @@
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Interval of HTTP/2 pings, which detect callers that are gone.
 const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(20);
+/// Idle connections are closed when fewer than the limit divided by this may still be accepted, so
+/// that a burst of new ones finds room.
+const SPARE_DIVISOR: usize = 16;
 /// Response to a connection beyond the limit.
 const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -83,6 +90,8 @@
     /// Returns the limits that apply to the next connection. The number of connections is read only
     /// when serving starts, and the drain timeout at the stop.
     pub(crate) limits: Box<dyn Fn() -> ConnectionLimits + Send + Sync>,
+    /// Notified when all idle connections are to be closed.
+    pub(crate) close_idle: Arc<Notify>,
     /// Metric: open connections.
     pub(crate) connections: IntGauge,
     /// Metric: connections refused at the limit.
@@ -96,21 +105,29 @@
     /// timeout has passed.
     pub(crate) async fn run(self) {
         let mut stop = self.stop.clone();
+        let limit = (self.limits)().connections;
         let mut connections = Connections {
             router: self.router,
-            permits: Arc::new(Semaphore::new((self.limits)().connections)),
+            permits: Arc::new(Semaphore::new(limit)),
+            spare: limit / SPARE_DIVISOR,
+            waiting: Arc::default(),
             limits: self.limits,
             gauge: self.connections,
             refused: self.connections_refused,
             stop: self.stop,
-            open: JoinSet::new(),
+            tasks: JoinSet::new(),
+            open: OpenConnections::default(),
         };
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
                 () = stopped(&mut stop) => break,
+                () = self.close_idle.notified() => {
+                    connections.open.close_idle(usize::MAX);
+                    continue;
+                }
                 // Removes tasks of closed connections from the set.
-                Some(_) = connections.open.join_next() => continue,
+                Some(_) = connections.tasks.join_next() => continue,
             };
             match accepted {
                 Ok((stream, _)) => connections.admit(stream),
@@ -133,17 +150,44 @@
     stop: watch::Receiver<bool>,
     /// One permit per connection that may still be accepted.
     permits: Arc<Semaphore>,
+    /// Number of permits below which idle connections are closed.
+    spare: usize,
+    /// Accepted connections that wait for the permit of one that is being closed.
+    waiting: Arc<AtomicUsize>,
     /// Tasks that serve the open connections.
-    open: JoinSet<()>,
+    tasks: JoinSet<()>,
+    /// The open connections.
+    open: OpenConnections,
 }
 
 impl Connections {
-    /// Serves a connection, or refuses it at the connection limit.
+    /// Serves a connection. At the connection limit idle ones make room; if all are busy, it is
+    /// refused.
     fn admit(&mut self, stream: TcpStream) {
+        let closing = match self.permits.available_permits() <= self.spare {
+            true => self.open.close_idle(self.spare + 1),
+            false => 0,
+        };
+        let waiting = self.waiting.load(Ordering::Acquire);
         match self.permits.clone().try_acquire_owned() {
             Ok(permit) => {
-                let connection = self.connection(stream, permit);
-                self.open.spawn(connection);
+                let connection = self.connection(stream);
+                self.tasks.spawn(async move {
+                    connection.await;
+                    drop(permit);
+                });
+            }
+            Err(_) if waiting < closing => {
+                let connection = self.connection(stream);
+                let permit = self.permits.clone().acquire_owned();
+                let waiting = self.waiting.clone();
+                waiting.fetch_add(1, Ordering::AcqRel);
+                self.tasks.spawn(async move {
+                    let permit = permit.await;
+                    waiting.fetch_sub(1, Ordering::AcqRel);
+                    connection.await;
+                    drop(permit);
+                });
             }
             Err(_) => self.refuse_connection(&stream),
         }
@@ -152,7 +196,7 @@
     /// Waits for the open connections. Those still open after the drain timeout are aborted.
     async fn drain(mut self) {
         let timeout = (self.limits)().drain_timeout;
-        let drained = async { while self.open.join_next().await.is_some() {} };
+        let drained = async { while self.tasks.join_next().await.is_some() {} };
         let _ = tokio::time::timeout(timeout, drained).await;
     }
 
@@ -163,22 +207,25 @@
         let _ = stream.try_write(TOO_MANY_CONNECTIONS);
     }
 
-    fn connection(
-        &self,
-        stream: TcpStream,
-        permit: OwnedSemaphorePermit,
-    ) -> impl Future<Output = ()> + Send + 'static {
+    /// Serves a connection until it ends or, while it is idle, is chosen to be closed.
+    fn connection(&mut self, stream: TcpStream) -> impl Future<Output = ()> + Send + 'static {
+        let open = self.open.add();
         let connection = CallerConnection {
             router: self.router.clone(),
             limits: (self.limits)(),
+            requests: open.requests.clone(),
             stop: self.stop.clone(),
         };
         let gauge = self.gauge.clone();
         async move {
             gauge.inc();
-            connection.serve(stream).await;
+            tokio::select! {
+                // Biased, so that a request that has arrived is read before the check for idleness.
+                biased;
+                () = connection.serve(stream) => {}
+                () = open.chosen() => {}
+            }
             gauge.dec();
-            drop(permit);
         }
     }
 }
@@ -207,6 +254,7 @@
 struct CallerConnection {
     router: Router,
     limits: ConnectionLimits,
+    requests: Arc<RequestCounter>,
     stop: watch::Receiver<bool>,
 }
 
@@ -216,7 +264,7 @@
         let preface = read_preface(&mut stream);
         match tokio::time::timeout(self.limits.head_timeout, preface).await {
             Ok(Ok((protocol, start))) => {
-                let counter = Arc::new(RequestCounter::default());
+                let counter = self.requests.clone();
                 let timeouts = Timeouts {
                     head: self.limits.head_timeout,
                     counter: (protocol == Protocol::Http1).then(|| counter.clone()),
@@ -225,7 +273,11 @@
                 let io = start.join(stream, timeouts);
                 match protocol {
                     Protocol::Http1 => self.serve_http1(io, counter).await,
-                    Protocol::Http2 => self.serve_http2(io).await,
+                    Protocol::Http2 => {
+                        // Requests on HTTP/2 are not counted, so the connection never counts as idle.
+                        let _busy = InFlight::start(counter);
+                        self.serve_http2(io).await;
+                    }
                 }
             }
             Ok(Err(_)) => {}
