entry: refuse new connections at once while the host is behind its work

Callers of a workspace that come by one small host were served next to nothing for seconds: refusing 1,400 requests a second, each read and routed first, took all of its 0.12 of a core. Its timers were 200 ms late, and it came back to its listener too seldom, so that connections waited.

A thread of its own now accepts callers' connections. While timers are more than 25 ms late, it answers 503 with Retry-After with four system calls and closes the connection; what was accepted before is served. Callers of a host that leaves the balance are told to come back when they reach another one. A log line a second counts such refusals.

flooded_host_serves_requests_in_every_second plays such a flood; before, it served 80 requests in the first second and none in the next five.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -44,8 +44,6 @@
 /// Maximum number of servers tried for one request, including those that could not be reached.
 /// Those are limited too because each may cost the connection timeout.
 const TRIES_MAX: usize = 4;
-/// Retry time given to callers when this host is too busy; the retry may reach another host.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// An admitted request with its body.
 pub(crate) struct Call {
@@ -151,7 +149,8 @@
         // The lag is logged when it crosses the limit.
         host.stats.refused_overloaded.inc();
         host.fleet().on_refused_locally(&admitted, prompt);
-        let refusal = Refusal::with_retry_after(Reason::HostBusy, BUSY_RETRY_AFTER);
+        let wait = host.lag.lag().retry_after(arrived);
+        let refusal = Refusal::with_retry_after(Reason::HostBusy, wait);
         return refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
     }
     let deadline = host.clock.instant(admitted.give_up_at);
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -22,6 +22,7 @@
 
 use axum::Router;
 use axum::extract::State;
+use axum::http::HeaderMap;
 use axum::http::StatusCode;
 use axum::http::header;
 use axum::response::IntoResponse;
@@ -59,9 +60,12 @@
 use super::source::StoreGate;
 use super::stats::EntryStats;
 use super::updates;
+use crate::gateway::Accepted;
 use crate::gateway::BackendPool;
 use crate::gateway::ConnectionLimits;
+use crate::gateway::Refusing;
 use crate::gateway::Server;
+use crate::gateway::accept_on_thread;
 use crate::time::Clock;
 
 /// Limits on callers' connections until the first configuration arrives: the values that
@@ -290,7 +294,9 @@
     host: Arc<EntryHost>,
     /// Tells the server for callers to stop: to accept no more connections and to drain.
     stop: watch::Sender<bool>,
-    /// HTTP server for callers.
+    /// Connections of callers.
+    accepted: Accepted,
+    /// HTTP server for them.
     callers: Server,
     /// Background tasks and the other HTTP servers.
     tasks: JoinSet<()>,
@@ -323,8 +329,9 @@
         });
         let (stop, stopped) = watch::channel(false);
         let limits_host = host.clone();
+        let address = parts.listen.callers;
+        let accepted = accept_callers(&host, address, stopped.clone()).await?;
         let callers = Server {
-            listener: listen("callers", parts.listen.callers).await?,
             router: Router::new().fallback(serve).with_state(host.clone()),
             limits: Box::new(move || limits_host.connection_limits(parts.process_limits)),
             close_idle: host.lag.close_idle(),
@@ -364,6 +371,7 @@
         Ok(Self {
             host,
             stop,
+            accepted,
             callers,
             tasks,
         })
@@ -386,7 +394,7 @@
         let host = self.host;
         let stop = self.stop;
         let grace = host.fleet().bounds().stop_grace;
-        let mut serving = Box::pin(self.callers.run());
+        let mut serving = Box::pin(self.callers.run(self.accepted));
         tokio::select! {
             () = &mut serving => return,
             () = stop_requested => {}
@@ -433,6 +441,30 @@
         .context(ListenSnafu { purpose, address })
 }
 
+/// Accepts callers' connections until the stop signal. They are refused while the host has no processor
+/// time for their requests.
+async fn accept_callers(
+    host: &Arc<EntryHost>,
+    address: SocketAddr,
+    stopped: watch::Receiver<bool>,
+) -> Result<Accepted, EntryError> {
+    let purpose = "callers";
+    let listener = listen(purpose, address).await?;
+    let refusing_host = host.clone();
+    let retry_after = move || {
+        let host = &refusing_host;
+        let wait = host.lag.refuses_connections_for(host.clock.now())?;
+        let mut headers = HeaderMap::new();
+        (host.dialect.write_retry_after)(&mut headers, wait);
+        headers.remove(header::RETRY_AFTER)
+    };
+    let refusing = Refusing {
+        retry_after: Box::new(retry_after),
+        refused: host.stats.connections_refused.clone(),
+    };
+    accept_on_thread(listener, stopped, refusing).context(ListenSnafu { purpose, address })
+}
+
 /// Serves HTTP requests until the task is dropped. A failure is logged, and that listener stays
 /// closed.
 async fn serve_router(listener: TcpListener, router: Router) {
@@ -468,6 +500,7 @@
 /// connections that have expired. Runs until the task is dropped.
 async fn sweep(host: Arc<EntryHost>) {
     let mut next_summary_at = host.clock.now() + SUMMARY_PERIOD;
+    let mut refused_before = 0;
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         host.pool.close_expired();
@@ -475,6 +508,7 @@
         if next_summary_at.has_passed(now) {
             next_summary_at = now + SUMMARY_PERIOD;
             log_schedule_summaries(&host);
+            refused_before = log_refused_connections(&host, refused_before);
             if host.lag.lag().closes_connections(now) {
                 host.lag.close_idle().notify_one();
             }
@@ -502,3 +536,13 @@
             "requests refused by scheduler");
     }
 }
+
+/// Logs how many connections of callers were refused since the count `before`. Returns the count.
+fn log_refused_connections(host: &EntryHost, before: u64) -> u64 {
+    let count = host.stats.connections_refused.get();
+    if count > before {
+        info!(target: "host", refused = count - before, open = host.stats.connections.get(),
+            lag_ms = millis(host.lag.lag().recent()); "connections of callers refused");
+    }
+    count
+}
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -35,6 +35,9 @@
 /// second, which is most of the time within which a response should start. On a host with processor
 /// time left, timers are a few milliseconds late.
 const LAG_MAX: Duration = Duration::from_millis(60);
+/// Lag above which new connections are refused. It is lower than [`LAG_MAX`], so that the requests on
+/// connections that were accepted are in time.
+const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(25);
 /// Time constant of the mean lag that decides on refusals. It is long enough that a single pause of
 /// 100 ms, as on a host with a processor time quota, does not cause refusals.
 const REFUSAL_SPAN: Duration = Duration::from_millis(150);
@@ -52,6 +55,8 @@
 /// overloaded again, and starts again at [`UNREADY_FIRST`] if the host was ready for longer than
 /// this in between.
 const UNREADY_MAX: Duration = Duration::from_secs(64);
+/// Shortest time after which a caller that was refused because of the lag should try again.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Time after which the load balancer sends no new connections to a host that is not ready: two
 /// readiness checks at one per second.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_200);
@@ -131,6 +136,24 @@
         self.ready_at.has_passed(now)
     }
 
+    /// Time after which a caller that was refused because of the lag should try again. If the load
+    /// balancer is about to send new connections to other hosts, the retry waits for that.
+    pub fn retry_after(&self, now: Timestamp) -> Duration {
+        let is_leaving = !self.is_ready(now);
+        let left = BALANCER_DELAY.saturating_sub(now.since(self.unready_since));
+        match is_leaving {
+            true => left.max(BUSY_RETRY_AFTER),
+            false => BUSY_RETRY_AFTER,
+        }
+    }
+
+    /// Time after which a caller with a new connection should try again, `None` if the host has
+    /// processor time for its requests. `late` is how late the timers fire at present.
+    pub fn refuses_connections_for(&self, now: Timestamp, late: Duration) -> Option<Duration> {
+        let is_late = late.max(self.recent()) > ACCEPTING_LAG_MAX;
+        is_late.then(|| self.retry_after(now))
+    }
+
     /// Whether the host should close its connections after the next response. This begins only when
     /// the load balancer sends new connections to other hosts, since callers would otherwise
     /// reconnect to this one.
@@ -139,7 +162,8 @@
     }
 }
 
-/// Lag of a host, shared between the measuring task and the request handlers.
+/// Lag of a host, shared between the measuring task, the request handlers and the thread that
+/// accepts connections.
 #[derive(Debug, Default)]
 pub(crate) struct LagMeter {
     lag: Mutex<Lag>,
@@ -157,6 +181,12 @@
         self.has_work.notify_one();
     }
 
+    /// Is notified when the idle connections of callers are to be closed, because the load balancer
+    /// sends the callers to other hosts.
+    pub(crate) fn close_idle(&self) -> Arc<Notify> {
+        self.close_idle.clone()
+    }
+
     /// How late the timers fire, including a measurement that has not ended yet.
     pub(crate) fn current(&self, now: Timestamp) -> Duration {
         let due = self.due_micros.load(Ordering::Acquire);
@@ -167,10 +197,10 @@
         late.max(self.lag().recent())
     }
 
-    /// Is notified when the idle connections of callers are to be closed, because the load balancer
-    /// sends the callers to other hosts.
-    pub(crate) fn close_idle(&self) -> Arc<Notify> {
-        self.close_idle.clone()
+    /// Like [`Lag::refuses_connections_for`], also if a measurement has not ended yet.
+    pub(crate) fn refuses_connections_for(&self, now: Timestamp) -> Option<Duration> {
+        let late = self.current(now);
+        self.lag().refuses_connections_for(now, late)
     }
 
     /// Locks and returns the lag.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! [`ControlHandle`]) which backend server may be used, and reports back how the request ended. The
 //! gateway and the control thread share no other mutable state.
 
+mod accept;
 mod auth;
 mod backend;
 mod dispatch;
@@ -37,6 +38,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+pub(crate) use self::accept::Accepted;
+pub(crate) use self::accept::Refusing;
+use self::accept::accept_in_task;
+pub(crate) use self::accept::accept_on_thread;
 use self::auth::Authenticator;
 pub(crate) use self::backend::BackendPool;
 pub(crate) use self::backend::ConnectError;
@@ -77,6 +82,7 @@
 
 /// HTTP proxy that serves the callers' connections on one listener.
 pub struct Gateway {
+    listener: TcpListener,
     server: Server,
 }
 
@@ -107,8 +113,8 @@
         };
         let limits = ConnectionLimits::from(&parts.limits);
         Ok(Self {
+            listener: parts.listener,
             server: Server {
-                listener: parts.listener,
                 router: router(Arc::new(state)),
                 limits: Box::new(move || limits),
                 close_idle: Arc::default(),
@@ -122,6 +128,7 @@
     /// Serves until the stop signal, then waits until the open requests have ended or the drain
     /// timeout has passed.
     pub async fn serve(self) {
-        self.server.run().await;
+        let accepted = accept_in_task(self.listener, self.server.stop.clone());
+        self.server.run(accepted).await;
     }
 }
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -1,5 +1,7 @@
-//! Accepts callers' HTTP connections, limits their number, and drains them at a planned stop.
+//! Serves callers' HTTP connections, limits their number, and drains them at a planned stop.
 
+use std::io::Write;
+use std::net::TcpStream as StdStream;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -16,13 +18,13 @@
 use prometheus::IntCounter;
 use prometheus::IntGauge;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::accept::Accepted;
 use super::idle_connections::OpenConnections;
 use super::preface::CallerStream;
 use super::preface::Protocol;
@@ -35,8 +37,6 @@
 
 /// Smallest read buffer that hyper accepts, bytes.
 const HEAD_BUFFER_MIN: usize = 8192;
-/// Wait after accepting a connection has failed. Avoids a busy loop when file descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Idle timeout between two requests. It exceeds the usual idle timeout of load balancers and
 /// clients, so that they close first.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
@@ -83,9 +83,8 @@
     }
 }
 
-/// Accepts connections and serves one router on all of them.
+/// Serves one router on all accepted connections.
 pub(crate) struct Server {
-    pub(crate) listener: TcpListener,
     pub(crate) router: Router,
     /// Returns the limits that apply to the next connection. The number of connections is read only
     /// when serving starts, and the drain timeout at the stop.
@@ -101,10 +100,9 @@
 }
 
 impl Server {
-    /// Serves until the stop signal, then waits until the open requests have ended or the drain
-    /// timeout has passed.
-    pub(crate) async fn run(self) {
-        let mut stop = self.stop.clone();
+    /// Serves the accepted connections until the stop signal, then waits until the open requests have
+    /// ended or the drain timeout has passed.
+    pub(crate) async fn run(self, mut accepted: Accepted) {
         let limit = (self.limits)().connections;
         let mut connections = Connections {
             router: self.router,
@@ -120,8 +118,7 @@
         };
         loop {
             let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
-                () = stopped(&mut stop) => break,
+                accepted = accepted.recv() => accepted,
                 () = self.close_idle.notified() => {
                     connections.open.close_idle(usize::MAX);
                     continue;
@@ -129,12 +126,10 @@
                 // Removes tasks of closed connections from the set.
                 Some(_) = connections.tasks.join_next() => continue,
             };
-            match accepted {
-                Ok((stream, _)) => connections.admit(stream),
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-            }
-        }
-        for stream in close(self.listener) {
+            // The channel is closed after the stop signal.
+            let Some(stream) = accepted else {
+                break;
+            };
             connections.admit(stream);
         }
         connections.drain().await;
@@ -163,7 +158,7 @@
 impl Connections {
     /// Serves a connection. At the connection limit idle ones make room; if all are busy, it is
     /// refused.
-    fn admit(&mut self, stream: TcpStream) {
+    fn admit(&mut self, stream: StdStream) {
         let closing = match self.permits.available_permits() <= self.spare {
             true => self.open.close_idle(self.spare + 1),
             false => 0,
@@ -200,15 +195,15 @@
         let _ = tokio::time::timeout(timeout, drained).await;
     }
 
-    fn refuse_connection(&self, stream: &TcpStream) {
+    fn refuse_connection(&self, mut stream: &StdStream) {
         self.refused.inc();
         // If the response does not fit into the socket's send buffer, the caller only sees a closed
         // connection.
-        let _ = stream.try_write(TOO_MANY_CONNECTIONS);
+        let _ = stream.write(TOO_MANY_CONNECTIONS);
     }
 
     /// Serves a connection until it ends or, while it is idle, is chosen to be closed.
-    fn connection(&mut self, stream: TcpStream) -> impl Future<Output = ()> + Send + 'static {
+    fn connection(&mut self, stream: StdStream) -> impl Future<Output = ()> + Send + 'static {
         let open = self.open.add();
         let connection = CallerConnection {
             router: self.router.clone(),
@@ -218,6 +213,10 @@
         };
         let gauge = self.gauge.clone();
         async move {
+            // Fails if the runtime cannot watch more sockets; the caller then sees a closed connection.
+            let Ok(stream) = TcpStream::from_std(stream) else {
+                return;
+            };
             gauge.inc();
             tokio::select! {
                 // Biased, so that a request that has arrived is read before the check for idleness.
@@ -230,23 +229,8 @@
     }
 }
 
-/// Closes a listener and returns the connections in its accept queue, which would otherwise be
-/// reset.
-fn close(listener: TcpListener) -> Vec<TcpStream> {
-    let Ok(listener) = listener.into_std() else {
-        return Vec::new();
-    };
-    // The listener is non-blocking, so the first error means that the queue is empty.
-    std::iter::from_fn(|| listener.accept().ok())
-        .filter_map(|(stream, _)| {
-            stream.set_nonblocking(true).ok()?;
-            TcpStream::from_std(stream).ok()
-        })
-        .collect()
-}
-
 /// Waits for the stop signal. A closed channel counts as one.
-async fn stopped(stop: &mut watch::Receiver<bool>) {
+pub(crate) async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
--- a/lib/tests/test_entry_lag.rs
+++ b/lib/tests/test_entry_lag.rs
@@ -1,6 +1,7 @@
 //! Tests of the refusals and the readiness that follow from the lag of an entry host's timers: how
 //! late they fire.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use cardamomshift_lib::entry::Lag;
@@ -128,3 +129,100 @@
         );
     }
 }
+
+#[test]
+fn new_connections_are_refused_while_timers_are_late() {
+    let mut lag = Lag::default();
+    let (now, _) = simulate(&mut lag, 10_000, 2, 1_000);
+    let on_time = Duration::from_millis(2);
+    assert_eq!(lag.refuses_connections_for(at(now), on_time), None);
+    // A timer that has not fired yet counts too.
+    let late = Duration::from_millis(100);
+    let busy = Some(Duration::from_millis(200));
+    assert_eq!(lag.refuses_connections_for(at(now), late), busy);
+    let (now, unready_at) = simulate(&mut lag, now, 100, 3_000);
+    // Callers come back when the load balancer sends them to another host.
+    let unready_at = unready_at.expect("the host becomes not ready");
+    let left = Duration::from_millis(1_200);
+    let wait = lag.refuses_connections_for(at(unready_at + 1_000), late);
+    assert_eq!(wait, Some(left));
+    assert_eq!(lag.refuses_connections_for(at(now + 3_000), late), busy);
+}
+
+/// Processor time of a host of 0.12 of a core, microseconds for each millisecond.
+const BUDGET_PER_MS: u64 = 120;
+/// Processor time for a request that is served, for one that is refused after its head was read, and
+/// for a connection that is refused when it is accepted, microseconds.
+const SERVED_COST: u64 = 300;
+const READ_COST: u64 = 80;
+const ACCEPTED_COST: u64 = 20;
+
+/// Plays 3,200 connections a second, each with one request, at a small host for six seconds, and
+/// returns the number of served requests in each second and the longest time that one waited for the
+/// host, milliseconds.
+fn play_flood() -> (Vec<u64>, u64) {
+    let mut lag = Lag::default();
+    // Arrival times of accepted connections and the work of the one that is processed.
+    let mut queue = VecDeque::new();
+    let mut left = 0;
+    let mut served = vec![0; 6];
+    let mut longest_wait = 0;
+    // When the pending timer is due. It fires after the work that was queued before.
+    let (mut due, mut fires_after) = (SAMPLE_PERIOD_MS, None);
+    for now in 1_u64..6_000 {
+        let mut budget = BUDGET_PER_MS;
+        let late = now.saturating_sub(due);
+        for n in 0..16 {
+            // Three or four connections in a millisecond.
+            if n >= 3 && (n > 3 || now % 5 != 0) {
+                break;
+            }
+            match lag.refuses_connections_for(at(now), Duration::from_millis(late)) {
+                Some(_) => budget = budget.saturating_sub(ACCEPTED_COST),
+                None => queue.push_back(now),
+            }
+        }
+        if now >= due && fires_after.is_none() {
+            fires_after = Some(queue.len());
+        }
+        while budget > 0 {
+            if left == 0 {
+                if fires_after == Some(0) {
+                    lag.update(at(now), Duration::from_millis(now - due));
+                    (due, fires_after) = (now + SAMPLE_PERIOD_MS, None);
+                }
+                let Some(arrived) = queue.pop_front() else {
+                    break;
+                };
+                fires_after = fires_after.map(|ahead| ahead.saturating_sub(1));
+                left = match lag.is_overloaded() {
+                    true => READ_COST,
+                    false => {
+                        served[(now / 1_000) as usize] += 1;
+                        longest_wait = longest_wait.max(now - arrived);
+                        SERVED_COST
+                    }
+                };
+            }
+            let done = left.min(budget);
+            left -= done;
+            budget -= done;
+        }
+    }
+    (served, longest_wait)
+}
+
+#[test]
+fn flooded_host_serves_requests_in_every_second() {
+    let (served, longest_wait) = play_flood();
+    assert!(served.iter().all(|count| *count > 0), "{served:?}");
+    // The refusals take 64 of 120 ms of processor time a second, which leaves time for 186 requests.
+    // A workspace is promised half of its share in six seconds.
+    let sum: u64 = served.iter().sum();
+    assert!(sum >= 6 * 186 / 2, "{served:?}");
+    // A caller gives up a request that the host has not read after a second.
+    assert!(
+        longest_wait < 1_000,
+        "a request waited for {longest_wait} ms"
+    );
+}
