entry: count refused connections as requested work; refuse from a lag of 45 ms

Schedulers share out engines by what workspaces request. Since connections are refused unread, those requests were missing, so a workspace whose host refuses it seemed to ask for little. Refused connections now count as requests like those that the host read in the last second or so, by workspace. The test counts 30 refused connections as 30 prompts.

--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -45,6 +45,13 @@
 /// an announcement with the true state arrives within this time.
 const ASSUMED_COLD_DURATION: Duration = Duration::from_secs(3);
 
+/// Number and work of requests to models, which decay with each use.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ReadPrompts {
+    pub(super) count: f64,
+    pub(super) tokens: f64,
+}
+
 /// Identity of this host within the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostIdentity {
@@ -117,6 +124,9 @@
     /// Tokens of the requests to models that this host has refused without a schedule request, by
     /// service and workspace, until the next schedule request.
     pub(super) refused_tokens: HashMap<(CompactString, Option<CompactString>), u64>,
+    /// Requests to models that this host has read lately, by service and workspace. Connections that
+    /// are refused unread are assumed to carry such requests.
+    pub(super) read_prompts: HashMap<(CompactString, Option<CompactString>), ReadPrompts>,
     /// Number of these requests by workspace, for log lines.
     pub(super) refused_counts: HashMap<CompactString, u64>,
     /// Server to which this host last sent each session (requests whose prompts begin alike).
@@ -155,6 +165,7 @@
             scheduler: Scheduler::new(epoch),
             refused_tokens: HashMap::new(),
             refused_counts: HashMap::new(),
+            read_prompts: HashMap::new(),
             session_affinity: SessionAffinity::default(),
             longest_deadlines: HashMap::new(),
             is_stopping: false,
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -500,15 +500,20 @@
 /// connections that have expired. Runs until the task is dropped.
 async fn sweep(host: Arc<EntryHost>) {
     let mut next_summary_at = host.clock.now() + SUMMARY_PERIOD;
-    let mut refused_before = 0;
+    let mut refused_counted = 0;
+    let mut refused_logged = 0;
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         host.pool.close_expired();
         let now = host.clock.now();
+        let refused = host.stats.connections_refused.get();
+        host.fleet()
+            .on_connections_refused(refused - refused_counted);
+        refused_counted = refused;
         if next_summary_at.has_passed(now) {
             next_summary_at = now + SUMMARY_PERIOD;
             log_schedule_summaries(&host);
-            refused_before = log_refused_connections(&host, refused_before);
+            refused_logged = log_refused_connections(&host, refused_logged);
             if host.lag.lag().closes_connections(now) {
                 host.lag.close_idle().notify_one();
             }
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -37,7 +37,7 @@
 const LAG_MAX: Duration = Duration::from_millis(60);
 /// Lag above which new connections are refused. It is lower than [`LAG_MAX`], so that the requests on
 /// connections that were accepted are in time.
-const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(25);
+const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(45);
 /// Time constant of the mean lag that decides on refusals. It is long enough that a single pause of
 /// 100 ms, as on a host with a processor time quota, does not cause refusals.
 const REFUSAL_SPAN: Duration = Duration::from_millis(150);
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -42,6 +42,12 @@
 /// are announced.
 const SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Fraction of the counted requests that is kept from one sweep of the host to the next. With sweeps
+/// every 100 ms the half-life is 0.7 s.
+const READ_PROMPTS_KEPT: f64 = 0.9;
+/// Number of requests of a workspace below which they are forgotten.
+const READ_PROMPTS_MIN: f64 = 0.05;
+
 /// Server that was chosen for a request, which is counted there.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -115,6 +121,7 @@
         prompt: &Prompt,
         tried: &[ServerKey],
     ) -> Result<ScheduleRequest, Refusal> {
+        self.on_prompt_read(admitted, prompt);
         let usable = self.usable(now, &admitted.service, tried);
         if usable.candidates.is_empty() {
             return Err(usable.refusal(now));
@@ -205,6 +212,7 @@
     /// Counts a request to a model that this host refuses by itself, without a schedule request. The
     /// next schedule request for its workspace tells the scheduler.
     pub fn on_refused_locally(&mut self, admitted: &Admitted, prompt: &Prompt) {
+        self.on_prompt_read(admitted, prompt);
         let key = (admitted.service.clone(), admitted.workspace.clone());
         let tokens = u64::from(prompt.input_tokens) + u64::from(prompt.output_tokens());
         *self.refused_tokens.entry(key).or_default() += tokens;
@@ -213,6 +221,30 @@
         }
     }
 
+    /// Counts a request to a model whose head this host has read.
+    fn on_prompt_read(&mut self, admitted: &Admitted, prompt: &Prompt) {
+        let key = (admitted.service.clone(), admitted.workspace.clone());
+        let read = self.read_prompts.entry(key).or_default();
+        read.count += 1.0;
+        read.tokens += f64::from(prompt.input_tokens) + f64::from(prompt.output_tokens());
+    }
+
+    /// Counts connections of callers that this host has refused unread. Their requests are assumed to
+    /// be like those that were read lately. To be called once in each sweep of the host.
+    pub fn on_connections_refused(&mut self, count: u64) {
+        let read_count: f64 = self.read_prompts.values().map(|read| read.count).sum();
+        for (key, read) in &mut self.read_prompts {
+            if count > 0 && read_count > 0.0 {
+                let tokens = read.tokens / read_count * count as f64;
+                *self.refused_tokens.entry(key.clone()).or_default() += tokens as u64;
+            }
+            read.count *= READ_PROMPTS_KEPT;
+            read.tokens *= READ_PROMPTS_KEPT;
+        }
+        self.read_prompts
+            .retain(|_, read| read.count > READ_PROMPTS_MIN);
+    }
+
     /// The workspace of which this host has refused the most requests by itself since the last call,
     /// and their number.
     pub fn take_most_refused(&mut self) -> Option<(CompactString, u64)> {
--- a/lib/tests/test_entry_fleet.rs
+++ b/lib/tests/test_entry_fleet.rs
@@ -363,3 +363,22 @@
     fleet.stop();
     assert!(!fleet.is_ready(at(START_MS)));
 }
+
+#[test]
+fn connections_refused_unread_count_as_requests_of_the_usual_workspaces() {
+    let now = at(START_MS);
+    let mut fleet = fleet(now);
+    let head = head(Some(KEY), at(START_MS + 6_000));
+    let admitted = fleet.admit(now, &head, "/s/x").unwrap();
+    let prompt = prompt();
+    let tokens = u64::from(prompt.input_tokens) + u64::from(prompt.output_tokens());
+    let mut refused_tokens = |refused| {
+        fleet.on_connections_refused(refused);
+        let request = fleet.schedule_request(now, &admitted, &prompt, &[]);
+        request.unwrap().refused_tokens
+    };
+    // Nothing is known yet of what callers send to this host.
+    assert_eq!(refused_tokens(30), 0);
+    assert_eq!(refused_tokens(30), 30 * tokens);
+    assert_eq!(refused_tokens(0), 0);
+}
