--- a/lib/src/gateway/idle_connections.rs
+++ b/lib/src/gateway/idle_connections.rs
@@ -17,12 +17,12 @@
     pub(crate) requests: Arc<RequestCounter>,
     /// Notified when the connection is to be closed.
     close: Notify,
-    /// Whether it was chosen to be closed.
+    /// Whether it is being closed.
     is_closing: AtomicBool,
 }
 
 impl OpenConnection {
-    /// Waits until the connection was chosen and is still idle.
+    /// Waits until the connection is to be closed and is idle.
     pub(crate) async fn chosen(&self) {
         loop {
             self.close.notified().await;
