--- a/lib/src/entry/dialect.rs
+++ b/lib/src/entry/dialect.rs
@@ -55,6 +55,15 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Identifiers of the shared parts in hexadecimal, separated by commas, for log lines.
+    pub(crate) fn shared_part_list(&self) -> String {
+        let ids = self
+            .shared_parts()
+            .iter()
+            .map(|part| format!("{:x}", part.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Tokens that no other request shares.
     pub fn own_tokens(&self) -> u32 {
         let shared = self.shared_parts().iter().map(|part| part.tokens).sum();
