--- a/bench/src/experiment/simulation.rs
+++ b/bench/src/experiment/simulation.rs
@@ -141,6 +141,7 @@
         views: hashes
             .map(|hash| EngineView {
                 hash,
+                run: hash,
                 domain: hash % 4,
                 slots: 64,
                 memory_tokens: profile.memory_tokens,
@@ -282,7 +283,9 @@
                 let engine = self.views.iter().position(|view| view.hash == server)?;
                 Some((engine, Some(reservation), send_after))
             }
-            ScheduleDecision::Refuse { .. } | ScheduleDecision::NoEngine => None,
+            ScheduleDecision::Refuse { .. }
+            | ScheduleDecision::HoldBack { .. }
+            | ScheduleDecision::NoEngine => None,
         }
     }
 
--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -78,6 +78,9 @@
   refusedTokens @17 :UInt64;
   # Tokens of the workspace's requests that the asking host has refused by itself since its last
   # schedule request for the workspace.
+
+  crashes @18 :List(PartCrash);
+  # Crashes that the asking host knows of.
 }
 
 struct Part {
@@ -100,7 +103,38 @@
     # No server can start the response in time.
     unknown @3 :Void;
     # No server of the shard may get the request; the asking host tries the next shard.
+    holdBack @5 :HoldBack;
+    # A part of the prompt makes servers crash, or is suspected of it.
   }
+
+  crashes @4 :List(PartCrash);
+  # Crashes that the scheduler knows of.
+}
+
+struct PartCrash {
+  # A run of a server that ended as it began to answer a prompt with a part.
+
+  part @0 :UInt64;
+  run @1 :UInt64;
+  # Hash that identifies the run.
+
+  age @2 :UInt64;
+  # Time since the crash.
+
+  remaining @3 :UInt64;
+  # How long the crash still counts.
+
+  isBlamed @4 :Bool;
+  # Whether this part is blamed, rather than another one of the same prompt.
+
+  wasTrial @5 :Bool;
+  # Whether the request was sent to find out whether the part is to blame.
+}
+
+struct HoldBack {
+  part @0 :UInt64;
+  retryAfter @1 :UInt64;
+  # Time that the caller should wait before it tries again.
 }
 
 struct Start {
@@ -153,6 +187,9 @@
 
     failed @6 :Void;
     # The server failed the request.
+
+    brokenAtStart @8 :Void;
+    # The connection broke just as the server began to answer.
   }
 
   hostLag @7 :UInt64;
--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -37,6 +37,8 @@
 /// Longest time to open a connection: a hundred round trips between failure domains. A server that
 /// is not connected by then is unreachable or its accept queue is full.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long after its first bytes a response counts as just begun.
+const RESPONSE_START_SPAN: Duration = Duration::from_millis(100);
 /// How long before the server's idle timeout an unused connection is closed, so that no request is
 /// sent on a connection that the server is closing.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
@@ -102,8 +104,8 @@
     outcome: RequestOutcome,
     /// Reports the progress of a request to a model to its scheduler; `None` for plain services.
     scheduled: Option<ScheduledRequest>,
-    /// Whether part of the response has arrived.
-    has_response_started: bool,
+    /// When the first part of the response arrived.
+    response_started_at: Option<Timestamp>,
 }
 
 impl InFlightRequest {
@@ -117,18 +119,29 @@
             key,
             outcome: RequestOutcome::Abandoned,
             scheduled,
-            has_response_started: false,
+            response_started_at: None,
         }
     }
 
     /// Records that part of the response has arrived. Only the first call has an effect.
     pub(crate) fn on_response_started(&mut self) {
-        if std::mem::replace(&mut self.has_response_started, true) {
+        if self.response_started_at.is_some() {
             return;
         }
+        let now = self.host.clock.now();
+        self.response_started_at = Some(now);
         self.host.fleet().on_response_started(self.key);
         if let Some(scheduled) = &self.scheduled {
-            scheduled.on_response_started(self.host.clock.now());
+            scheduled.on_response_started(now);
+        }
+    }
+
+    /// Outcome if the connection breaks now, after the head of the response.
+    pub(crate) fn broken_outcome(&self) -> RequestOutcome {
+        let now = self.host.clock.now();
+        match self.response_started_at {
+            Some(at) if now.since(at) > RESPONSE_START_SPAN => RequestOutcome::Failed,
+            _ => RequestOutcome::BrokenAtStart,
         }
     }
 
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -72,6 +72,9 @@
     Misdirected,
     /// The server reported a failure, broke off, or sent an invalid response.
     Failed,
+    /// The connection broke just as the server began to answer: after the head of the response, and
+    /// before or shortly after its first bytes.
+    BrokenAtStart,
     /// The connection to the server failed.
     Unreachable,
     /// The deadline of the request passed before the response was complete. For a stream this
@@ -340,7 +343,9 @@
             server.failures.add(now, false);
             server.reachability.on_response();
         }
-        RequestOutcome::Failed | RequestOutcome::TimedOut => server.failures.add(now, true),
+        RequestOutcome::Failed | RequestOutcome::BrokenAtStart | RequestOutcome::TimedOut => {
+            server.failures.add(now, true);
+        }
         // The server gets no more requests. An announcement with another start time, service or
         // address creates a new entry for the instance, without this flag.
         RequestOutcome::Misdirected => server.is_misdirected = true,
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -277,6 +277,10 @@
     if failure.may_have_run && !admitted.route.retry_policy.may_run_again() {
         return false;
     }
+    // The prompt may be what ended the server, and would end the next one too.
+    if failure.is_broken_at_start && call.head.prompt.is_some() {
+        return false;
+    }
     if attempts.sent_count >= admitted.route.attempts_max || attempts.tried.len() >= TRIES_MAX {
         return false;
     }
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -55,6 +55,7 @@
 use super::mirror::Mirrors;
 use super::peers::Link;
 use super::peers::Peer;
+use super::schedule::QuarantineChange;
 use super::source::Source;
 use super::source::SourceError;
 use super::source::StoreGate;
@@ -67,6 +68,7 @@
 use crate::gateway::Server;
 use crate::gateway::accept_on_thread;
 use crate::time::Clock;
+use crate::time::Timestamp;
 
 /// Limits on callers' connections until the first configuration arrives: the values that
 /// configurations usually set. The two zeros are always replaced before use, the number of
@@ -518,6 +520,7 @@
                 host.lag.close_idle().notify_one();
             }
         }
+        log_quarantine_changes(&host, now);
         if let Some(version) = host.fleet().adopt_stored_config(now) {
             info!(target: "config", version = version;
                 "older configuration activated: the platform has lost the newer one");
@@ -542,6 +545,28 @@
     }
 }
 
+/// Logs and counts what has changed about parts of prompts that make engines crash.
+fn log_quarantine_changes(host: &EntryHost, now: Timestamp) {
+    let changes = host.fleet().take_quarantine_changes();
+    for change in changes {
+        match change {
+            QuarantineChange::HeldBack {
+                part,
+                crashes,
+                until,
+            } => {
+                host.stats.prompt_parts_held_back.inc();
+                warn!(target: "schedule", part = format!("{part:x}"), crashes = crashes,
+                    ms = millis(until.remaining(now)); "part of prompts crashes servers: held back");
+            }
+            QuarantineChange::Cleared { part, crashes } => {
+                info!(target: "schedule", part = format!("{part:x}"), crashes = crashes;
+                    "part of prompts no longer suspected of crashing servers");
+            }
+        }
+    }
+}
+
 /// Logs how many connections of callers were refused since the count `before`. Returns the count.
 fn log_refused_connections(host: &EntryHost, before: u64) -> u64 {
     let count = host.stats.connections_refused.get();
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -17,11 +17,13 @@
 
 use super::schedule_capnp::bid;
 use super::schedule_capnp::datagram;
+use super::schedule_capnp::part_crash;
 use super::schedule_capnp::progress;
 use super::schedule_capnp::share;
 use super::schedule_capnp::shares;
 use super::schedule_capnp::verdict;
 use crate::entry::dialect::PromptPart;
+use crate::entry::schedule::PartCrash;
 use crate::entry::schedule::Progress;
 use crate::entry::schedule::ProgressStep;
 use crate::entry::schedule::ReservationId;
@@ -46,6 +48,8 @@
         id: u64,
         /// The request to be scheduled.
         request: ScheduleRequest,
+        /// Crashes that the asking host knows of.
+        crashes: Vec<PartCrash>,
     },
     /// Reply of a scheduler: its decision.
     Verdict {
@@ -53,6 +57,8 @@
         id: u64,
         /// Where and when to send the request, or a refusal.
         decision: ScheduleDecision,
+        /// Crashes that the scheduler knows of.
+        crashes: Vec<PartCrash>,
     },
     /// Progress of scheduled requests, reported to the scheduler that made their reservations.
     Progress(Vec<Progress>),
@@ -93,14 +99,24 @@
     let mut builder = Builder::new_default();
     let mut root = builder.init_root::<datagram::Builder<'_>>();
     match message {
-        Datagram::Bid { id, request } => {
+        Datagram::Bid {
+            id,
+            request,
+            crashes,
+        } => {
             let mut out = root.init_bid();
             out.set_id(*id);
+            write_crashes(crashes, |count| out.reborrow().init_crashes(count));
             write_schedule_request(out, request);
         }
-        Datagram::Verdict { id, decision } => {
+        Datagram::Verdict {
+            id,
+            decision,
+            crashes,
+        } => {
             let mut out = root.init_verdict();
             out.set_id(*id);
+            write_crashes(crashes, |count| out.reborrow().init_crashes(count));
             write_schedule_decision(out, decision);
         }
         Datagram::Progress(list) => {
@@ -177,10 +193,47 @@
             out.set_limit(micros(*limit));
             out.set_tries_others(*tries_others);
         }
+        ScheduleDecision::HoldBack { part, retry_after } => {
+            let mut out = out.init_hold_back();
+            out.set_part(*part);
+            out.set_retry_after(micros(*retry_after));
+        }
         ScheduleDecision::NoEngine => out.set_unknown(()),
     }
 }
 
+fn write_crashes<'a>(
+    crashes: &[PartCrash],
+    init: impl FnOnce(u32) -> capnp::struct_list::Builder<'a, part_crash::Owned>,
+) {
+    if crashes.is_empty() {
+        return;
+    }
+    let count = u32::try_from(crashes.len()).unwrap_or(u32::MAX);
+    let mut list = init(count);
+    for (at, crash) in (0..count).zip(crashes) {
+        let mut out = list.reborrow().get(at);
+        out.set_part(crash.part);
+        out.set_run(crash.run);
+        out.set_age(micros(crash.age));
+        out.set_remaining(micros(crash.remaining));
+        out.set_is_blamed(crash.is_blamed);
+        out.set_was_trial(crash.was_trial);
+    }
+}
+
+fn read_crashes(list: capnp::struct_list::Reader<'_, part_crash::Owned>) -> Vec<PartCrash> {
+    let read = |crash: part_crash::Reader<'_>| PartCrash {
+        part: crash.get_part(),
+        run: crash.get_run(),
+        age: Duration::from_micros(crash.get_age()),
+        remaining: Duration::from_micros(crash.get_remaining()),
+        is_blamed: crash.get_is_blamed(),
+        was_trial: crash.get_was_trial(),
+    };
+    list.iter().map(read).collect()
+}
+
 fn write_shares(mut out: shares::Builder<'_>, service: u64, shards: &ShardWork) {
     out.set_service(service);
     out.set_contention(shards.contention);
@@ -213,6 +266,7 @@
         ProgressStep::ServerLeaving { started_at_ms } => out.set_server_leaving(started_at_ms),
         ProgressStep::Unreachable => out.set_unreachable(()),
         ProgressStep::Failed => out.set_failed(()),
+        ProgressStep::BrokenAtStart => out.set_broken_at_start(()),
         ProgressStep::Ended => out.set_ended(()),
     }
 }
@@ -233,6 +287,7 @@
             let bid = bid.context(EncodingSnafu)?;
             Ok(Datagram::Bid {
                 id: bid.get_id(),
+                crashes: read_crashes(bid.get_crashes().context(EncodingSnafu)?),
                 request: read_schedule_request(bid).context(EncodingSnafu)?,
             })
         }
@@ -240,6 +295,7 @@
             let verdict = verdict.context(EncodingSnafu)?;
             Ok(Datagram::Verdict {
                 id: verdict.get_id(),
+                crashes: read_crashes(verdict.get_crashes().context(EncodingSnafu)?),
                 decision: read_schedule_decision(verdict)?,
             })
         }
@@ -314,6 +370,13 @@
                 tries_others: refusal.get_tries_others(),
             }
         }
+        verdict::HoldBack(held) => {
+            let held = held.context(EncodingSnafu)?;
+            ScheduleDecision::HoldBack {
+                part: held.get_part(),
+                retry_after: Duration::from_micros(held.get_retry_after()),
+            }
+        }
         verdict::Unknown(()) => ScheduleDecision::NoEngine,
     })
 }
@@ -327,6 +390,7 @@
         progress::ServerLeaving(started_at_ms) => ProgressStep::ServerLeaving { started_at_ms },
         progress::Unreachable(()) => ProgressStep::Unreachable,
         progress::Failed(()) => ProgressStep::Failed,
+        progress::BrokenAtStart(()) => ProgressStep::BrokenAtStart,
         progress::Ended(()) => ProgressStep::Ended,
     };
     Ok(Progress {
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -39,6 +39,7 @@
 use crate::entry::fleet::RequestOutcome;
 use crate::entry::forward::millis;
 use crate::entry::host::EntryHost;
+use crate::entry::schedule::PartCrash;
 use crate::entry::schedule::Progress;
 use crate::entry::schedule::ProgressStep;
 use crate::entry::schedule::ReservationId;
@@ -155,6 +156,7 @@
         match outcome {
             RequestOutcome::Unreachable => self.report(ProgressStep::Unreachable),
             RequestOutcome::Failed | RequestOutcome::TimedOut => self.report(ProgressStep::Failed),
+            RequestOutcome::BrokenAtStart => self.report(ProgressStep::BrokenAtStart),
             RequestOutcome::Answered
             | RequestOutcome::Refused
             | RequestOutcome::Misdirected
@@ -273,7 +275,8 @@
                 self.has_decided.notify_one();
                 return (host.fleet().decide(now, request), None);
             };
-            let reply = self.send_request(address, request).await;
+            let crashes = host.fleet().crashes_to_share(now);
+            let reply = self.send_request(address, request, crashes).await;
             if let Some(Reply::Leaving) = reply {
                 if self.inner().peers.on_leaving(host.clock.now(), address) {
                     info!(target: "peer", peer = address.to_string(); "peer is stopping");
@@ -296,7 +299,12 @@
 
     /// Sends a schedule request to one host, and again if there is no reply. `None` if there is
     /// still none.
-    async fn send_request(&self, address: SocketAddr, request: &ScheduleRequest) -> Option<Reply> {
+    async fn send_request(
+        &self,
+        address: SocketAddr,
+        request: &ScheduleRequest,
+        crashes: Vec<PartCrash>,
+    ) -> Option<Reply> {
         let (tx, mut rx) = oneshot::channel();
         let id = {
             let mut inner = self.inner();
@@ -310,6 +318,7 @@
         let bytes = encode(&Datagram::Bid {
             id,
             request: request.clone(),
+            crashes,
         });
         for timeout in REPLY_TIMEOUTS {
             self.send(address, &bytes).await;
@@ -367,12 +376,29 @@
                 // Sending fails if the request no longer waits for this reply.
                 let _ = waiting.map(|tx| tx.send(Reply::Leaving));
             }
-            Datagram::Bid { id, request } => {
+            Datagram::Bid {
+                id,
+                request,
+                crashes,
+            } => {
+                let now = host.clock.now();
+                host.fleet().on_crashes_shared(now, &crashes);
                 let decision = self.decision_for(host, from, id, &request);
-                let bytes = encode(&Datagram::Verdict { id, decision });
+                let crashes = host.fleet().crashes_to_share(now);
+                let bytes = encode(&Datagram::Verdict {
+                    id,
+                    decision,
+                    crashes,
+                });
                 self.send(from, &bytes).await;
             }
-            Datagram::Verdict { id, decision } => {
+            Datagram::Verdict {
+                id,
+                decision,
+                crashes,
+            } => {
+                let now = host.clock.now();
+                host.fleet().on_crashes_shared(now, &crashes);
                 let waiting = self.inner().waiting.remove(&id);
                 let is_unclaimed = match waiting {
                     Some(tx) => tx.send(Reply::Decision(decision)).is_err(),
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -762,6 +762,24 @@
         pub fn get_refused_tokens(self) -> u64 {
             self.reader.get_data_field::<u64>(11)
         }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<
+                'a,
+                crate::entry::peers::schedule_capnp::part_crash::Owned,
+            >,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -771,7 +789,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 12,
-                pointers: 2,
+                pointers: 3,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -1050,6 +1068,49 @@
         pub fn set_refused_tokens(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(11, value);
         }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<
+                'a,
+                crate::entry::peers::schedule_capnp::part_crash::Owned,
+            >,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_crashes(
+            &mut self,
+            value: ::capnp::struct_list::Reader<
+                '_,
+                crate::entry::peers::schedule_capnp::part_crash::Owned,
+            >,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_crashes(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::entry::peers::schedule_capnp::part_crash::Owned>
+        {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline {
@@ -1064,150 +1125,157 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 308] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 327] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
             ::capnp::word(15, 0, 0, 0, 1, 0, 12, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 66),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 193, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1373,6 +1441,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(55, 135, 68, 27, 183, 85, 18, 190),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1394,6 +1474,7 @@
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 17 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                18 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::part_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1412,11 +1493,13 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[
+            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18,
+        ];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] =
-            &[3, 11, 0, 4, 9, 15, 10, 5, 14, 17, 1, 13, 12, 6, 8, 7, 16, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[
+            18, 3, 11, 0, 4, 9, 15, 10, 5, 14, 17, 1, 13, 12, 6, 8, 7, 16, 2,
+        ];
         pub(crate) const TYPE_ID: u64 = 0xfb00_7bc1_3044_86ea;
     }
 }
@@ -1732,7 +1815,7 @@
 }
 
 pub mod verdict {
-    pub use self::Which::{Refusal, Start, Unknown};
+    pub use self::Which::{HoldBack, Refusal, Start, Unknown};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1855,6 +1938,31 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<
+                'a,
+                crate::entry::peers::schedule_capnp::part_crash::Owned,
+            >,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn has_hold_back(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 3 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Start(
@@ -1870,6 +1978,12 @@
                     ),
                 )),
                 2 => ::core::result::Result::Ok(Unknown(())),
+                3 => ::core::result::Result::Ok(HoldBack(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -1882,7 +1996,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 2,
-                pointers: 1,
+                pointers: 2,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -2025,6 +2139,73 @@
             self.builder.set_data_field::<u16>(4, 2);
         }
         #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<
+                'a,
+                crate::entry::peers::schedule_capnp::part_crash::Owned,
+            >,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_crashes(
+            &mut self,
+            value: ::capnp::struct_list::Reader<
+                '_,
+                crate::entry::peers::schedule_capnp::part_crash::Owned,
+            >,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_crashes(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::entry::peers::schedule_capnp::part_crash::Owned>
+        {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn set_hold_back(
+            &mut self,
+            value: crate::entry::peers::schedule_capnp::hold_back::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(4, 3);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_hold_back(self) -> crate::entry::peers::schedule_capnp::hold_back::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 3);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_hold_back(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 3 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Start(
@@ -2040,6 +2221,12 @@
                     ),
                 )),
                 2 => ::core::result::Result::Ok(Unknown(())),
+                3 => ::core::result::Result::Ok(HoldBack(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -2057,52 +2244,66 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(56, 139, 120, 98, 184, 20, 139, 145),
             ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 4, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 86),
             ::capnp::word(101, 114, 100, 105, 99, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2135,6 +2336,27 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(55, 135, 68, 27, 183, 85, 18, 190),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 108, 100, 66, 97, 99, 107),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(215, 177, 182, 2, 199, 142, 102, 177),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2142,6 +2364,8 @@
                 1 => <crate::entry::peers::schedule_capnp::start::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::entry::peers::schedule_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::part_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <crate::entry::peers::schedule_capnp::hold_back::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2160,27 +2384,30 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3, 5];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 5, 0, 2, 1, 3];
         pub(crate) const TYPE_ID: u64 = 0x918b_14b8_6278_8b38;
     }
-    pub enum Which<A0, A1> {
+    pub enum Which<A0, A1, A2> {
         Start(A0),
         Refusal(A1),
         Unknown(()),
+        HoldBack(A2),
     }
     pub type WhichReader<'a> = Which<
         ::capnp::Result<crate::entry::peers::schedule_capnp::start::Reader<'a>>,
         ::capnp::Result<crate::entry::peers::schedule_capnp::refusal::Reader<'a>>,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::hold_back::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         ::capnp::Result<crate::entry::peers::schedule_capnp::start::Builder<'a>>,
         ::capnp::Result<crate::entry::peers::schedule_capnp::refusal::Builder<'a>>,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::hold_back::Builder<'a>>,
     >;
 }
 
-pub mod start {
+pub mod part_crash {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -2284,24 +2511,28 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_epoch(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
+        pub fn get_part(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_number(self) -> u64 {
+        pub fn get_run(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_server(self) -> u64 {
+        pub fn get_age(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_after(self) -> u64 {
+        pub fn get_remaining(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn get_unread_tokens(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
+        pub fn get_is_blamed(self) -> bool {
+            self.reader.get_bool_field(256)
+        }
+        #[inline]
+        pub fn get_was_trial(self) -> bool {
+            self.reader.get_bool_field(257)
         }
     }
 
@@ -2311,7 +2542,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 4,
+                data: 5,
                 pointers: 0,
             };
     }
@@ -2395,44 +2626,52 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_epoch(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
+        pub fn get_part(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_epoch(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(0, value);
+        pub fn set_part(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_number(self) -> u64 {
+        pub fn get_run(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_number(&mut self, value: u64) {
+        pub fn set_run(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_server(self) -> u64 {
+        pub fn get_age(self) -> u64 {
             self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_server(&mut self, value: u64) {
+        pub fn set_age(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_after(self) -> u64 {
+        pub fn get_remaining(self) -> u64 {
             self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn set_after(&mut self, value: u64) {
+        pub fn set_remaining(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
-        pub fn get_unread_tokens(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
+        pub fn get_is_blamed(self) -> bool {
+            self.builder.get_bool_field(256)
         }
         #[inline]
-        pub fn set_unread_tokens(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(1, value);
+        pub fn set_is_blamed(&mut self, value: bool) {
+            self.builder.set_bool_field(256, value);
+        }
+        #[inline]
+        pub fn get_was_trial(self) -> bool {
+            self.builder.get_bool_field(257)
+        }
+        #[inline]
+        pub fn set_was_trial(&mut self, value: bool) {
+            self.builder.set_bool_field(257, value);
         }
     }
 
@@ -2448,68 +2687,76 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(28, 222, 180, 33, 81, 60, 1, 159),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(55, 135, 68, 27, 183, 85, 18, 190),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
-            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
-            ::capnp::word(116, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 80),
+            ::capnp::word(97, 114, 116, 67, 114, 97, 115, 104),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2517,7 +2764,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
+            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2525,7 +2772,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 97, 105, 110, 105, 110),
+            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2533,7 +2781,723 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 110, 114, 101, 97, 100, 84, 111),
+            ::capnp::word(105, 115, 66, 108, 97, 109, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 115, 84, 114, 105, 97, 108),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 0, 3, 1, 5];
+        pub(crate) const TYPE_ID: u64 = 0xbe12_55b7_1b44_8737;
+    }
+}
+
+pub mod hold_back {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_retry_after(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_part(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_retry_after(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_retry_after(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(215, 177, 182, 2, 199, 142, 102, 177),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 72),
+            ::capnp::word(111, 108, 100, 66, 97, 99, 107, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 114, 121, 65, 102, 116),
+            ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xb166_8ec7_02b6_b1d7;
+    }
+}
+
+pub mod start {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_epoch(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_server(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_after(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_unread_tokens(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 4,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_epoch(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_epoch(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_server(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_server(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_after(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_after(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_unread_tokens(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_unread_tokens(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(28, 222, 180, 33, 81, 60, 1, 159),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+            ::capnp::word(116, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 114, 101, 97, 100, 84, 111),
             ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2944,7 +3908,7 @@
 }
 
 pub mod progress {
-    pub use self::Which::{BegunAfter, Ended, Failed, ServerLeaving, Unreachable};
+    pub use self::Which::{BegunAfter, BrokenAtStart, Ended, Failed, ServerLeaving, Unreachable};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3070,6 +4034,7 @@
                 }
                 3 => ::core::result::Result::Ok(Unreachable(())),
                 4 => ::core::result::Result::Ok(Failed(())),
+                5 => ::core::result::Result::Ok(BrokenAtStart(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -3211,6 +4176,10 @@
             self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
+        pub fn set_broken_at_start(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(2, 5);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(2) {
                 0 => ::core::result::Result::Ok(BegunAfter(self.builder.get_data_field::<u64>(2))),
@@ -3220,6 +4189,7 @@
                 }
                 3 => ::core::result::Result::Ok(Unreachable(())),
                 4 => ::core::result::Result::Ok(Failed(())),
+                5 => ::core::result::Result::Ok(BrokenAtStart(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -3237,80 +4207,87 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 140] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 156] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(171, 200, 198, 211, 208, 13, 188, 240),
             ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 5, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 6, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 80),
             ::capnp::word(114, 111, 103, 114, 101, 115, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 255, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 253, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 250, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3378,6 +4355,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 114, 111, 107, 101, 110, 65, 116),
+            ::capnp::word(83, 116, 97, 114, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3389,6 +4375,7 @@
                 5 => <() as ::capnp::introspect::Introspect>::introspect(),
                 6 => <() as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3408,8 +4395,8 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 7];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[2, 3, 4, 5, 6];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 6, 7, 1, 4, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[2, 3, 4, 5, 6, 8];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 8, 3, 0, 6, 7, 1, 4, 5];
         pub(crate) const TYPE_ID: u64 = 0xf0bc_0dd0_d3c6_c8ab;
     }
     pub enum Which {
@@ -3418,6 +4405,7 @@
         ServerLeaving(u64),
         Unreachable(()),
         Failed(()),
+        BrokenAtStart(()),
     }
     pub type WhichReader = Which;
     pub type WhichBuilder = Which;
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -38,6 +38,8 @@
     /// No server can take the request now, and at least one only because it has asked this host to
     /// send it nothing for a time.
     ServersPaused,
+    /// A part of the prompt makes servers crash, or is suspected of it.
+    PromptCrashesServers,
     /// A server refused the request without running it, and no further attempt could be made: the
     /// attempts or the retry budget of the service were used up, or no other server could be
     /// chosen.
@@ -66,6 +68,7 @@
             | Self::HostBusy
             | Self::ServersCold
             | Self::ServersPaused
+            | Self::PromptCrashesServers
             | Self::RefusedByServer
             | Self::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::ExpiredSent => StatusCode::GATEWAY_TIMEOUT,
@@ -94,6 +97,7 @@
             Self::HostBusy => "host-busy",
             Self::ServersCold => "servers-cold",
             Self::ServersPaused => "servers-paused",
+            Self::PromptCrashesServers => "prompt-crashes-servers",
             Self::RefusedByServer => "refused-by-server",
             Self::ExpiredUnsent => "expired-unsent",
             Self::ExpiredSent => "expired-sent",
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -33,8 +33,8 @@
 use super::host::EntryHost;
 use super::refusal::Reason;
 use super::request_placement::Placement;
-use super::response::log_answered;
 use super::response::log_failed;
+use super::response::on_answered;
 use super::servers::ServerKey;
 use crate::gateway::Connection;
 use crate::platform::format_error_chain;
@@ -217,7 +217,7 @@
             reuse_connection(&self.host, upstream.connection, &upstream.head);
             upstream.in_flight.end(RequestOutcome::Answered);
             // Streams are counted under status 200, whatever success status the server sent.
-            log_answered(&self.host, &self.call, &self.placed, StatusCode::OK);
+            on_answered(&self.host, &self.call, &self.placed, StatusCode::OK);
         }
     }
 
@@ -225,10 +225,11 @@
     /// passed deadline does not count as a failure of the server.
     fn fail(&mut self, error: &RelayError) {
         if let Some(upstream) = self.upstream.take() {
-            upstream.in_flight.end(match error {
-                RelayError::Broken { .. } => RequestOutcome::Failed,
+            let outcome = match error {
+                RelayError::Broken { .. } => upstream.in_flight.broken_outcome(),
                 RelayError::TimedOut => RequestOutcome::Abandoned,
-            });
+            };
+            upstream.in_flight.end(outcome);
         }
     }
 
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -25,8 +25,10 @@
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::schedule::EngineView;
+use super::schedule::PartCrash;
 use super::schedule::Progress;
 use super::schedule::ProgressStep;
+use super::schedule::QuarantineChange;
 use super::schedule::ScheduleDecision;
 use super::schedule::ScheduleRequest;
 use super::schedule::ScheduleSummary;
@@ -121,6 +123,11 @@
         prompt: &Prompt,
         tried: &[ServerKey],
     ) -> Result<ScheduleRequest, Refusal> {
+        let parts = prompt.shared_parts().iter().map(|part| part.id);
+        if let Some((_, left)) = self.scheduler.quarantine().held_back(now, parts) {
+            let reason = Reason::PromptCrashesServers;
+            return Err(Refusal::with_retry_after(reason, left));
+        }
         self.on_prompt_read(admitted, prompt);
         let usable = self.usable(now, &admitted.service, tried);
         if usable.candidates.is_empty() {
@@ -190,6 +197,7 @@
             })
             .map(|server| EngineView {
                 hash: server.hash,
+                run: server.run_hash(),
                 domain: server.domain_hash,
                 // Both the server and the configuration limit how many requests run at once.
                 slots: server.entry.slots.min(engine.slots),
@@ -278,6 +286,28 @@
             .collect()
     }
 
+    /// Crashes of engines to tell the other hosts of, with the parts of prompts under which they
+    /// happened.
+    pub fn crashes_to_share(&self, now: Timestamp) -> Vec<PartCrash> {
+        self.scheduler.crashes_to_share(now)
+    }
+
+    /// Adds the crashes of which another host has told.
+    pub fn on_crashes_shared(&mut self, now: Timestamp, crashes: &[PartCrash]) {
+        self.scheduler.on_crashes_shared(now, crashes);
+    }
+
+    /// Records a complete response to a prompt: its parts do no harm.
+    pub fn on_prompt_answered(&mut self, now: Timestamp, prompt: &Prompt) {
+        let parts: Vec<_> = prompt.shared_parts().iter().map(|part| part.id).collect();
+        self.scheduler.quarantine().on_answered(now, &parts);
+    }
+
+    /// What has changed since the last call about parts of prompts that make engines crash.
+    pub fn take_quarantine_changes(&mut self) -> Vec<QuarantineChange> {
+        self.scheduler.quarantine().take_changes()
+    }
+
     /// Records a report of the scheduler at `from` on its shards of a service.
     pub fn on_shares(&mut self, now: Timestamp, from: SocketAddr, service: u64, shards: ShardWork) {
         self.scheduler.on_shares(now, from, service, shards);
--- a/lib/src/entry/response.rs
+++ b/lib/src/entry/response.rs
@@ -27,6 +27,7 @@
 use axum::http::StatusCode;
 use axum::http::response;
 use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use log::info;
 
@@ -43,6 +44,7 @@
 use super::host::EntryHost;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::relay::RelayError;
 use super::relay::StreamRelay;
 use super::request_placement::Placement;
 use crate::gateway::end_to_end;
@@ -74,6 +76,8 @@
     pub(crate) was_sent: bool,
     /// Whether the server may have run the request.
     pub(crate) may_have_run: bool,
+    /// Whether the connection broke just as the server began to answer.
+    pub(crate) is_broken_at_start: bool,
 }
 
 /// Ends an attempt that got no response.
@@ -100,6 +104,7 @@
         }),
         was_sent,
         may_have_run: was_sent,
+        is_broken_at_start: false,
     }
 }
 
@@ -121,6 +126,7 @@
         }),
         was_sent: true,
         may_have_run,
+        is_broken_at_start: false,
     };
     if response.head.id.as_ref() != Some(&call.head.id) {
         in_flight.end(RequestOutcome::Failed);
@@ -187,7 +193,7 @@
             reuse_connection(host, response.connection, &response.head);
             if !status.is_server_error() {
                 in_flight.end(RequestOutcome::Answered);
-                log_answered(host, call, placed, status);
+                on_answered(host, call, placed, status);
                 return Ok(to_caller);
             }
             in_flight.end(RequestOutcome::Failed);
@@ -196,13 +202,16 @@
                 caller_result: Ok(to_caller),
                 was_sent: true,
                 may_have_run: true,
+                is_broken_at_start: false,
             });
         }
-        Ok(Err(err)) => (
-            RequestOutcome::Failed,
-            Reason::ServerFailed,
-            err.to_string(),
-        ),
+        Ok(Err(err)) => {
+            let outcome = match err.is::<LengthLimitError>() {
+                true => RequestOutcome::Failed,
+                false => in_flight.broken_outcome(),
+            };
+            (outcome, Reason::ServerFailed, err.to_string())
+        }
         Err(_) => (
             RequestOutcome::TimedOut,
             Reason::ExpiredSent,
@@ -215,6 +224,7 @@
         caller_result: Err(Refusal::new(reason)),
         was_sent: true,
         may_have_run: true,
+        is_broken_at_start: outcome == RequestOutcome::BrokenAtStart,
     })
 }
 
@@ -241,6 +251,7 @@
                 caller_result: Err(Refusal::new(reason)),
                 was_sent: true,
                 may_have_run: true,
+                is_broken_at_start: matches!(failure, RelayError::Broken { .. }),
             })
         }
     }
@@ -252,16 +263,20 @@
     parts
 }
 
-/// Logs and counts a complete response with the time since the caller's request arrived.
+/// Records, logs and counts a complete response with the time since the caller's request arrived.
 /// `placed.entry` is the announcement of the server.
-pub(crate) fn log_answered(host: &EntryHost, call: &Call, placed: &Placement, status: StatusCode) {
-    let elapsed = host.clock.now().since(call.admitted.arrived);
+pub(crate) fn on_answered(host: &EntryHost, call: &Call, placed: &Placement, status: StatusCode) {
+    let now = host.clock.now();
+    let elapsed = now.since(call.admitted.arrived);
     info!(target: "request", id = call.head.id.as_str(),
         server = placed.entry.instance.as_str(), status = status.as_u16(), ms = millis(elapsed);
         "answered");
     host.stats
         .on_response(&call.admitted.route.name, status.as_str(), elapsed);
     count_attempt(host, call, "answered");
+    if let Some(prompt) = call.head.prompt.as_ref().filter(|_| status.is_success()) {
+        host.fleet().on_prompt_answered(now, prompt);
+    }
 }
 
 /// Logs and counts a failed attempt with the time since the caller's request arrived. The error is
--- a/lib/src/entry/schedule/mod.rs
+++ b/lib/src/entry/schedule/mod.rs
@@ -7,11 +7,16 @@
 
 mod engine;
 mod engine_health;
+mod quarantine;
 mod request;
 mod scheduler;
 mod shard_search;
 mod shares;
 
+pub use quarantine::Clearance;
+pub use quarantine::PartCrash;
+pub use quarantine::PartQuarantine;
+pub use quarantine::QuarantineChange;
 pub use request::Progress;
 pub use request::ProgressStep;
 pub use request::ReservationId;
--- a/lib/src/entry/schedule/request.rs
+++ b/lib/src/entry/schedule/request.rs
@@ -126,6 +126,11 @@
         u64::from(self.input_tokens) + u64::from(self.output_tokens)
     }
 
+    /// Identifiers of the shared parts.
+    pub fn shared_ids(&self) -> impl Iterator<Item = u64> + '_ {
+        self.shared_parts.iter().map(|part| part.id)
+    }
+
     /// Total length of the shared parts, tokens.
     pub fn shared_tokens(&self) -> u32 {
         self.shared_parts.iter().map(|part| part.tokens).sum()
@@ -174,6 +179,13 @@
         /// others, or engines of another shard are free.
         tries_others: bool,
     },
+    /// A part of the prompt makes engines crash, or is suspected of it.
+    HoldBack {
+        /// Identifier of the part.
+        part: u64,
+        /// How long the caller should wait before it tries again.
+        retry_after: Duration,
+    },
     /// No engine of the shard may get the request: the scheduler knows none that is available, or
     /// the request excludes all of them. Unlike after a refusal, the asking host tries the next
     /// shard.
@@ -208,6 +220,8 @@
     Unreachable,
     /// The server failed the request, or sent no valid response. `Ended` follows.
     Failed,
+    /// The connection broke just as the server began to answer. `Ended` follows.
+    BrokenAtStart,
     /// The request is no longer at the server: it has completed, failed, or was never sent.
     Ended,
 }
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -36,6 +36,9 @@
 use super::super::health::median;
 use super::engine::EngineState;
 use super::engine::FIRST_EVENT_DELAY;
+use super::quarantine::Clearance;
+use super::quarantine::PartCrash;
+use super::quarantine::PartQuarantine;
 use super::request::Progress;
 use super::request::ProgressStep;
 use super::request::ReservationId;
@@ -94,6 +97,8 @@
 pub struct EngineView {
     /// Hash of the engine's instance identifier.
     pub hash: u64,
+    /// Hash that identifies the run of the engine: another one after a restart.
+    pub run: u64,
     /// Hash of the engine's failure domain.
     pub domain: u64,
     /// Most requests that the engine runs at the same time.
@@ -103,12 +108,18 @@
 }
 
 /// Engine time and memory that are reserved for a request until it has left the engine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Reservation {
     /// Hash of the service's name.
     service: u64,
     /// Hash of the engine's instance identifier.
     server: u64,
+    /// Hash that identifies the run of the engine.
+    run: u64,
+    /// Identifiers of the shared parts of the prompt.
+    parts: Box<[u64]>,
+    /// Whether the request is sent to find out whether its prompt makes engines crash.
+    is_trial: bool,
     /// Hash of the failure domain of the asking host.
     domain: u64,
     /// Prompt tokens that the engine had not cached.
@@ -119,7 +130,10 @@
     planned: Duration,
     /// Planned time for processing the prompt.
     prefill: Duration,
-    response_started: bool,
+    /// When the response started, as far as is reported.
+    response_started_at: Option<Timestamp>,
+    /// Whether the server has failed the request.
+    has_failed: bool,
     /// When the reservation is dropped unless the end of the request was reported before.
     expires_at: Timestamp,
 }
@@ -172,6 +186,8 @@
     epoch: u32,
     services: HashMap<u64, ServiceState>,
     reservations: SlotMap<ReservationKey, Reservation>,
+    /// Parts of prompts that make engines crash.
+    quarantine: PartQuarantine,
     /// When expired reservations were last removed.
     swept_at: Timestamp,
 }
@@ -233,6 +249,7 @@
             epoch,
             services: HashMap::new(),
             reservations: SlotMap::with_key(),
+            quarantine: PartQuarantine::default(),
             swept_at: Timestamp::ZERO,
         }
     }
@@ -245,6 +262,11 @@
         engines: &[EngineView],
     ) -> ScheduleDecision {
         self.sweep(now);
+        let clearance = self.quarantine.clearance(now, request.shared_ids());
+        // Not counted as requested: the workspace would seem to get too little for it.
+        if let Clearance::HeldBack { part, retry_after } = clearance {
+            return ScheduleDecision::HoldBack { part, retry_after };
+        }
         let state = self.services.entry(request.service).or_default();
         state.remove_idle_engines(now);
         state.shard_count = request.shard.count;
@@ -309,25 +331,34 @@
                     || state.shares.least_contention_elsewhere(now) < SPREAD_CONTENTION_MAX as f32,
             };
         };
-        // Bounds the estimate of what the engine has cached.
-        let memory_capacity = usable
-            .iter()
-            .find(|engine| engine.hash == best.hash)
-            .map_or(0, |engine| engine.memory_tokens);
         let (hash, uncached) = (best.hash, best.uncached);
-        self.start(now, request, hash, uncached, memory_capacity)
+        let Some(engine) = usable.into_iter().find(|engine| engine.hash == hash) else {
+            return ScheduleDecision::NoEngine;
+        };
+        self.start(
+            now,
+            request,
+            &engine,
+            uncached,
+            clearance == Clearance::Trial,
+        )
     }
 
-    /// Reserves an engine for a request that may start there. `memory_capacity` is the size of the
-    /// engine's memory, tokens.
+    /// Reserves an engine for a request that may start there.
     fn start(
         &mut self,
         now: Timestamp,
         request: &ScheduleRequest,
-        server: u64,
+        view: &EngineView,
         uncached: u32,
-        memory_capacity: u64,
+        is_trial: bool,
     ) -> ScheduleDecision {
+        let server = view.hash;
+        let parts: Box<[u64]> = request.shared_ids().collect();
+        if is_trial {
+            let give_up_at = now + request.until_give_up;
+            self.quarantine.on_trial(now, &parts, give_up_at);
+        }
         let state = self.services.entry(request.service).or_default();
         let tokens = request.work_tokens();
         state.shares.on_granted(now, request.workspace, tokens);
@@ -335,7 +366,8 @@
         let engine = state.engines.entry(server).or_default();
         let wait = engine.wait(now);
         let prefill = engine.prefill_time(uncached, request.input_tokens);
-        engine.start(now, request, uncached, memory_capacity);
+        // The size of the memory bounds the estimate of what the engine has cached.
+        engine.start(now, request, uncached, view.memory_tokens);
         state
             .usual_prefills
             .entry(request.kind)
@@ -345,12 +377,16 @@
         let key = self.reservations.insert(Reservation {
             service: request.service,
             server,
+            run: view.run,
+            parts,
+            is_trial,
             domain: request.domain,
             uncached_tokens: uncached,
             memory_tokens: request.memory_tokens(),
             planned: wait - send_after + prefill + FIRST_EVENT_DELAY,
             prefill,
-            response_started: false,
+            response_started_at: None,
+            has_failed: false,
             // At this time the caller or the route times out, and the asking host ends the request
             // even if its response is still running.
             expires_at: now + request.until_give_up,
@@ -403,6 +439,21 @@
         summaries
     }
 
+    /// Crashes to tell the other hosts of, with the parts of prompts under which they happened.
+    pub fn crashes_to_share(&self, now: Timestamp) -> Vec<PartCrash> {
+        self.quarantine.crashes_to_share(now)
+    }
+
+    /// Adds the crashes of which another host has told.
+    pub fn on_crashes_shared(&mut self, now: Timestamp, crashes: &[PartCrash]) {
+        self.quarantine.on_shared(now, crashes);
+    }
+
+    /// Parts of prompts that make engines crash.
+    pub fn quarantine(&mut self) -> &mut PartQuarantine {
+        &mut self.quarantine
+    }
+
     /// Hash of the server of a reservation, `None` if the reservation is not known.
     pub fn server_of(&self, reservation: ReservationId) -> Option<u64> {
         if reservation.epoch != self.epoch {
@@ -428,7 +479,7 @@
         let engine = state.engines.get_mut(&reservation.server);
         match progress.step {
             ProgressStep::ResponseStarted { after, host_lag } => {
-                reservation.response_started = true;
+                reservation.response_started_at.get_or_insert(now);
                 let (uncached, planned) = (reservation.uncached_tokens, reservation.planned);
                 let is_measured = host_lag <= MEASURING_LAG_MAX;
                 match is_measured {
@@ -450,18 +501,30 @@
                     engine.health.on_unreachable(now, reservation.domain);
                 }
             }
-            ProgressStep::Failed => {
+            ProgressStep::Failed | ProgressStep::BrokenAtStart => {
+                reservation.has_failed = true;
                 if let Some(engine) = engine {
                     engine.health.on_failed(now);
                 }
+                if progress.step == ProgressStep::BrokenAtStart {
+                    let (run, is_trial) = (reservation.run, reservation.is_trial);
+                    self.quarantine
+                        .on_crash(now, run, &reservation.parts, is_trial);
+                }
             }
             ProgressStep::Ended => {
                 if let Some(engine) = engine {
                     engine.end(reservation.memory_tokens);
-                    if !reservation.response_started {
+                    if reservation.response_started_at.is_none() {
                         engine.cancel_prefill(now, reservation.prefill);
                     }
                 }
+                if reservation.response_started_at.is_some() && !reservation.has_failed {
+                    self.quarantine.on_answered(now, &reservation.parts);
+                }
+                if reservation.is_trial {
+                    self.quarantine.on_trial_ended(&reservation.parts);
+                }
                 self.reservations.remove(key);
             }
         }
@@ -475,6 +538,14 @@
             return;
         }
         self.swept_at = now;
+        self.quarantine.sweep(now);
+        for reservation in self.reservations.values() {
+            let began_before = reservation.response_started_at;
+            let goes_on = began_before.is_some_and(|at| now.since(at) >= ANSWER_PROVEN_AFTER);
+            if goes_on && !reservation.has_failed {
+                self.quarantine.on_answered(now, &reservation.parts);
+            }
+        }
         for state in self.services.values_mut() {
             state.shares.sweep(now);
         }
@@ -520,6 +591,9 @@
 /// Longest lag of a host's timers at which the times that it reports say how busy an engine is. Hosts
 /// with processor time left have a few milliseconds.
 const MEASURING_LAG_MAX: Duration = Duration::from_millis(20);
+/// A response that goes on for this long after its start shows that its prompt does no harm. Reports
+/// of a failure arrive within it.
+const ANSWER_PROVEN_AFTER: Duration = Duration::from_millis(250);
 /// Interval between removals of expired reservations.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
--- a/lib/src/entry/schedule/shard_search.rs
+++ b/lib/src/entry/schedule/shard_search.rs
@@ -87,6 +87,10 @@
                     false => SearchStep::Refuse(refusal),
                 }
             }
+            // Engines of other shards would crash too.
+            ScheduleDecision::HoldBack { retry_after, .. } => SearchStep::Refuse(
+                Refusal::with_retry_after(Reason::PromptCrashesServers, retry_after),
+            ),
             // The scheduler knows no usable engine in this shard; other shards may have one.
             ScheduleDecision::NoEngine => {
                 let refusal = Refusal::with_retry_after(Reason::NoServer, NO_ENGINE_RETRY_AFTER);
--- a/lib/src/entry/servers.rs
+++ b/lib/src/entry/servers.rs
@@ -13,6 +13,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::budget::ColdStartLimiter;
 use super::dialect::Pause;
@@ -163,6 +164,11 @@
         }
     }
 
+    /// Hash that identifies this run of the instance.
+    pub fn run_hash(&self) -> u64 {
+        xxh3_64_with_seed(&self.entry.started_at_ms.to_le_bytes(), self.hash)
+    }
+
     /// Whether new requests may be sent: the server has not said that it is leaving, its
     /// announcement has not expired, and no other instance has responded at its address.
     pub fn is_available(&self, now: Timestamp) -> bool {
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -52,6 +52,8 @@
     pub(crate) connections_refused: IntCounter,
     /// Pauses that servers asked this host for.
     pub(crate) server_pauses: IntCounter,
+    /// Times that a part of prompts was found to make servers crash and is held back.
+    pub(crate) prompt_parts_held_back: IntCounter,
     /// Headers of servers' responses and of platform responses whose values could not be read, by
     /// name.
     pub(crate) headers_unreadable: IntCounterVec,
@@ -129,6 +131,10 @@
                 "server_pauses_total",
                 "Times that a server asked to be sent nothing for a time",
             )?,
+            prompt_parts_held_back: counter(
+                "prompt_parts_held_back_total",
+                "Times that a part of prompts was held back because it makes servers crash",
+            )?,
             headers_unreadable: counters(
                 "headers_unreadable_total",
                 "Headers of responses that could not be read",
--- a/lib/src/time/mod.rs
+++ b/lib/src/time/mod.rs
@@ -1,6 +1,7 @@
 //! Points in time on the monotonic clock of one host.
 
 use std::ops::Add;
+use std::ops::Sub;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -55,6 +56,16 @@
     }
 }
 
+/// Saturates at [`Timestamp::ZERO`].
+impl Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
 /// The clock of this process. Only the code around the decision logic reads it; the decision logic
 /// is passed the time, which keeps it deterministic.
 ///
--- a/lib/tests/test_entry_engine_health.rs
+++ b/lib/tests/test_entry_engine_health.rs
@@ -66,6 +66,7 @@
     let engines: Vec<_> = (0..ENGINES)
         .map(|hash| EngineView {
             hash,
+            run: hash,
             domain: 9,
             slots: 64,
             memory_tokens: 230_000,
@@ -153,6 +154,7 @@
 fn engine_that_failed_many_requests_is_used_again_soon() {
     let engine = |hash| EngineView {
         hash,
+        run: hash,
         domain: 9,
         slots: 64,
         memory_tokens: 230_000,
@@ -205,6 +207,7 @@
     let engines: Vec<_> = (0..ENGINES)
         .map(|hash| EngineView {
             hash,
+            run: hash,
             domain: 0,
             slots: 64,
             memory_tokens: 230_000,
--- a/lib/tests/test_entry_fairness.rs
+++ b/lib/tests/test_entry_fairness.rs
@@ -81,6 +81,7 @@
         let engines: Vec<_> = (1..=u64::from(engines))
             .map(|n| EngineView {
                 hash: n.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                run: n,
                 domain: 0,
                 slots: 64,
                 memory_tokens: 500_000,
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cardamomshift_lib::entry::Datagram;
+use cardamomshift_lib::entry::PartCrash;
 use cardamomshift_lib::entry::Peer;
 use cardamomshift_lib::entry::Peers;
 use cardamomshift_lib::entry::Progress;
@@ -103,6 +104,8 @@
                 }
             }
         ),
+        (any::<u64>(), span())
+            .prop_map(|(part, retry_after)| ScheduleDecision::HoldBack { part, retry_after }),
         Just(ScheduleDecision::NoEngine),
     ]
 }
@@ -114,6 +117,7 @@
         any::<u64>().prop_map(|started_at_ms| ProgressStep::ServerLeaving { started_at_ms }),
         Just(ProgressStep::Unreachable),
         Just(ProgressStep::Failed),
+        Just(ProgressStep::BrokenAtStart),
         Just(ProgressStep::Ended),
     ];
     (reservation(), step).prop_map(|(reservation, step)| Progress { reservation, step })
@@ -121,8 +125,20 @@
 
 fn datagram() -> impl Strategy<Value = Datagram> {
     prop_oneof![
-        (any::<u64>(), schedule_request()).prop_map(|(id, request)| Datagram::Bid { id, request }),
-        (any::<u64>(), decision()).prop_map(|(id, decision)| Datagram::Verdict { id, decision }),
+        (any::<u64>(), schedule_request(), crashes()).prop_map(|(id, request, crashes)| {
+            Datagram::Bid {
+                id,
+                request,
+                crashes,
+            }
+        }),
+        (any::<u64>(), decision(), crashes()).prop_map(|(id, decision, crashes)| {
+            Datagram::Verdict {
+                id,
+                decision,
+                crashes,
+            }
+        }),
         proptest::collection::vec(progress(), 0..40).prop_map(Datagram::Progress),
         any::<u64>().prop_map(|id| Datagram::Leaving { id }),
         (
@@ -137,6 +153,19 @@
     ]
 }
 
+fn crashes() -> impl Strategy<Value = Vec<PartCrash>> {
+    let crash = (any::<[u64; 2]>(), span(), span(), any::<[bool; 2]>());
+    let crash = crash.prop_map(|(n, age, remaining, flags)| PartCrash {
+        part: n[0],
+        run: n[1],
+        age,
+        remaining,
+        is_blamed: flags[0],
+        was_trial: flags[1],
+    });
+    proptest::collection::vec(crash, 0..20)
+}
+
 fn work() -> impl Strategy<Value = WorkspaceWork> {
     (any::<u64>(), any::<u64>(), any::<u64>()).prop_map(|(workspace, requested, granted)| {
         WorkspaceWork {
--- /dev/null
+++ b/lib/tests/test_entry_quarantine.rs
@@ -0,0 +1,362 @@
+//! Prompts with a part that makes engines (servers that run a model) crash.
+//!
+//! The load: six hosts send 200 requests a second to the scheduler of 12 engines. One request in twenty
+//! has a part that ends the engine as it begins to answer; the engine is back after three seconds. The
+//! other parts of such a prompt and its workspace also occur in sound requests.
+
+use std::time::Duration;
+
+use cardamomshift_lib::entry::EngineView;
+use cardamomshift_lib::entry::PartCrash;
+use cardamomshift_lib::entry::PartQuarantine;
+use cardamomshift_lib::entry::Progress;
+use cardamomshift_lib::entry::ProgressStep;
+use cardamomshift_lib::entry::PromptPart;
+use cardamomshift_lib::entry::ReservationId;
+use cardamomshift_lib::entry::ScheduleDecision;
+use cardamomshift_lib::entry::ScheduleRequest;
+use cardamomshift_lib::entry::Scheduler;
+use cardamomshift_lib::entry::Shard;
+use cardamomshift_lib::time::Timestamp;
+
+const HOSTS: usize = 6;
+const ENGINES: u64 = 12;
+/// Interval between requests, milliseconds.
+const INTERVAL_MS: u64 = 5;
+/// Time from sending a request to the beginning of its answer, and to its end, milliseconds.
+const ANSWER_MS: [u64; 2] = [100, 600];
+/// How long a crashed engine is away, milliseconds.
+const RESTART_MS: u64 = 3_000;
+/// Part that all prompts begin with.
+const FIRST_PART: u64 = 1;
+/// Part that makes engines crash.
+const HARMFUL_PART: u64 = 666;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_micros(millis * 1_000)
+}
+
+fn request(parts: &[u64]) -> ScheduleRequest {
+    let part = |id: &u64| PromptPart {
+        id: *id,
+        tokens: 100,
+    };
+    ScheduleRequest {
+        service: 1,
+        shard: Shard { index: 0, count: 1 },
+        workspace: 1,
+        domain: 0,
+        input_tokens: 600,
+        output_tokens: 10,
+        shared_parts: parts.iter().map(part).collect(),
+        until_objective: Duration::from_millis(800),
+        until_give_up: Duration::from_secs(6),
+        rank: 0,
+        is_caller_retry: false,
+        last_server: 0,
+        kind: 1,
+        was_refused: false,
+        refused_tokens: 0,
+        excluded: Vec::new(),
+    }
+}
+
+struct InFlight {
+    reservation: ReservationId,
+    /// Index of the host whose scheduler made the reservation.
+    scheduler: usize,
+    engine: u64,
+    sent_at: u64,
+    is_harmful: bool,
+    has_started: bool,
+}
+
+#[derive(Default)]
+struct Outcome {
+    /// Times at which requests with the harmful part were sent to engines.
+    harmful_sent: Vec<u64>,
+    crashes: Vec<u64>,
+    /// Times at which sound requests came in, and whether they were sent.
+    sound: Vec<(u64, bool)>,
+}
+
+impl Outcome {
+    /// Part of the sound requests within a span of time that were sent.
+    fn sound_sent(&self, span: std::ops::Range<u64>) -> f64 {
+        let within = self.sound.iter().filter(|(time, _)| span.contains(time));
+        let (mut all, mut sent) = (0, 0);
+        for (_, is_sent) in within {
+            all += 1;
+            sent += u32::from(*is_sent);
+        }
+        f64::from(sent) / f64::from(all)
+    }
+}
+
+/// Plays the load. `scheduler_at` gives the index of the host that schedules at a time, `restarts` the
+/// hosts that restart at a time and so forget everything.
+struct Play {
+    seconds: u64,
+    harmful_parts: fn(u64) -> Vec<u64>,
+    scheduler_at: fn(u64) -> usize,
+    restarts: fn(u64) -> Option<usize>,
+}
+
+impl Play {
+    fn run(&self) -> Outcome {
+        let mut hosts: Vec<_> = (0..HOSTS as u32).map(Scheduler::new).collect();
+        // Run of each engine, and the time from which on it is there.
+        let mut engines = vec![(0_u64, 0_u64); ENGINES as usize];
+        let mut in_flight: Vec<InFlight> = Vec::new();
+        let mut outcome = Outcome::default();
+        for n in 0..self.seconds * 1_000 / INTERVAL_MS {
+            let now = n * INTERVAL_MS;
+            if let Some(index) = (self.restarts)(now) {
+                hosts[index] = Scheduler::new(1_000 + n as u32);
+            }
+            advance(&mut hosts, &mut engines, &mut in_flight, now, &mut outcome);
+            let is_harmful = n % 20 == 7 && now >= 2_000;
+            let parts = match is_harmful {
+                true => (self.harmful_parts)(n),
+                false => vec![FIRST_PART, 100 + n % 40],
+            };
+            let (host, scheduler) = (n as usize * 5 % HOSTS, (self.scheduler_at)(now));
+            let views: Vec<_> = (0..ENGINES)
+                .filter(|engine| engines[*engine as usize].1 <= now)
+                .map(|engine| EngineView {
+                    hash: engine,
+                    run: engines[engine as usize].0 * 100 + engine,
+                    domain: 0,
+                    slots: 64,
+                    memory_tokens: 230_000,
+                })
+                .collect();
+            let decision = decide(&mut hosts, host, scheduler, now, &request(&parts), &views);
+            let started = match decision {
+                Some(ScheduleDecision::Start {
+                    reservation,
+                    server,
+                    ..
+                }) => Some((reservation, server)),
+                _ => None,
+            };
+            match is_harmful {
+                true => outcome.harmful_sent.extend(started.map(|_| now)),
+                false => outcome.sound.push((now, started.is_some())),
+            }
+            in_flight.extend(started.map(|(reservation, engine)| InFlight {
+                reservation,
+                scheduler,
+                engine,
+                sent_at: now,
+                is_harmful,
+                has_started: false,
+            }));
+        }
+        outcome
+    }
+}
+
+/// A host asks a scheduler, as hosts do over the network. `None` if the host refuses by itself.
+fn decide(
+    hosts: &mut [Scheduler],
+    host: usize,
+    scheduler: usize,
+    now: u64,
+    request: &ScheduleRequest,
+    engines: &[EngineView],
+) -> Option<ScheduleDecision> {
+    let now = at(now);
+    let parts = request.shared_ids();
+    if hosts[host].quarantine().held_back(now, parts).is_some() {
+        return None;
+    }
+    let told = hosts[host].crashes_to_share(now);
+    hosts[scheduler].on_crashes_shared(now, &told);
+    let decision = hosts[scheduler].decide(now, request, engines);
+    let told = hosts[scheduler].crashes_to_share(now);
+    hosts[host].on_crashes_shared(now, &told);
+    Some(decision)
+}
+
+/// Reports what has happened to the requests in flight.
+fn advance(
+    hosts: &mut [Scheduler],
+    engines: &mut [(u64, u64)],
+    in_flight: &mut Vec<InFlight>,
+    now: u64,
+    outcome: &mut Outcome,
+) {
+    let begins = |flight: &InFlight| !flight.has_started && now >= flight.sent_at + ANSWER_MS[0];
+    let crashed: Vec<_> = in_flight
+        .iter()
+        .filter(|flight| flight.is_harmful && begins(flight))
+        .map(|flight| flight.engine)
+        .collect();
+    for engine in &crashed {
+        outcome.crashes.push(now);
+        let (run, back_at) = &mut engines[*engine as usize];
+        (*run, *back_at) = (*run + 1, now + RESTART_MS);
+    }
+    in_flight.retain_mut(|flight| {
+        let mut report = |step| {
+            let reservation = flight.reservation;
+            let progress = Progress { reservation, step };
+            hosts[flight.scheduler].on_progress(at(now), &progress);
+        };
+        if crashed.contains(&flight.engine) {
+            report(match flight.is_harmful && !flight.has_started {
+                true => ProgressStep::BrokenAtStart,
+                false => ProgressStep::Failed,
+            });
+            report(ProgressStep::Ended);
+            return false;
+        }
+        if !flight.has_started && now >= flight.sent_at + ANSWER_MS[0] {
+            flight.has_started = true;
+            let after = Duration::from_millis(ANSWER_MS[0]);
+            let host_lag = Duration::ZERO;
+            report(ProgressStep::ResponseStarted { after, host_lag });
+        }
+        let has_ended = now >= flight.sent_at + ANSWER_MS[1];
+        if has_ended {
+            report(ProgressStep::Ended);
+        }
+        !has_ended
+    });
+}
+
+/// The bounds that the users state: three requests later than 3 s after the fifth crash, and from 6 s
+/// after it sound requests of the same kind served at least half as often as before.
+fn assert_bounds(outcome: &Outcome) {
+    let fifth = outcome.crashes.get(4).or(outcome.crashes.last()).copied();
+    let fifth = fifth.expect("no engine crashed");
+    let late = outcome
+        .harmful_sent
+        .iter()
+        .filter(|sent| **sent > fifth + 3_000);
+    assert!(
+        late.count() <= 3 && outcome.crashes.len() <= 8,
+        "sent at {:?}, crashed at {:?} ms",
+        outcome.harmful_sent,
+        outcome.crashes
+    );
+    let before = outcome.sound_sent(0..2_000);
+    let after = outcome.sound_sent(fifth + 6_000..u64::MAX);
+    assert!(
+        after >= before / 2.0,
+        "sound requests sent: {after} after {before}"
+    );
+}
+
+#[test]
+fn prompt_part_that_crashes_engines_is_held_back() {
+    let orders: [fn(u64) -> Vec<u64>; 3] = [
+        |_| vec![FIRST_PART, 107, HARMFUL_PART],
+        |n| vec![FIRST_PART, HARMFUL_PART, 100 + n % 40],
+        |n| vec![HARMFUL_PART, 100 + n % 40],
+    ];
+    for harmful_parts in orders {
+        let play = Play {
+            seconds: 30,
+            harmful_parts,
+            scheduler_at: |_| 0,
+            restarts: |_| None,
+        };
+        assert_bounds(&play.run());
+    }
+}
+
+#[test]
+fn prompt_part_that_crashes_engines_is_held_back_while_schedulers_change_and_restart() {
+    let play = Play {
+        seconds: 30,
+        harmful_parts: |_| vec![FIRST_PART, 107, HARMFUL_PART],
+        scheduler_at: |now| (now / 700) as usize % HOSTS,
+        restarts: |now| (now % 700 == 0).then_some((now / 1_400) as usize % HOSTS),
+    };
+    assert_bounds(&play.run());
+}
+
+/// Requests with the same part are on all engines that crash at once, for a reason of their own.
+#[test]
+fn engines_that_crash_at_once_hold_back_no_sound_part() {
+    let mut quarantine = PartQuarantine::default();
+    for run in 0..6 {
+        quarantine.on_crash(at(1_000), run, &[FIRST_PART, 7], false);
+    }
+    // One of the requests that were in flight elsewhere.
+    quarantine.on_answered(at(1_200), &[FIRST_PART, 7]);
+    assert_eq!(quarantine.held_back(at(1_200), [7].into_iter()), None);
+    let told = quarantine.crashes_to_share(at(1_200));
+    assert_eq!(told, []);
+}
+
+/// A sound request that had just begun on an engine that another one ended.
+#[test]
+fn part_that_sound_requests_share_is_not_blamed_for_the_crashes_of_others() {
+    let mut quarantine = PartQuarantine::default();
+    for run in 1..=4 {
+        let now = at(run * 1_000);
+        quarantine.on_crash(now, run, &[FIRST_PART, 107, HARMFUL_PART], run > 2);
+        quarantine.on_crash(now, run, &[FIRST_PART, 200 + run], false);
+        quarantine.on_answered(at(run * 1_000 + 1), &[FIRST_PART, 300]);
+    }
+    let held = |part| quarantine.held_back(at(4_100), [part].into_iter());
+    assert!(held(HARMFUL_PART).is_some());
+    assert_eq!((held(FIRST_PART), held(107)), (None, None));
+}
+
+/// Crashes three engines, the last one in a trial.
+fn held_quarantine() -> PartQuarantine {
+    let mut quarantine = PartQuarantine::default();
+    for (run, was_trial) in [(1, false), (2, false), (3, true)] {
+        let parts = [FIRST_PART, HARMFUL_PART];
+        quarantine.on_crash(at(run * 1_000), run, &parts, was_trial);
+    }
+    quarantine
+}
+
+#[test]
+fn part_is_tried_again_after_its_hold_and_each_hold_is_longer() {
+    let mut quarantine = held_quarantine();
+    let left = |quarantine: &PartQuarantine, now| {
+        let held = quarantine.held_back(at(now), [HARMFUL_PART].into_iter());
+        held.map(|(_, left)| left)
+    };
+    let first = left(&quarantine, 3_000).expect("the part is held back");
+    let end = 3_000 + first.as_millis() as u64;
+    assert_eq!(left(&quarantine, end), None);
+    quarantine.on_crash(at(end), 4, &[FIRST_PART, HARMFUL_PART], true);
+    let second = left(&quarantine, end).expect("the part is held back again");
+    assert!(second > first, "{second:?} after {first:?}");
+    quarantine.on_answered(at(end + 1_000), &[HARMFUL_PART]);
+    assert_eq!(left(&quarantine, end + 1_000), None);
+}
+
+/// Each host passes on what it was told, with delays of the network.
+#[test]
+fn crashes_that_hosts_tell_each_other_expire() {
+    let mut hosts = [held_quarantine(), PartQuarantine::default()];
+    for n in 0..400_000 {
+        let sent_at = 3_000 + n * 5;
+        let told: Vec<PartCrash> = hosts[n as usize % 2].crashes_to_share(at(sent_at));
+        hosts[(n as usize + 1) % 2].on_shared(at(sent_at + 2), &told);
+        hosts[n as usize % 2].sweep(at(sent_at));
+    }
+    let now = at(3_000 + 400_000 * 5);
+    for host in &hosts {
+        assert_eq!(host.held_back(now, [HARMFUL_PART].into_iter()), None);
+        assert_eq!(host.crashes_to_share(now), []);
+    }
+}
+
+#[test]
+fn quarantine_is_bounded() {
+    let mut quarantine = PartQuarantine::default();
+    for n in 0..5_000 {
+        quarantine.on_crash(at(n), n, &[FIRST_PART, 10_000 + n], false);
+    }
+    assert!(quarantine.crashes_to_share(at(5_000)).len() <= 16);
+    assert!(format!("{quarantine:?}").len() < 256 * 2_000);
+}
--- a/lib/tests/test_entry_schedule.rs
+++ b/lib/tests/test_entry_schedule.rs
@@ -23,6 +23,7 @@
 fn engine(hash: u64) -> EngineView {
     EngineView {
         hash,
+        run: hash,
         domain: 0,
         slots: 64,
         memory_tokens: 228_336,
@@ -133,7 +134,7 @@
         match scheduler.decide(at(0), &schedule_request(7, 3_000), &engines) {
             ScheduleDecision::Start { .. } => starts += 1,
             ScheduleDecision::Refuse { retry_after, .. } => break retry_after,
-            ScheduleDecision::NoEngine => panic!("the scheduler found no engine"),
+            other => panic!("the request was neither started nor refused: {other:?}"),
         }
         assert!(starts < 50, "50 requests started at once on one engine");
     };
@@ -229,7 +230,7 @@
                 // Responses take a second.
                 running.push_back((n + 100, reservation));
             }
-            ScheduleDecision::Refuse { .. } | ScheduleDecision::NoEngine => refused[index] += 1,
+            _ => refused[index] += 1,
         }
     }
     let refused_fraction = |index: usize| f64::from(refused[index]) / f64::from(requested[index]);
@@ -269,9 +270,7 @@
                 // Responses take half a second.
                 running.push_back((n + 42, reservation));
             }
-            ScheduleDecision::Refuse { .. } | ScheduleDecision::NoEngine => {
-                refused[rank as usize] += 1
-            }
+            _ => refused[rank as usize] += 1,
         }
     }
     assert!(refused[1] > 200, "no overload: {refused:?}");
