relay: fail streams that end within an event and events without end

A caller got half an event as the end of a whole answer: a response with neither a length nor chunks ends with its connection, and only resumable streams were checked for complete events. A stream that was closed before its first event looked like an empty answer, which also hid that its engine had crashed.

Events are now followed on every stream, whatever their line ends, without keeping their bytes. An event may have 1 MiB, the read buffer of a connection to a server 64 KiB.

--- a/lib/src/entry/events.rs
+++ b/lib/src/entry/events.rs
@@ -1,18 +1,80 @@
-//! Splits the bytes of a stream of server-sent events into complete events.
+//! Finds the ends of events in the bytes of a stream of server-sent events.
 //!
 //! If a backend server breaks off a resumable stream, another server can continue it, but only
-//! after a complete event. Therefore an incomplete one must not reach the caller.
+//! after a complete event. Therefore an incomplete one must not reach the caller. A stream may end
+//! with its connection; whether it is complete then shows only in whether its last event is.
 
 use bytes::Bytes;
 use bytes::BytesMut;
 use compact_str::CompactString;
 
-/// End of an event: an empty line (WHATWG HTML, section 9.2.6). Only lines that end with a line
-/// feed alone are recognised.
-const EVENT_END: &[u8] = b"\n\n";
 /// Start of the line that holds an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Follows the events of a stream without keeping their bytes. An event ends with an empty line, and
+/// lines end with a line feed, a carriage return or both (WHATWG HTML, section 9.2.6).
+#[derive(Debug)]
+pub(crate) struct EventTracker {
+    /// Whether lines have arrived that belong to an event whose end has not.
+    is_within_event: bool,
+    is_line_empty: bool,
+    /// Whether the last byte was a carriage return, so that a line feed belongs to the same line end.
+    is_after_return: bool,
+    /// Bytes since the end of the last event.
+    pending_bytes: usize,
+}
+
+impl Default for EventTracker {
+    fn default() -> Self {
+        Self {
+            is_within_event: false,
+            is_line_empty: true,
+            is_after_return: false,
+            pending_bytes: 0,
+        }
+    }
+}
+
+impl EventTracker {
+    /// Adds received bytes. Returns how many of them belong to events that are complete now, `None` if
+    /// no event ends in them.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut complete = None;
+        for (at, byte) in bytes.iter().enumerate() {
+            self.pending_bytes += 1;
+            let continues_line_end = self.is_after_return && *byte == b'\n';
+            self.is_after_return = *byte == b'\r';
+            if continues_line_end {
+                // The return ended an event, and the line feed belongs to it.
+                if self.pending_bytes == 1 {
+                    self.pending_bytes = 0;
+                    complete = Some(at + 1);
+                }
+                continue;
+            }
+            let is_line_end = matches!(byte, b'\r' | b'\n');
+            if is_line_end && self.is_line_empty && self.is_within_event {
+                self.is_within_event = false;
+                self.pending_bytes = 0;
+                complete = Some(at + 1);
+            }
+            self.is_within_event |= !is_line_end;
+            self.is_line_empty = is_line_end;
+        }
+        complete
+    }
+
+    /// Bytes since the end of the last event.
+    pub(crate) fn pending_bytes(&self) -> usize {
+        self.pending_bytes
+    }
+
+    /// Whether the last event received is incomplete.
+    pub(crate) fn is_within_event(&self) -> bool {
+        self.is_within_event
+    }
+}
+
 /// Collects the bytes of a stream until they form complete events.
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
@@ -23,23 +85,23 @@
 }
 
 impl EventBuffer {
-    /// Adds received bytes. Returns all events that are complete now, in one buffer, or `None` if
-    /// there is none.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.pending.extend_from_slice(bytes);
-        let end = find_last(&self.pending, EVENT_END)? + EVENT_END.len();
-        let events = self.pending.split_to(end).freeze();
+    /// Adds received bytes, of which the first `complete` belong to events that are complete now (see
+    /// [`EventTracker::push`]). Returns these events in one buffer, or `None` if there are none.
+    pub(crate) fn push(&mut self, bytes: &[u8], complete: Option<usize>) -> Option<Bytes> {
+        let (complete, pending) = bytes.split_at(complete.unwrap_or(0));
+        if complete.is_empty() {
+            self.pending.extend_from_slice(pending);
+            return None;
+        }
+        self.pending.extend_from_slice(complete);
+        let events = self.pending.split().freeze();
+        self.pending.extend_from_slice(pending);
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
         Some(events)
     }
 
-    /// Whether the last event received is incomplete.
-    pub(crate) fn is_within_event(&self) -> bool {
-        !self.pending.is_empty()
-    }
-
     /// Drops an incomplete event.
     pub(crate) fn drop_partial(&mut self) {
         self.pending.clear();
@@ -51,11 +113,6 @@
     }
 }
 
-/// Position of the last occurrence of `pattern`, which must not be empty.
-fn find_last(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).rposition(|w| w == pattern)
-}
-
 /// The last identifier in a series of complete events, `None` if there is none or it is not UTF-8.
 fn last_id(events: &[u8]) -> Option<CompactString> {
     let line = events
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header;
 use log::info;
 use snafu::Snafu;
 
@@ -26,6 +27,7 @@
 use super::config::RetryPolicy;
 use super::dialect::ResponseHead;
 use super::events::EventBuffer;
+use super::events::EventTracker;
 use super::fleet::RequestOutcome;
 use super::forward::Attempts;
 use super::forward::Call;
@@ -39,6 +41,11 @@
 use crate::gateway::Connection;
 use crate::platform::format_error_chain;
 
+/// Content type of a stream of server-sent events.
+const EVENTS_TYPE: &str = "text/event-stream";
+/// Most bytes of one event. An event of a model holds a few tokens.
+const EVENT_MAX_BYTES: usize = 1 << 20;
+
 /// Why a stream ended early.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub(crate) enum RelayError {
@@ -69,6 +76,79 @@
     body: Incoming,
     head: ResponseHead,
     connection: Connection,
+    /// Events of the server, `None` if its response has a content type other than that of events.
+    tracker: Option<EventTracker>,
+    /// Whether the body ends with the connection, because the head states neither a length nor
+    /// chunks.
+    ends_with_connection: bool,
+    has_data: bool,
+}
+
+impl Upstream {
+    fn new(in_flight: InFlightRequest, response: ServerResponse) -> Self {
+        let headers = &response.parts.headers;
+        let content_type = headers.get(header::CONTENT_TYPE);
+        let is_other_type = content_type.is_some_and(|value| {
+            let value = value.as_bytes();
+            let name = EVENTS_TYPE.as_bytes();
+            !value
+                .get(..name.len())
+                .is_some_and(|start| start.eq_ignore_ascii_case(name))
+        });
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        let is_framed = framing.iter().any(|name| headers.contains_key(name));
+        Self {
+            in_flight,
+            body: response.body,
+            head: response.head,
+            connection: response.connection,
+            tracker: (!is_other_type).then(EventTracker::default),
+            ends_with_connection: !is_framed,
+            has_data: false,
+        }
+    }
+
+    /// Records bytes of the body. Returns how many of them belong to events that are complete now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event is too long.
+    fn on_data(&mut self, bytes: &[u8]) -> Result<Option<usize>, RelayError> {
+        self.has_data |= !bytes.is_empty();
+        let Some(tracker) = &mut self.tracker else {
+            return Ok(None);
+        };
+        let complete = tracker.push(bytes);
+        let pending = tracker.pending_bytes();
+        if pending <= EVENT_MAX_BYTES {
+            return Ok(complete);
+        }
+        Err(RelayError::Broken {
+            reason: format!("event not ended after {pending} of {EVENT_MAX_BYTES} bytes"),
+        })
+    }
+
+    /// Checks that a body that has ended is complete.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body ended within an event, or with its connection before any event.
+    fn on_end(&self) -> Result<(), RelayError> {
+        let reason = if self
+            .tracker
+            .as_ref()
+            .is_some_and(EventTracker::is_within_event)
+        {
+            "ended within an event"
+        } else if self.ends_with_connection && !self.has_data {
+            "connection closed before the first event"
+        } else {
+            return Ok(());
+        };
+        Err(RelayError::Broken {
+            reason: reason.to_owned(),
+        })
+    }
 }
 
 /// A stream that is being forwarded.
@@ -101,16 +181,13 @@
         attempts: &Attempts,
     ) -> Self {
         let is_resumable = call.admitted.route.retry_policy == RetryPolicy::ResumableStream;
+        let upstream = Upstream::new(in_flight, response);
+        let is_resumable = is_resumable && upstream.tracker.is_some();
         Self {
             host: host.clone(),
             call: call.clone(),
             placed: placed.clone(),
-            upstream: Some(Upstream {
-                in_flight,
-                body: response.body,
-                head: response.head,
-                connection: response.connection,
-            }),
+            upstream: Some(upstream),
             events: is_resumable.then(EventBuffer::default),
             first_chunk: None,
             has_ended: false,
@@ -180,21 +257,22 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
-                    match &mut self.events {
-                        None => return Ok(Some(bytes)),
-                        Some(events) => match events.push(&bytes) {
+                    match (upstream.on_data(&bytes), &mut self.events) {
+                        (Err(err), _) => err,
+                        (Ok(_), None) => return Ok(Some(bytes)),
+                        (Ok(complete), Some(events)) => match events.push(&bytes, complete) {
                             Some(bytes) => return Ok(Some(bytes)),
                             None => continue,
                         },
                     }
                 }
-                Ok(None) if self.is_within_event() => RelayError::Broken {
-                    reason: "ended within an event".to_owned(),
+                Ok(None) => match upstream.on_end() {
+                    Err(err) => err,
+                    Ok(()) => {
+                        self.finish();
+                        return Ok(None);
+                    }
                 },
-                Ok(None) => {
-                    self.finish();
-                    return Ok(None);
-                }
                 Ok(Some(Err(err))) => RelayError::Broken {
                     reason: format_error_chain(&err),
                 },
@@ -205,12 +283,6 @@
         }
     }
 
-    /// Whether the last event received of a resumable stream is incomplete.
-    fn is_within_event(&self) -> bool {
-        let events = self.events.as_ref();
-        events.is_some_and(EventBuffer::is_within_event)
-    }
-
     /// Records a completed stream and keeps the connection for other requests.
     fn finish(&mut self) {
         if let Some(upstream) = self.upstream.take() {
@@ -294,12 +366,7 @@
         info!(target: "request", id = id, server = server, after = last_id.as_str();
             "stream resumed");
         self.placed = placed;
-        self.upstream = Some(Upstream {
-            in_flight,
-            body: response.body,
-            head: response.head,
-            connection: response.connection,
-        });
+        self.upstream = Some(Upstream::new(in_flight, response));
         true
     }
 }
--- a/lib/src/gateway/backend/pool.rs
+++ b/lib/src/gateway/backend/pool.rs
@@ -25,6 +25,8 @@
 
 /// Idle connections are closed after this time, because servers close them at about this age.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Largest read buffer of a connection, bytes. The head of a response must fit in it.
+const READ_BUFFER_MAX_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections per server.
 const IDLE_CONNECTIONS_MAX: usize = 256;
 
@@ -135,7 +137,9 @@
         stream.set_nodelay(true).context(RefusedSnafu { address })?;
         let gate = Arc::new(WriteGate::new(self.clock));
         let io = TokioIo::new(GatedIo::new(stream, gate.clone()));
-        let (sender, driver) = http1::handshake(io).await.context(SetupSnafu { address })?;
+        let mut builder = http1::Builder::new();
+        let handshake = builder.max_buf_size(READ_BUFFER_MAX_BYTES).handshake(io);
+        let (sender, driver) = handshake.await.context(SetupSnafu { address })?;
         // Errors of the driver also reach the request on the connection.
         let driver = tokio::spawn(async move {
             let _ = driver.await;
