--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -152,6 +152,9 @@
         let host = &self.host;
         let server = placed.entry.instance.as_str();
         host.report_unreadable(server, &head.unreadable);
+        if let Some(limit) = head.rate_limit {
+            info!(target: "server", server = server, per_second = limit; "server names a limit");
+        }
         if !head.is_leaving && head.pause.is_none() {
             return;
         }
--- a/lib/src/entry/dialect.rs
+++ b/lib/src/entry/dialect.rs
@@ -155,6 +155,8 @@
     /// The server asks this host to send it nothing for a time. Servers may say so when they turn a
     /// request away with the status 503.
     pub pause: Option<Pause>,
+    /// Requests per second that the server takes from all hosts together, if it names a limit.
+    pub rate_limit: Option<f64>,
     /// Headers whose values cannot be read.
     pub unreadable: Vec<UnreadableHeader>,
 }
