--- a/bench/src/experiment/simulation.rs
+++ b/bench/src/experiment/simulation.rs
@@ -145,6 +145,7 @@
                 domain: hash % 4,
                 slots: 64,
                 memory_tokens: profile.memory_tokens,
+                rate_limit: None,
             })
             .collect(),
         engines: (0..spec.engines)
--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -81,6 +81,24 @@
 
   crashes @18 :List(PartCrash);
   # Crashes that the asking host knows of.
+
+  limits @19 :List(ServerLimit);
+  # Limits that servers have named to the asking host, as far as the scheduler was not told of them.
+}
+
+struct ServerLimit {
+  # What a run of a server has last stated about the rate of requests that it takes.
+
+  server @0 :UInt64;
+  run @1 :UInt64;
+  # Hash that identifies the run.
+
+  isLimited @2 :Bool;
+  perSecond @3 :Float64;
+  # Requests per second from all hosts together, if it is limited.
+
+  age @4 :UInt64;
+  # Time since the server stated it.
 }
 
 struct Part {
--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -152,12 +152,6 @@
         let host = &self.host;
         let server = placed.entry.instance.as_str();
         host.report_unreadable(server, &head.unreadable);
-        if let Some(limit) = head.rate_limit {
-            info!(target: "server", server = server, per_second = limit; "server names a limit");
-        }
-        if !head.is_leaving && head.pause.is_none() {
-            return;
-        }
         let now = host.clock.now();
         let news = host.fleet().on_response_head(now, placed.server, head);
         if news.has_started_leaving {
@@ -166,6 +160,13 @@
                 scheduled.on_server_leaving(placed.entry.started_at_ms);
             }
         }
+        if news.has_new_limit {
+            match head.rate_limit {
+                Some(limit) => info!(target: "server", server = server, per_second = limit;
+                    "server names a limit"),
+                None => info!(target: "server", server = server; "server names no limit any more"),
+            }
+        }
         if let Some(until) = news.paused_until {
             host.stats.server_pauses.inc();
             info!(target: "server", server = server, pause:? = head.pause,
--- a/lib/src/entry/budget.rs
+++ b/lib/src/entry/budget.rs
@@ -153,9 +153,7 @@
 /// Requests per second that one host may send to a server in its cold start. `rate` is the rate in
 /// the configuration of the service, `hosts` the hashes of all registered hosts.
 ///
-/// All hosts together may send `rate` times the overrun that `bounds` allows. This total is rounded
-/// down and divided evenly among the hosts. Each of the remaining requests goes to one of the hosts
-/// with the highest hashes for this server, which every host computes in the same way.
+/// All hosts together may send `rate` times the overrun that `bounds` allows, rounded down.
 pub fn cold_share(
     rate: f64,
     bounds: &FleetBounds,
@@ -165,6 +163,13 @@
 ) -> usize {
     // Rounded down, so that the shares of all hosts together do not exceed the total.
     let total = (rate * bounds.cold_overrun).max(0.0) as usize;
+    deal(total, hosts, own_host, server)
+}
+
+/// The share of one host in `total` requests to a server. They are divided evenly among the hosts; each
+/// of the remaining requests goes to one of the hosts with the highest hashes for this server, which
+/// every host computes in the same way.
+pub(crate) fn deal(total: usize, hosts: &[u64], own_host: u64, server: u64) -> usize {
     let Some(each) = total.checked_div(hosts.len()) else {
         return 0;
     };
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -11,6 +11,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use super::config_restore::ConfigRestore;
 use super::dialect::ResponseHead;
 use super::dialect::ServerAnnouncement;
+use super::rate_limit::ToldLimit;
 use super::schedule::Scheduler;
 use super::servers::RunUpdate;
 use super::servers::Server;
@@ -130,6 +132,8 @@
     /// Requests to models that this host has read lately, by service and workspace. Connections that
     /// are refused unread are assumed to carry such requests.
     pub(super) read_prompts: HashMap<(CompactString, Option<CompactString>), ReadPrompts>,
+    /// What schedulers were told of the limits of runs of engines, by address and run.
+    pub(super) told_limits: HashMap<(SocketAddr, u64), ToldLimit>,
     /// Number of these requests by workspace, for log lines.
     pub(super) refused_counts: HashMap<CompactString, u64>,
     /// Server to which this host last sent each session (requests whose prompts begin alike).
@@ -169,6 +173,7 @@
             refused_tokens: HashMap::new(),
             refused_counts: HashMap::new(),
             read_prompts: HashMap::new(),
+            told_limits: HashMap::new(),
             session_affinity: SessionAffinity::default(),
             longest_deadlines: HashMap::new(),
             is_stopping: false,
@@ -267,6 +272,7 @@
     /// Removes servers that did not announce themselves again in time, and returns their instance
     /// identifiers.
     pub fn sweep(&mut self, now: Timestamp) -> Vec<CompactString> {
+        self.told_limits.retain(|_, told| told.is_recent(now));
         self.servers.sweep(now)
     }
 
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -19,10 +19,12 @@
 use super::schedule_capnp::datagram;
 use super::schedule_capnp::part_crash;
 use super::schedule_capnp::progress;
+use super::schedule_capnp::server_limit;
 use super::schedule_capnp::share;
 use super::schedule_capnp::shares;
 use super::schedule_capnp::verdict;
 use crate::entry::dialect::PromptPart;
+use crate::entry::rate_limit::ServerLimit;
 use crate::entry::schedule::PartCrash;
 use crate::entry::schedule::Progress;
 use crate::entry::schedule::ProgressStep;
@@ -50,6 +52,8 @@
         request: ScheduleRequest,
         /// Crashes that the asking host knows of.
         crashes: Vec<PartCrash>,
+        /// Limits that engines have named to the asking host.
+        limits: Vec<ServerLimit>,
     },
     /// Reply of a scheduler: its decision.
     Verdict {
@@ -103,9 +107,11 @@
             id,
             request,
             crashes,
+            limits,
         } => {
             let mut out = root.init_bid();
             out.set_id(*id);
+            write_limits(limits, |count| out.reborrow().init_limits(count));
             write_crashes(crashes, |count| out.reborrow().init_crashes(count));
             write_schedule_request(out, request);
         }
@@ -234,6 +240,35 @@
     list.iter().map(read).collect()
 }
 
+fn write_limits<'a>(
+    limits: &[ServerLimit],
+    init: impl FnOnce(u32) -> capnp::struct_list::Builder<'a, server_limit::Owned>,
+) {
+    if limits.is_empty() {
+        return;
+    }
+    let count = u32::try_from(limits.len()).unwrap_or(u32::MAX);
+    let mut list = init(count);
+    for (at, limit) in (0..count).zip(limits) {
+        let mut out = list.reborrow().get(at);
+        out.set_server(limit.server);
+        out.set_run(limit.run);
+        out.set_is_limited(limit.per_second.is_some());
+        out.set_per_second(limit.per_second.unwrap_or(0.0));
+        out.set_age(micros(limit.age));
+    }
+}
+
+fn read_limits(list: capnp::struct_list::Reader<'_, server_limit::Owned>) -> Vec<ServerLimit> {
+    let read = |limit: server_limit::Reader<'_>| ServerLimit {
+        server: limit.get_server(),
+        run: limit.get_run(),
+        per_second: limit.get_is_limited().then_some(limit.get_per_second()),
+        age: Duration::from_micros(limit.get_age()),
+    };
+    list.iter().map(read).collect()
+}
+
 fn write_shares(mut out: shares::Builder<'_>, service: u64, shards: &ShardWork) {
     out.set_service(service);
     out.set_contention(shards.contention);
@@ -288,6 +323,7 @@
             Ok(Datagram::Bid {
                 id: bid.get_id(),
                 crashes: read_crashes(bid.get_crashes().context(EncodingSnafu)?),
+                limits: read_limits(bid.get_limits().context(EncodingSnafu)?),
                 request: read_schedule_request(bid).context(EncodingSnafu)?,
             })
         }
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -39,7 +39,6 @@
 use crate::entry::fleet::RequestOutcome;
 use crate::entry::forward::millis;
 use crate::entry::host::EntryHost;
-use crate::entry::schedule::PartCrash;
 use crate::entry::schedule::Progress;
 use crate::entry::schedule::ProgressStep;
 use crate::entry::schedule::ReservationId;
@@ -275,8 +274,16 @@
                 self.has_decided.notify_one();
                 return (host.fleet().decide(now, request), None);
             };
-            let crashes = host.fleet().crashes_to_share(now);
-            let reply = self.send_request(address, request, crashes).await;
+            let datagram = |id| {
+                let mut fleet = host.fleet();
+                Datagram::Bid {
+                    id,
+                    request: request.clone(),
+                    crashes: fleet.crashes_to_share(now),
+                    limits: fleet.limits_to_tell(now, address),
+                }
+            };
+            let reply = self.send_request(address, datagram).await;
             if let Some(Reply::Leaving) = reply {
                 if self.inner().peers.on_leaving(host.clock.now(), address) {
                     info!(target: "peer", peer = address.to_string(); "peer is stopping");
@@ -302,8 +309,7 @@
     async fn send_request(
         &self,
         address: SocketAddr,
-        request: &ScheduleRequest,
-        crashes: Vec<PartCrash>,
+        datagram: impl FnOnce(u64) -> Datagram,
     ) -> Option<Reply> {
         let (tx, mut rx) = oneshot::channel();
         let id = {
@@ -315,11 +321,7 @@
         };
         // The task may be dropped while it waits, if the caller disconnects.
         let _waiting = WaitGuard { link: self, id };
-        let bytes = encode(&Datagram::Bid {
-            id,
-            request: request.clone(),
-            crashes,
-        });
+        let bytes = encode(&datagram(id));
         for timeout in REPLY_TIMEOUTS {
             self.send(address, &bytes).await;
             if let Some(reply) = wait_for_reply(&mut rx, timeout).await {
@@ -380,9 +382,14 @@
                 id,
                 request,
                 crashes,
+                limits,
             } => {
                 let now = host.clock.now();
-                host.fleet().on_crashes_shared(now, &crashes);
+                {
+                    let mut fleet = host.fleet();
+                    fleet.on_crashes_shared(now, &crashes);
+                    fleet.on_limits_told(now, &limits);
+                }
                 let decision = self.decision_for(host, from, id, &request);
                 let crashes = host.fleet().crashes_to_share(now);
                 let bytes = encode(&Datagram::Verdict {
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -780,6 +780,24 @@
         pub fn has_crashes(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_limits(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<
+                'a,
+                crate::entry::peers::schedule_capnp::server_limit::Owned,
+            >,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -789,7 +807,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 12,
-                pointers: 3,
+                pointers: 4,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -1111,6 +1129,51 @@
         pub fn has_crashes(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_limits(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<
+                'a,
+                crate::entry::peers::schedule_capnp::server_limit::Owned,
+            >,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_limits(
+            &mut self,
+            value: ::capnp::struct_list::Reader<
+                '_,
+                crate::entry::peers::schedule_capnp::server_limit::Owned,
+            >,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_limits(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<
+            'a,
+            crate::entry::peers::schedule_capnp::server_limit::Owned,
+        > {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(3),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline {
@@ -1125,157 +1188,164 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 327] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 346] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
             ::capnp::word(15, 0, 0, 0, 1, 0, 12, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 66),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 193, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1453,6 +1523,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 15, 120, 243, 213, 205, 131, 174),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1475,6 +1557,7 @@
                 16 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 17 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 18 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::part_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                19 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::server_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1494,16 +1577,413 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[
-            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18,
+            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19,
         ];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[
-            18, 3, 11, 0, 4, 9, 15, 10, 5, 14, 17, 1, 13, 12, 6, 8, 7, 16, 2,
+            18, 3, 11, 0, 4, 9, 15, 10, 19, 5, 14, 17, 1, 13, 12, 6, 8, 7, 16, 2,
         ];
         pub(crate) const TYPE_ID: u64 = 0xfb00_7bc1_3044_86ea;
     }
 }
 
+pub mod server_limit {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_server(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_run(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_is_limited(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+        #[inline]
+        pub fn get_per_second(self) -> f64 {
+            self.reader.get_data_field::<f64>(3)
+        }
+        #[inline]
+        pub fn get_age(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 5,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_server(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_server(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_run(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_run(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_is_limited(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_is_limited(&mut self, value: bool) {
+            self.builder.set_bool_field(128, value);
+        }
+        #[inline]
+        pub fn get_per_second(self) -> f64 {
+            self.builder.get_data_field::<f64>(3)
+        }
+        #[inline]
+        pub fn set_per_second(&mut self, value: f64) {
+            self.builder.set_data_field::<f64>(3, value);
+        }
+        #[inline]
+        pub fn get_age(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_age(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(24, 15, 120, 243, 213, 205, 131, 174),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+            ::capnp::word(101, 114, 118, 101, 114, 76, 105, 109),
+            ::capnp::word(105, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 105, 109, 105, 116, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 101, 99, 111, 110),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 3, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xae83_cdd5_f378_0f18;
+    }
+}
+
 pub mod part {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -38,6 +38,9 @@
     /// No server can take the request now, and at least one only because it has asked this host to
     /// send it nothing for a time.
     ServersPaused,
+    /// No server can take the request now, and at least one only because it has named a limit on the
+    /// rate of requests, and this host has used up its share.
+    ServersLimited,
     /// A part of the prompt makes servers crash, or is suspected of it.
     PromptCrashesServers,
     /// A server refused the request without running it, and no further attempt could be made: the
@@ -68,6 +71,7 @@
             | Self::HostBusy
             | Self::ServersCold
             | Self::ServersPaused
+            | Self::ServersLimited
             | Self::PromptCrashesServers
             | Self::RefusedByServer
             | Self::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -97,6 +101,7 @@
             Self::HostBusy => "host-busy",
             Self::ServersCold => "servers-cold",
             Self::ServersPaused => "servers-paused",
+            Self::ServersLimited => "servers-limited",
             Self::PromptCrashesServers => "prompt-crashes-servers",
             Self::RefusedByServer => "refused-by-server",
             Self::ExpiredUnsent => "expired-unsent",
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -22,6 +22,10 @@
 use super::fleet::InFlightKey;
 use super::health::is_failing;
 use super::health::median;
+use super::rate_limit::ServerLimit;
+use super::rate_limit::TOLD_LIMITS_MAX;
+use super::rate_limit::ToldLimit;
+use super::rate_limit::rate_limit_share;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::schedule::EngineView;
@@ -74,6 +78,11 @@
     /// End of the first pause among the servers that were left out because they asked this host to
     /// send them nothing for a time.
     first_resume_at: Option<Timestamp>,
+    /// Whether servers were left out because this host has used up its share of the rate that they
+    /// name.
+    has_limited: bool,
+    /// When this host's share at one of them has room again, if it has a share.
+    first_room_at: Option<Timestamp>,
 }
 
 impl Usable {
@@ -82,6 +91,12 @@
         if self.has_cold {
             return Refusal::with_retry_after(Reason::ServersCold, SERVER_RETRY_AFTER);
         }
+        if self.has_limited {
+            let wait = self
+                .first_room_at
+                .map_or(SERVER_RETRY_AFTER, |at| at.remaining(now));
+            return Refusal::with_retry_after(Reason::ServersLimited, wait);
+        }
         match self.first_resume_at {
             Some(at) => Refusal::with_retry_after(Reason::ServersPaused, at.remaining(now)),
             None => Refusal::with_retry_after(Reason::NoServer, SERVER_RETRY_AFTER),
@@ -202,6 +217,7 @@
                 // Both the server and the configuration limit how many requests run at once.
                 slots: server.entry.slots.min(engine.slots),
                 memory_tokens: engine.memory_tokens,
+                rate_limit: server.rate_limit(now),
             })
             .collect();
         self.scheduler.decide(now, request, &engines)
@@ -286,6 +302,38 @@
             .collect()
     }
 
+    /// Limits that engines have named to this host, as far as the scheduler at an address has to be
+    /// told of them.
+    pub fn limits_to_tell(&mut self, now: Timestamp, scheduler: SocketAddr) -> Vec<ServerLimit> {
+        let mut limits = Vec::new();
+        for (_, server) in self.servers.iter() {
+            let own = server.run.limit.filter(|limit| limit.is_own);
+            let Some(limit) = own.filter(|limit| limit.is_recent(now)) else {
+                continue;
+            };
+            let run = server.run_hash();
+            let told = self.told_limits.entry((scheduler, run)).or_default();
+            if limits.len() >= TOLD_LIMITS_MAX || !told.is_due(now, &limit) {
+                continue;
+            }
+            *told = ToldLimit::new(now, &limit);
+            limits.push(ServerLimit {
+                server: server.hash,
+                run,
+                per_second: limit.per_second,
+                age: now.since(limit.as_of),
+            });
+        }
+        limits
+    }
+
+    /// Adds the limits of which another host has told.
+    pub fn on_limits_told(&mut self, now: Timestamp, limits: &[ServerLimit]) {
+        for limit in limits {
+            self.servers.on_limit_told(now, limit);
+        }
+    }
+
     /// Crashes of engines to tell the other hosts of, with the parts of prompts under which they
     /// happened.
     pub fn crashes_to_share(&self, now: Timestamp) -> Vec<PartCrash> {
@@ -351,6 +399,8 @@
         // Usual failure rate of the service's servers.
         let service_rate = median(rates);
         let spec = self.config.as_ref().and_then(|c| c.services.get(service));
+        // Requests to engines are limited by their schedulers.
+        let is_plain = spec.is_none_or(|spec| spec.engine.is_none());
         // Requests per second to a server in its cold start, 0 if the servers have no cold start.
         let cold_rate = spec.map_or(0.0, |spec| spec.cold_rate);
         let connections = spec.map_or(u32::MAX, |spec| spec.connections_max);
@@ -361,6 +411,8 @@
             candidates: Vec::with_capacity(keys.len()),
             has_cold: false,
             first_resume_at: None,
+            has_limited: false,
+            first_room_at: None,
         };
         for key in keys {
             let Some(server) = self.servers.get_mut(key) else {
@@ -390,6 +442,16 @@
                     continue;
                 }
             }
+            if is_plain && let Some(rate) = server.rate_limit(now) {
+                let share = rate_limit_share(rate, &self.hosts, self.own_hash, server.hash);
+                if server.sent_while_limited.count(now) >= share {
+                    usable.has_limited = true;
+                    let room_at = server.sent_while_limited.next_expiry();
+                    let first = usable.first_room_at.or(room_at);
+                    usable.first_room_at = first.min(room_at.or(first));
+                    continue;
+                }
+            }
             usable.candidates.push(Candidate {
                 key,
                 hash: server.hash,
@@ -417,6 +479,9 @@
         // Counted outside a cold start too, since this host may learn only later that the server
         // had restarted.
         server.cold_start_limiter.on_sent(now);
+        if server.rate_limit(now).is_some() {
+            server.sent_while_limited.add(now);
+        }
         let entry = server.entry.clone();
         Ok(Placement {
             flight: self.in_flight.insert(key),
--- a/lib/src/entry/schedule/engine.rs
+++ b/lib/src/entry/schedule/engine.rs
@@ -8,6 +8,7 @@
 
 use super::super::dialect::PromptPart;
 use super::super::prefix_cache::PrefixCache;
+use super::super::rate_limit::RatePacer;
 use super::engine_health::EngineHealth;
 use super::request::ScheduleRequest;
 use crate::time::Timestamp;
@@ -50,6 +51,8 @@
     pub(crate) running: u32,
     /// Memory reserved for these requests, tokens. They occupy at most this.
     pub(crate) reserved_tokens: u64,
+    /// Spaces the requests while the engine names a limit.
+    pub(crate) pacer: RatePacer,
     /// What hosts have reported of the engine.
     pub(crate) health: EngineHealth,
     /// Parts of prompts that the engine is assumed to cache.
@@ -64,6 +67,7 @@
             started_at: Timestamp::ZERO,
             running: 0,
             reserved_tokens: 0,
+            pacer: RatePacer::default(),
             health: EngineHealth::default(),
             prefix_cache: PrefixCache::default(),
         }
@@ -73,7 +77,7 @@
 impl EngineState {
     /// Time until the engine can start the prefill of another prompt.
     pub(crate) fn wait(&self, now: Timestamp) -> Duration {
-        self.busy_until.since(now)
+        self.busy_until.max(self.pacer.earliest()).since(now)
     }
 
     /// Time for the prefill of the last `uncached` tokens of a prompt of `input` tokens.
@@ -94,7 +98,8 @@
         uncached: u32,
         capacity: u64,
     ) {
-        let start = self.busy_until.max(now);
+        let start = self.busy_until.max(self.pacer.earliest()).max(now);
+        self.pacer.on_sent(start);
         let prefill = self.prefill_time(uncached, request.input_tokens);
         self.busy_until = start + prefill.div_f64(PREFILL_SHARE_MAX);
         self.started_at = now;
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -105,6 +105,8 @@
     pub slots: u32,
     /// Capacity of the engine's memory (KV cache), tokens.
     pub memory_tokens: u64,
+    /// Requests per second that the engine takes from all hosts together, if it names a limit.
+    pub rate_limit: Option<f64>,
 }
 
 /// Engine time and memory that are reserved for a request until it has left the engine.
@@ -285,6 +287,9 @@
         if usable.is_empty() {
             return ScheduleDecision::NoEngine;
         }
+        for engine in &usable {
+            state.set_rate_limit(engine);
+        }
         let Standing {
             share_ratio,
             is_underserved,
@@ -626,6 +631,14 @@
         }
     }
 
+    /// Sets the rate of requests to an engine.
+    fn set_rate_limit(&mut self, view: &EngineView) {
+        if view.rate_limit.is_some() || self.engines.contains_key(&view.hash) {
+            let engine = self.engines.entry(view.hash).or_default();
+            engine.pacer.set_rate(view.rate_limit);
+        }
+    }
+
     /// How much the requests to the engines compete with each other, from 0 if the engines are free
     /// to 1 if a request that is sent to any of them has to wait for others.
     fn contention_of(&self, now: Timestamp, engines: &[EngineView]) -> f64 {
--- a/lib/src/entry/servers.rs
+++ b/lib/src/entry/servers.rs
@@ -16,11 +16,15 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::budget::ColdStartLimiter;
+use super::budget::SlidingCount;
 use super::dialect::Pause;
 use super::dialect::ResponseHead;
 use super::dialect::ServerAnnouncement;
 use super::health::FailureRate;
 use super::health::Reachability;
+use super::rate_limit::NamedLimit;
+use super::rate_limit::SHARE_WINDOW;
+use super::rate_limit::ServerLimit;
 use crate::time::Timestamp;
 
 new_key_type! {
@@ -41,12 +45,15 @@
 /// What a run of an instance has stated about itself in responses and announcements.
 /// Unlike the rest of a [`Server`], it holds until the run has ended, also if the announcement of
 /// the run disappears in between.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RunStatus {
     /// Whether the run has said that it is about to shut down.
     pub is_leaving: bool,
     /// Until when the run wants no requests from this host.
     pub paused_until: Timestamp,
+    /// What the run has last stated about the rate of requests that it takes, `None` if it never
+    /// named a limit.
+    pub limit: Option<NamedLimit>,
     /// Whether the announcement of the run was removed, and is only known from a list of the
     /// platform after this went back to an older state.
     pub is_withdrawn: bool,
@@ -73,7 +80,23 @@
         RunUpdate {
             has_started_leaving,
             paused_until,
+            has_new_limit: self.add_limit(now, head),
+        }
+    }
+
+    /// Adds what the head of a response states about a limit. A response without one ends the limit,
+    /// unless it may be of another origin. Returns whether the limit is another one now.
+    fn add_limit(&mut self, now: Timestamp, head: &ResponseHead) -> bool {
+        let known = self.limit.and_then(|limit| limit.per_second);
+        let lifts = head.is_sealed && known.is_some();
+        if head.rate_limit.is_some() || lifts {
+            self.limit = Some(NamedLimit {
+                per_second: head.rate_limit,
+                as_of: now,
+                is_own: true,
+            });
         }
+        self.limit.and_then(|limit| limit.per_second) != known
     }
 }
 
@@ -84,6 +107,8 @@
     pub has_started_leaving: bool,
     /// End of the pause for which the server has asked, if that is later than known.
     pub paused_until: Option<Timestamp>,
+    /// The server names another limit than before, or none any more.
+    pub has_new_limit: bool,
 }
 
 /// Status of a run whose announcement was removed.
@@ -137,6 +162,8 @@
     pub load: Load,
     /// Limits this host's requests during a cold start.
     pub cold_start_limiter: ColdStartLimiter,
+    /// Requests that this host has sent while the server named a limit.
+    pub sent_while_limited: SlidingCount,
     /// Outcomes of this host's requests to the server.
     pub failures: FailureRate,
     /// Whether the server can be reached.
@@ -158,6 +185,7 @@
             cold_until: entry.cold_until,
             load: Load::default(),
             cold_start_limiter: ColdStartLimiter::default(),
+            sent_while_limited: SlidingCount::new(SHARE_WINDOW),
             failures: FailureRate::default(),
             reachability: Reachability::default(),
             entry,
@@ -181,6 +209,11 @@
         !self.run.paused_until.has_passed(now)
     }
 
+    /// Requests per second that the server takes from all hosts together, `None` if it names no limit.
+    pub fn rate_limit(&self, now: Timestamp) -> Option<f64> {
+        self.run.limit.and_then(|limit| limit.rate(now))
+    }
+
     /// Whether the server may be in its cold start, the time after its start in which it can take
     /// only a few requests per second.
     pub fn is_cold(&self, now: Timestamp) -> bool {
@@ -314,6 +347,26 @@
         }
     }
 
+    /// Records what another host was told of a limit. The later statement of a run holds.
+    pub fn on_limit_told(&mut self, now: Timestamp, told: &ServerLimit) {
+        let server = self.arena.values_mut().find(|server| {
+            server.hash == told.server && server.run_hash() == told.run && !server.is_removed
+        });
+        let limit = NamedLimit {
+            per_second: told.per_second,
+            as_of: now - told.age,
+            is_own: false,
+        };
+        if let Some(server) = server
+            && server
+                .run
+                .limit
+                .is_none_or(|known| known.as_of < limit.as_of)
+        {
+            server.run.limit = Some(limit);
+        }
+    }
+
     /// Records what a server states of itself in the head of a response.
     pub fn on_response_head(
         &mut self,
--- a/lib/tests/entry/mod.rs
+++ b/lib/tests/entry/mod.rs
@@ -149,14 +149,20 @@
 /// State of host `h1` with a configuration confirmed at `now`, two servers of each service, one in
 /// each of two failure domains, and six registered hosts.
 pub fn fleet(now: Timestamp) -> Fleet {
+    let hosts: Vec<_> = (1..=6).map(|n| format!("h{n}")).collect();
+    fleet_of_host("h1", &hosts, now)
+}
+
+/// The same of the host `name`, with the given registered hosts.
+pub fn fleet_of_host(name: &str, hosts: &[String], now: Timestamp) -> Fleet {
     let identity = HostIdentity {
-        name: "h1".into(),
+        name: name.into(),
         domain: "d1".into(),
     };
     let mut fleet = Fleet::new(identity, bounds(), 1);
     fleet.apply_config(config(1, default_routes(), &[KEY]));
     fleet.confirm_config(now);
-    fleet.set_hosts(["h1", "h2", "h3", "h4", "h5", "h6"].into_iter());
+    fleet.set_hosts(hosts.iter().map(String::as_str));
     let servers = vec![
         server("m1", MODEL, "d1"),
         server("m2", MODEL, "d2"),
--- a/lib/tests/test_entry_engine_health.rs
+++ b/lib/tests/test_entry_engine_health.rs
@@ -70,6 +70,7 @@
             domain: 9,
             slots: 64,
             memory_tokens: 230_000,
+            rate_limit: None,
         })
         .collect();
     let mut scheduler = Scheduler::new(1);
@@ -158,6 +159,7 @@
         domain: 9,
         slots: 64,
         memory_tokens: 230_000,
+        rate_limit: None,
     };
     let mut scheduler = Scheduler::new(1);
     // Returns the engine that got the request.
@@ -211,6 +213,7 @@
             domain: 0,
             slots: 64,
             memory_tokens: 230_000,
+            rate_limit: None,
         })
         .collect();
     let mut scheduler = Scheduler::new(1);
--- a/lib/tests/test_entry_fairness.rs
+++ b/lib/tests/test_entry_fairness.rs
@@ -85,6 +85,7 @@
                 domain: 0,
                 slots: 64,
                 memory_tokens: 500_000,
+                rate_limit: None,
             })
             .collect();
         let list: Vec<_> = (1..=hosts)
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -18,6 +18,7 @@
 use cardamomshift_lib::entry::ReservationId;
 use cardamomshift_lib::entry::ScheduleDecision;
 use cardamomshift_lib::entry::ScheduleRequest;
+use cardamomshift_lib::entry::ServerLimit;
 use cardamomshift_lib::entry::Shard;
 use cardamomshift_lib::entry::ShardWork;
 use cardamomshift_lib::entry::WorkspaceWork;
@@ -125,13 +126,14 @@
 
 fn datagram() -> impl Strategy<Value = Datagram> {
     prop_oneof![
-        (any::<u64>(), schedule_request(), crashes()).prop_map(|(id, request, crashes)| {
-            Datagram::Bid {
+        (any::<u64>(), schedule_request(), crashes(), limits()).prop_map(
+            |(id, request, crashes, limits)| Datagram::Bid {
                 id,
                 request,
                 crashes,
+                limits,
             }
-        }),
+        ),
         (any::<u64>(), decision(), crashes()).prop_map(|(id, decision, crashes)| {
             Datagram::Verdict {
                 id,
@@ -166,6 +168,17 @@
     proptest::collection::vec(crash, 0..20)
 }
 
+fn limits() -> impl Strategy<Value = Vec<ServerLimit>> {
+    let limit = (any::<[u64; 2]>(), proptest::option::of(0.0..100.0), span());
+    let limit = limit.prop_map(|(n, per_second, age)| ServerLimit {
+        server: n[0],
+        run: n[1],
+        per_second,
+        age,
+    });
+    proptest::collection::vec(limit, 0..32)
+}
+
 fn work() -> impl Strategy<Value = WorkspaceWork> {
     (any::<u64>(), any::<u64>(), any::<u64>()).prop_map(|(workspace, requested, granted)| {
         WorkspaceWork {
--- a/lib/tests/test_entry_quarantine.rs
+++ b/lib/tests/test_entry_quarantine.rs
@@ -129,6 +129,7 @@
                     domain: 0,
                     slots: 64,
                     memory_tokens: 230_000,
+                    rate_limit: None,
                 })
                 .collect();
             let decision = decide(&mut hosts, host, scheduler, now, &request(&parts), &views);
--- a/lib/tests/test_entry_schedule.rs
+++ b/lib/tests/test_entry_schedule.rs
@@ -27,6 +27,7 @@
         domain: 0,
         slots: 64,
         memory_tokens: 228_336,
+        rate_limit: None,
     }
 }
 
