--- a/lib/tests/test_entry_schedule.rs
+++ b/lib/tests/test_entry_schedule.rs
@@ -281,7 +281,8 @@
                 // Responses take half a second.
                 running.push_back((n + 42, reservation));
             }
-            _ => refused[rank as usize] += 1,
+            ScheduleDecision::Refuse { .. } => refused[rank as usize] += 1,
+            other => panic!("the request was neither started nor refused: {other:?}"),
         }
     }
     assert!(refused[1] > 200, "no overload: {refused:?}");
