entry: log the digest of requests whose attempts failed

Callers give each repeat of a request another identifier, so the log could not tell a request that ends one server after the other from those that only lost their servers. `attempt failed` now has a hash of what the server gets to run.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -32,6 +32,7 @@
 use super::attempt::send;
 use super::dialect::CallHead;
 use super::dialect::Dispatch;
+use super::digest::RequestDigest;
 use super::host::EntryHost;
 use super::refusal::Reason;
 use super::refusal::Refusal;
@@ -55,9 +56,22 @@
     /// Route, workspace and deadline.
     pub(crate) admitted: Admitted,
     pub(crate) body: Bytes,
+    /// The same for every repeat of the request.
+    pub(crate) digest: RequestDigest,
 }
 
 impl Call {
+    fn new(parts: Parts, head: CallHead, admitted: Admitted, body: Bytes) -> Self {
+        let workspace = admitted.workspace.as_deref();
+        Self {
+            digest: RequestDigest::new(&parts, &head.host, workspace, &body),
+            parts,
+            head,
+            admitted,
+            body,
+        }
+    }
+
     /// Builds the request for a server. `remaining` is the time until the deadline. If the server
     /// is to continue a stream that broke off, `resumes_after` is the identifier of the last event
     /// that the caller received of it; otherwise the one in the caller's request applies, if any.
@@ -172,12 +186,7 @@
             return refuse(host, Some(&id), &route.name, refusal, route.timeout);
         }
     };
-    let call = Arc::new(Call {
-        parts,
-        head,
-        admitted,
-        body,
-    });
+    let call = Arc::new(Call::new(parts, head, admitted, body));
     match send_with_retries(host, &call).await {
         Ok(response) => response,
         Err(refusal) => {
--- a/lib/src/entry/response.rs
+++ b/lib/src/entry/response.rs
@@ -280,13 +280,15 @@
 }
 
 /// Logs and counts a failed attempt with the time since the caller's request arrived. The error is
-/// logged under the key `seen`, and the shared parts of the prompt under `parts`: requests that make
-/// servers crash can be told from those that only lost their server by what they have in common.
+/// logged under the key `seen`, the digest of the request under `digest`, and the shared parts of the
+/// prompt under `parts`: requests that make servers crash can be told from those that only lost their
+/// server by what they have in common.
 pub(crate) fn log_failed(host: &EntryHost, call: &Call, placed: &Placement, error: &str) {
     let elapsed = host.clock.now().since(call.admitted.arrived);
     let parts = call.head.prompt.as_ref().map(Prompt::shared_part_list);
     info!(target: "request", id = call.head.id.as_str(),
-        server = placed.entry.instance.as_str(), seen = error, parts = parts, ms = millis(elapsed);
+        server = placed.entry.instance.as_str(), seen = error,
+        digest = call.digest.log_value().as_str(), parts = parts, ms = millis(elapsed);
         "attempt failed");
     count_attempt(host, call, "failed");
 }
