--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -18,6 +18,9 @@
 
     shares @4 :Shares;
     # Sent by the scheduler of a shard to those of the other shards of the service.
+
+    suspectRequests @5 :List(SuspectRequest);
+    # Sent to other hosts when something new is known of these requests, and now and then again.
   }
 }
 
@@ -86,6 +89,39 @@
   # Limits that servers have named to the asking host, as far as the scheduler was not told of them.
 }
 
+struct SuspectRequest {
+  # A request of a caller under which servers have crashed.
+
+  workspace @0 :UInt64;
+  # 0 if the request has no workspace.
+
+  content @1 :UInt64;
+  # Hash of what the request asks a server to do, the same for every repeat.
+
+  crashes @2 :List(RequestCrash);
+  # Crashes since the request was last answered.
+
+  isAnswered @3 :Bool;
+  answeredAge @4 :UInt64;
+  # Time since the request was last answered, if it was.
+
+  trialRemaining @5 :UInt64;
+  # How long others wait for the result of a trial, 0 if there is none.
+}
+
+struct RequestCrash {
+  # A run of a server that ended as it began to run a request.
+
+  run @0 :UInt64;
+  # Hash that identifies the run.
+
+  age @1 :UInt64;
+  # Time since the crash.
+
+  wasTrial @2 :Bool;
+  # Whether the request was sent to find out whether it makes servers crash.
+}
+
 struct ServerLimit {
   # What a run of a server has last stated about the rate of requests that it takes.
 
--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -53,8 +53,14 @@
         if call.admitted.give_up_at.has_passed(now) {
             return Err(Refusal::new(Reason::ExpiredUnsent));
         }
-        let placed = host.fleet().place(now, &call.admitted.service, tried)?;
-        let in_flight = InFlightRequest::new(host.clone(), placed.flight, None);
+        let (placed, sent) = {
+            let mut fleet = host.fleet();
+            fleet.check_request(now, call.digest)?;
+            let placed = fleet.place(now, &call.admitted.service, tried)?;
+            let sent = fleet.on_sent(now, call.digest, &placed, call.admitted.give_up_at);
+            (placed, sent)
+        };
+        let in_flight = InFlightRequest::new(host.clone(), placed.flight, sent, None);
         return Ok(Assignment { placed, in_flight });
     };
     // Hashes of the servers that the scheduler chose and this host could not use.
@@ -65,9 +71,11 @@
         if call.admitted.give_up_at.has_passed(now) {
             return Err(Refusal::new(Reason::ExpiredUnsent));
         }
-        let mut request = host
-            .fleet()
-            .schedule_request(now, &call.admitted, prompt, tried)?;
+        let mut request = {
+            let mut fleet = host.fleet();
+            fleet.check_request(now, call.digest)?;
+            fleet.schedule_request(now, &call.admitted, prompt, tried)?
+        };
         request.excluded.extend(&unusable);
         search.direct(&mut request);
         let (decision, scheduler) = host.link.decide(host, &request).await;
@@ -88,11 +96,20 @@
         }
         let now = host.clock.now();
         scheduled.on_sent(now);
-        let placed = host
-            .fleet()
-            .place_scheduled(now, &call.admitted, prompt, server, uncached);
-        if let Some(placed) = placed {
-            let in_flight = InFlightRequest::new(host.clone(), placed.flight, Some(scheduled));
+        let placed = {
+            let mut fleet = host.fleet();
+            // A repeat may have ended its server meanwhile.
+            fleet.check_request(now, call.digest)?;
+            let admitted = &call.admitted;
+            let placed = fleet.place_scheduled(now, admitted, prompt, server, uncached);
+            placed.map(|placed| {
+                let sent = fleet.on_sent(now, call.digest, &placed, admitted.give_up_at);
+                (placed, sent)
+            })
+        };
+        if let Some((placed, sent)) = placed {
+            let flight = placed.flight;
+            let in_flight = InFlightRequest::new(host.clone(), flight, sent, Some(scheduled));
             return Ok(Assignment { placed, in_flight });
         }
         // The scheduler chose a server that this host cannot use. Dropping `scheduled` releases the
--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -28,6 +28,7 @@
 use super::host::EntryHost;
 use super::peers::ScheduledRequest;
 use super::request_placement::Placement;
+use super::request_quarantine::SentRequest;
 use crate::gateway::ConnectError;
 use crate::gateway::Connection;
 use crate::gateway::Written;
@@ -79,7 +80,7 @@
             Self::NotSent { .. } => RequestOutcome::Unreachable,
             // This host has too many connections open, which says nothing about the server.
             Self::LimitReached { .. } => RequestOutcome::Abandoned,
-            Self::NoResponse { .. } => RequestOutcome::Failed,
+            Self::NoResponse { .. } => RequestOutcome::BrokenUnanswered,
             Self::TimedOut => RequestOutcome::TimedOut,
         }
     }
@@ -100,35 +101,51 @@
 pub(crate) struct InFlightRequest {
     host: Arc<EntryHost>,
     key: InFlightKey,
+    sent: SentRequest,
     /// Outcome to be recorded; `Abandoned` unless set by [`InFlightRequest::end`].
     outcome: RequestOutcome,
     /// Reports the progress of a request to a model to its scheduler; `None` for plain services.
     scheduled: Option<ScheduledRequest>,
     /// When the first part of the response arrived.
     response_started_at: Option<Timestamp>,
+    /// Whether the server has survived the request.
+    has_survived: bool,
 }
 
 impl InFlightRequest {
     pub(crate) fn new(
         host: Arc<EntryHost>,
         key: InFlightKey,
+        sent: SentRequest,
         scheduled: Option<ScheduledRequest>,
     ) -> Self {
+        if sent.is_trial {
+            host.link.on_suspect_news();
+        }
         Self {
             host,
             key,
+            sent,
             outcome: RequestOutcome::Abandoned,
             scheduled,
             response_started_at: None,
+            has_survived: false,
         }
     }
 
-    /// Records that part of the response has arrived. Only the first call has an effect.
-    pub(crate) fn on_response_started(&mut self) {
-        if self.response_started_at.is_some() {
+    /// Records that part of the response has arrived. A server that goes on with its response for a
+    /// while has survived the request.
+    pub(crate) fn on_response_part(&mut self) {
+        if self.has_survived {
             return;
         }
         let now = self.host.clock.now();
+        if let Some(at) = self.response_started_at {
+            if now.since(at) > RESPONSE_START_SPAN {
+                self.on_survived(now);
+            }
+            return;
+        }
         self.response_started_at = Some(now);
         self.host.fleet().on_response_started(self.key);
         if let Some(scheduled) = &self.scheduled {
@@ -136,6 +153,20 @@
         }
     }
 
+    /// Records that the server has survived the request: it goes on, or has sent a complete response.
+    pub(crate) fn on_survived(&mut self, now: Timestamp) {
+        self.has_survived = true;
+        let digest = self.sent.digest;
+        let is_news = self
+            .host
+            .fleet()
+            .request_quarantine()
+            .on_answered(now, digest);
+        if is_news {
+            self.host.link.on_suspect_news();
+        }
+    }
+
     /// Outcome if the connection breaks now, after the head of the response.
     pub(crate) fn broken_outcome(&self) -> RequestOutcome {
         let now = self.host.clock.now();
@@ -183,7 +214,25 @@
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
         let now = self.host.clock.now();
-        self.host.fleet().end(now, self.key, self.outcome);
+        if self.outcome == RequestOutcome::Answered && !self.has_survived {
+            self.on_survived(now);
+        }
+        let has_crashed = matches!(
+            self.outcome,
+            RequestOutcome::BrokenUnanswered | RequestOutcome::BrokenAtStart
+        );
+        {
+            let mut fleet = self.host.fleet();
+            fleet.end(now, self.key, self.outcome);
+            let quarantine = fleet.request_quarantine();
+            if has_crashed && !self.has_survived {
+                quarantine.on_crash(now, &self.sent);
+            }
+            quarantine.on_ended(&self.sent);
+        }
+        if has_crashed {
+            self.host.link.on_suspect_news();
+        }
         if let Some(scheduled) = &self.scheduled {
             scheduled.on_outcome(self.outcome);
         }
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -27,6 +27,7 @@
 use super::dialect::ResponseHead;
 use super::dialect::ServerAnnouncement;
 use super::rate_limit::ToldLimit;
+use super::request_quarantine::RequestQuarantine;
 use super::schedule::Scheduler;
 use super::servers::RunUpdate;
 use super::servers::Server;
@@ -74,6 +75,8 @@
     Misdirected,
     /// The server reported a failure, broke off, or sent an invalid response.
     Failed,
+    /// The connection broke after the request was sent and before the head of the response.
+    BrokenUnanswered,
     /// The connection broke just as the server began to answer: after the head of the response, and
     /// before or shortly after its first bytes.
     BrokenAtStart,
@@ -132,6 +135,8 @@
     /// Requests to models that this host has read lately, by service and workspace. Connections that
     /// are refused unread are assumed to carry such requests.
     pub(super) read_prompts: HashMap<(CompactString, Option<CompactString>), ReadPrompts>,
+    /// Requests that make servers crash.
+    pub(super) request_quarantine: RequestQuarantine,
     /// What schedulers were told of the limits of runs of engines, by address and run.
     pub(super) told_limits: HashMap<(SocketAddr, u64), ToldLimit>,
     /// Number of these requests by workspace, for log lines.
@@ -173,6 +178,7 @@
             refused_tokens: HashMap::new(),
             refused_counts: HashMap::new(),
             read_prompts: HashMap::new(),
+            request_quarantine: RequestQuarantine::default(),
             told_limits: HashMap::new(),
             session_affinity: SessionAffinity::default(),
             longest_deadlines: HashMap::new(),
@@ -291,6 +297,11 @@
         self.hosts.len()
     }
 
+    /// Requests that make servers crash.
+    pub fn request_quarantine(&mut self) -> &mut RequestQuarantine {
+        &mut self.request_quarantine
+    }
+
     /// Marks this host as stopping: it is no longer ready.
     pub fn stop(&mut self) {
         self.is_stopping = true;
@@ -349,9 +360,10 @@
             server.failures.add(now, false);
             server.reachability.on_response();
         }
-        RequestOutcome::Failed | RequestOutcome::BrokenAtStart | RequestOutcome::TimedOut => {
-            server.failures.add(now, true);
-        }
+        RequestOutcome::Failed
+        | RequestOutcome::BrokenUnanswered
+        | RequestOutcome::BrokenAtStart
+        | RequestOutcome::TimedOut => server.failures.add(now, true),
         // The server gets no more requests. An announcement with another start time, service or
         // address creates a new entry for the instance, without this flag.
         RequestOutcome::Misdirected => server.is_misdirected = true,
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -55,6 +55,7 @@
 use super::mirror::Mirrors;
 use super::peers::Link;
 use super::peers::Peer;
+use super::request_quarantine::RequestQuarantineChange;
 use super::schedule::QuarantineChange;
 use super::source::Source;
 use super::source::SourceError;
@@ -369,6 +370,7 @@
         tasks.spawn(Link::receive(host.clone()));
         tasks.spawn(Link::report(host.clone()));
         tasks.spawn(Link::send_shares(host.clone()));
+        tasks.spawn(Link::tell_suspects(host.clone()));
         tasks.spawn(lag::measure(host.clone()));
         Ok(Self {
             host,
@@ -515,12 +517,14 @@
         if next_summary_at.has_passed(now) {
             next_summary_at = now + SUMMARY_PERIOD;
             log_schedule_summaries(&host);
+            host.fleet().request_quarantine().sweep(now);
             refused_logged = log_refused_connections(&host, refused_logged);
             if host.lag.lag().closes_connections(now) {
                 host.lag.close_idle().notify_one();
             }
         }
         log_quarantine_changes(&host, now);
+        log_request_quarantine_changes(&host, now);
         if let Some(version) = host.fleet().adopt_stored_config(now) {
             info!(target: "config", version = version;
                 "older configuration activated: the platform has lost the newer one");
@@ -567,6 +571,28 @@
     }
 }
 
+/// Logs and counts what has changed about requests that make servers crash.
+fn log_request_quarantine_changes(host: &EntryHost, now: Timestamp) {
+    let changes = host.fleet().request_quarantine().take_changes();
+    for change in changes {
+        match change {
+            RequestQuarantineChange::HeldBack {
+                digest,
+                crashes,
+                until,
+            } => {
+                host.stats.requests_held_back.inc();
+                warn!(target: "request", digest = digest.log_value().as_str(), crashes = crashes,
+                    ms = millis(until.remaining(now)); "request crashes servers: held back");
+            }
+            RequestQuarantineChange::Cleared { digest, crashes } => {
+                info!(target: "request", digest = digest.log_value().as_str(), crashes = crashes;
+                    "request no longer suspected of crashing servers");
+            }
+        }
+    }
+}
+
 /// Logs how many connections of callers were refused since the count `before`. Returns the count.
 fn log_refused_connections(host: &EntryHost, before: u64) -> u64 {
     let count = host.stats.connections_refused.get();
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -19,12 +19,17 @@
 use super::schedule_capnp::datagram;
 use super::schedule_capnp::part_crash;
 use super::schedule_capnp::progress;
+use super::schedule_capnp::request_crash;
 use super::schedule_capnp::server_limit;
 use super::schedule_capnp::share;
 use super::schedule_capnp::shares;
+use super::schedule_capnp::suspect_request;
 use super::schedule_capnp::verdict;
 use crate::entry::dialect::PromptPart;
+use crate::entry::digest::RequestDigest;
 use crate::entry::rate_limit::ServerLimit;
+use crate::entry::request_quarantine::RequestCrash;
+use crate::entry::request_quarantine::SuspectRequest;
 use crate::entry::schedule::PartCrash;
 use crate::entry::schedule::Progress;
 use crate::entry::schedule::ProgressStep;
@@ -79,6 +84,8 @@
         /// Work and contention.
         shards: ShardWork,
     },
+    /// What the sending host knows of requests under which servers have crashed.
+    SuspectRequests(Vec<SuspectRequest>),
 }
 
 /// Why a datagram cannot be decoded.
@@ -136,6 +143,13 @@
         Datagram::Shares { service, shards } => {
             write_shares(root.init_shares(), *service, shards);
         }
+        Datagram::SuspectRequests(list) => {
+            let count = u32::try_from(list.len()).unwrap_or(u32::MAX);
+            let mut out = root.init_suspect_requests(count);
+            for (at, suspect) in (0..count).zip(list) {
+                write_suspect(out.reborrow().get(at), suspect);
+            }
+        }
     }
     let mut bytes = Vec::new();
     serialize_packed::write_message(&mut bytes, &builder).expect("writing to a Vec cannot fail");
@@ -292,6 +306,40 @@
     }
 }
 
+fn write_suspect(mut out: suspect_request::Builder<'_>, suspect: &SuspectRequest) {
+    out.set_workspace(suspect.digest.workspace);
+    out.set_content(suspect.digest.content);
+    out.set_is_answered(suspect.answered_age.is_some());
+    out.set_answered_age(micros(suspect.answered_age.unwrap_or_default()));
+    out.set_trial_remaining(micros(suspect.trial_remaining));
+    let count = u32::try_from(suspect.crashes.len()).unwrap_or(u32::MAX);
+    let mut list = out.init_crashes(count);
+    for (at, crash) in (0..count).zip(&suspect.crashes) {
+        let mut out = list.reborrow().get(at);
+        out.set_run(crash.run);
+        out.set_age(micros(crash.age));
+        out.set_was_trial(crash.was_trial);
+    }
+}
+
+fn read_suspect(suspect: suspect_request::Reader<'_>) -> Result<SuspectRequest, capnp::Error> {
+    let crash = |crash: request_crash::Reader<'_>| RequestCrash {
+        run: crash.get_run(),
+        age: Duration::from_micros(crash.get_age()),
+        was_trial: crash.get_was_trial(),
+    };
+    let answered_age = Duration::from_micros(suspect.get_answered_age());
+    Ok(SuspectRequest {
+        digest: RequestDigest {
+            workspace: suspect.get_workspace(),
+            content: suspect.get_content(),
+        },
+        crashes: suspect.get_crashes()?.iter().map(crash).collect(),
+        answered_age: suspect.get_is_answered().then_some(answered_age),
+        trial_remaining: Duration::from_micros(suspect.get_trial_remaining()),
+    })
+}
+
 fn write_progress(mut out: progress::Builder<'_>, progress: &Progress) {
     out.set_epoch(progress.reservation.epoch);
     out.set_number(progress.reservation.number);
@@ -342,6 +390,11 @@
             let list: Result<_, _> = list.iter().map(read_progress).collect();
             Ok(Datagram::Progress(list?))
         }
+        datagram::SuspectRequests(list) => {
+            let list = list.context(EncodingSnafu)?;
+            let list: Result<_, _> = list.iter().map(read_suspect).collect();
+            Ok(Datagram::SuspectRequests(list.context(EncodingSnafu)?))
+        }
         datagram::Leaving(id) => Ok(Datagram::Leaving { id }),
         datagram::Shares(shares) => {
             let shares = shares.context(EncodingSnafu)?;
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -24,6 +24,7 @@
 
 use log::info;
 use log::warn;
+use rand::seq::index::sample;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -39,6 +40,7 @@
 use crate::entry::fleet::RequestOutcome;
 use crate::entry::forward::millis;
 use crate::entry::host::EntryHost;
+use crate::entry::request_quarantine::SuspectRequest;
 use crate::entry::schedule::Progress;
 use crate::entry::schedule::ProgressStep;
 use crate::entry::schedule::ReservationId;
@@ -63,6 +65,11 @@
 /// Least number of kept decisions at which expired ones are dropped. A busy shard makes about that
 /// many decisions within [`DECISION_RETENTION`].
 const DECISION_SWEEP_THRESHOLD_MIN: usize = 256;
+/// Interval at which a host repeats which requests it suspects of making servers crash.
+const SUSPECTS_PERIOD: Duration = Duration::from_secs(1);
+/// Number of hosts that are told each time. Of the hosts that have restarted or were cut off, all but
+/// one in 8,000 learn it within three seconds.
+const SUSPECTS_PEERS: usize = 3;
 /// Most progress reports in one datagram. At about 25 bytes each, the datagram fits in one packet.
 const REPORTS_PER_DATAGRAM: usize = 40;
 /// Size of the receive buffer, bytes; longer datagrams are truncated and cannot be decoded.
@@ -77,6 +84,9 @@
     /// Notified when this host has decided on a schedule request, which wakes
     /// [`Link::send_shares`].
     has_decided: Notify,
+    /// Notified when something new is known of requests that make servers crash, which wakes
+    /// [`Link::tell_suspects`].
+    has_suspect_news: Notify,
     /// Whether the list of hosts was read.
     has_peers: watch::Sender<bool>,
 }
@@ -154,7 +164,9 @@
     pub(crate) fn on_outcome(&self, outcome: RequestOutcome) {
         match outcome {
             RequestOutcome::Unreachable => self.report(ProgressStep::Unreachable),
-            RequestOutcome::Failed | RequestOutcome::TimedOut => self.report(ProgressStep::Failed),
+            RequestOutcome::Failed
+            | RequestOutcome::BrokenUnanswered
+            | RequestOutcome::TimedOut => self.report(ProgressStep::Failed),
             RequestOutcome::BrokenAtStart => self.report(ProgressStep::BrokenAtStart),
             RequestOutcome::Answered
             | RequestOutcome::Refused
@@ -213,6 +225,7 @@
             }),
             has_reports: Notify::new(),
             has_decided: Notify::new(),
+            has_suspect_news: Notify::new(),
             has_peers: watch::Sender::new(false),
         }
     }
@@ -224,6 +237,11 @@
         self.has_reports.notify_one();
     }
 
+    /// Wakes [`Link::tell_suspects`].
+    pub(crate) fn on_suspect_news(&self) {
+        self.has_suspect_news.notify_one();
+    }
+
     fn inner(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -420,6 +438,15 @@
                 let now = host.clock.now();
                 host.fleet().on_shares(now, from, service, shards);
             }
+            Datagram::SuspectRequests(list) => {
+                let now = host.clock.now();
+                let mut fleet = host.fleet();
+                for report in &list {
+                    fleet.request_quarantine().on_report(now, report);
+                }
+                drop(fleet);
+                self.on_suspect_news();
+            }
             Datagram::Progress(list) => {
                 let now = host.clock.now();
                 let mut fleet = host.fleet();
@@ -486,6 +513,42 @@
         }
     }
 
+    /// Tells the other hosts what is known of requests that make servers crash, until the task is
+    /// dropped: news to all of them at once, and what is suspected to a few every second.
+    pub(crate) async fn tell_suspects(host: Arc<EntryHost>) {
+        let link = &host.link;
+        loop {
+            let has_suspects = host.fleet().request_quarantine().has_suspects();
+            let news = link.has_suspect_news.notified();
+            let is_repeat = match has_suspects {
+                true => tokio::time::timeout(SUSPECTS_PERIOD, news).await.is_err(),
+                false => {
+                    news.await;
+                    false
+                }
+            };
+            let now = host.clock.now();
+            let news = host.fleet().request_quarantine().take_news(now);
+            let all = link.inner().peers.addresses();
+            link.send_suspects(&all, news).await;
+            if is_repeat {
+                let suspects = host.fleet().request_quarantine().suspects(now);
+                let some = sample(&mut rand::rng(), all.len(), SUSPECTS_PEERS.min(all.len()));
+                let some: Vec<_> = some.into_iter().map(|index| all[index]).collect();
+                link.send_suspects(&some, vec![suspects]).await;
+            }
+        }
+    }
+
+    async fn send_suspects(&self, addresses: &[SocketAddr], lists: Vec<Vec<SuspectRequest>>) {
+        for list in lists.into_iter().filter(|list| !list.is_empty()) {
+            let bytes = encode(&Datagram::SuspectRequests(list));
+            for address in addresses {
+                self.send(*address, &bytes).await;
+            }
+        }
+    }
+
     /// Sends queued progress reports in batches until the task is dropped.
     pub(crate) async fn report(host: Arc<EntryHost>) {
         loop {
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -5,7 +5,7 @@
 // capnpc crate version: 0.27.0
 
 pub mod datagram {
-    pub use self::Which::{Bid, Leaving, Progress, Shares, Verdict};
+    pub use self::Which::{Bid, Leaving, Progress, Shares, SuspectRequests, Verdict};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -138,6 +138,13 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_suspect_requests(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 5 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Bid(
@@ -165,6 +172,12 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                5 => ::core::result::Result::Ok(SuspectRequests(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -371,6 +384,42 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_suspect_requests(
+            &mut self,
+            value: ::capnp::struct_list::Reader<
+                '_,
+                crate::entry::peers::schedule_capnp::suspect_request::Owned,
+            >,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 5);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_suspect_requests(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<
+            'a,
+            crate::entry::peers::schedule_capnp::suspect_request::Owned,
+        > {
+            self.builder.set_data_field::<u16>(0, 5);
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_suspect_requests(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 5 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Bid(
@@ -398,6 +447,12 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                5 => ::core::result::Result::Ok(SuspectRequests(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -415,59 +470,66 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 117] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(15, 207, 249, 96, 47, 214, 11, 227),
             ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 5, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 6, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 68),
             ::capnp::word(97, 116, 97, 103, 114, 97, 109, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(98, 105, 100, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
@@ -513,6 +575,19 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 82),
+            ::capnp::word(101, 113, 117, 101, 115, 116, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(135, 141, 25, 246, 201, 142, 132, 188),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -521,6 +596,7 @@
                 2 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::progress::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::entry::peers::schedule_capnp::shares::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::suspect_request::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -540,16 +616,17 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 2, 4, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 2, 4, 5, 1];
         pub(crate) const TYPE_ID: u64 = 0xe30b_d62f_60f9_cf0f;
     }
-    pub enum Which<A0, A1, A2, A3> {
+    pub enum Which<A0, A1, A2, A3, A4> {
         Bid(A0),
         Verdict(A1),
         Progress(A2),
         Leaving(u64),
         Shares(A3),
+        SuspectRequests(A4),
     }
     pub type WhichReader<'a> = Which<
         ::capnp::Result<crate::entry::peers::schedule_capnp::bid::Reader<'a>>,
@@ -558,6 +635,12 @@
             ::capnp::struct_list::Reader<'a, crate::entry::peers::schedule_capnp::progress::Owned>,
         >,
         ::capnp::Result<crate::entry::peers::schedule_capnp::shares::Reader<'a>>,
+        ::capnp::Result<
+            ::capnp::struct_list::Reader<
+                'a,
+                crate::entry::peers::schedule_capnp::suspect_request::Owned,
+            >,
+        >,
     >;
     pub type WhichBuilder<'a> = Which<
         ::capnp::Result<crate::entry::peers::schedule_capnp::bid::Builder<'a>>,
@@ -566,6 +649,12 @@
             ::capnp::struct_list::Builder<'a, crate::entry::peers::schedule_capnp::progress::Owned>,
         >,
         ::capnp::Result<crate::entry::peers::schedule_capnp::shares::Builder<'a>>,
+        ::capnp::Result<
+            ::capnp::struct_list::Builder<
+                'a,
+                crate::entry::peers::schedule_capnp::suspect_request::Owned,
+            >,
+        >,
     >;
 }
 
@@ -1587,6 +1676,830 @@
     }
 }
 
+pub mod suspect_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_workspace(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_content(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<
+                'a,
+                crate::entry::peers::schedule_capnp::request_crash::Owned,
+            >,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_is_answered(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+        #[inline]
+        pub fn get_answered_age(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_trial_remaining(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 5,
+                pointers: 1,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_workspace(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_workspace(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_content(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_content(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<
+                'a,
+                crate::entry::peers::schedule_capnp::request_crash::Owned,
+            >,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_crashes(
+            &mut self,
+            value: ::capnp::struct_list::Reader<
+                '_,
+                crate::entry::peers::schedule_capnp::request_crash::Owned,
+            >,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_crashes(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<
+            'a,
+            crate::entry::peers::schedule_capnp::request_crash::Owned,
+        > {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_is_answered(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_is_answered(&mut self, value: bool) {
+            self.builder.set_bool_field(128, value);
+        }
+        #[inline]
+        pub fn get_answered_age(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_answered_age(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_trial_remaining(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_trial_remaining(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(135, 141, 25, 246, 201, 142, 132, 188),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+            ::capnp::word(117, 115, 112, 101, 99, 116, 82, 101),
+            ::capnp::word(113, 117, 101, 115, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(246, 7, 127, 148, 219, 220, 83, 154),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 65, 110, 115, 119, 101, 114),
+            ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(65, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 82, 101, 109),
+            ::capnp::word(97, 105, 110, 105, 110, 103, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<
+                    crate::entry::peers::schedule_capnp::request_crash::Owned,
+                > as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 2, 3, 5, 0];
+        pub(crate) const TYPE_ID: u64 = 0xbc84_8ec9_f619_8d87;
+    }
+}
+
+pub mod request_crash {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_run(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_was_trial(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_run(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_run(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_age(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_age(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_was_trial(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_was_trial(&mut self, value: bool) {
+            self.builder.set_bool_field(128, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(246, 7, 127, 148, 219, 220, 83, 154),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 82),
+            ::capnp::word(101, 113, 117, 101, 115, 116, 67, 114),
+            ::capnp::word(97, 115, 104, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 115, 84, 114, 105, 97, 108),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+        pub(crate) const TYPE_ID: u64 = 0x9a53_dcdb_947f_07f6;
+    }
+}
+
 pub mod server_limit {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/lib/src/entry/peers/selection.rs
+++ b/lib/src/entry/peers/selection.rs
@@ -93,6 +93,13 @@
         }
     }
 
+    /// Addresses of all other hosts, in order.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses: Vec<_> = self.known.keys().copied().collect();
+        addresses.sort_unstable();
+        addresses
+    }
+
     /// Replaces the list of hosts. For an address that was known before, the earlier entry stays as
     /// a whole: the time until which the host is skipped, but also its name hash, failure domain
     /// and cores.
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -46,6 +46,8 @@
     ServersLimited,
     /// A part of the prompt makes servers crash, or is suspected of it.
     PromptCrashesServers,
+    /// The request itself makes servers crash, or is suspected of it.
+    RequestCrashesServers,
     /// A server refused the request without running it, and no further attempt could be made: the
     /// attempts or the retry budget of the service were used up, or no other server could be
     /// chosen.
@@ -78,6 +80,7 @@
             | Self::ServersPaused
             | Self::ServersLimited
             | Self::PromptCrashesServers
+            | Self::RequestCrashesServers
             | Self::RefusedByServer
             | Self::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::ExpiredSent => StatusCode::GATEWAY_TIMEOUT,
@@ -112,6 +115,7 @@
             Self::ServersPaused => "servers-paused",
             Self::ServersLimited => "servers-limited",
             Self::PromptCrashesServers => "prompt-crashes-servers",
+            Self::RequestCrashesServers => "request-crashes-servers",
             Self::RefusedByServer => "refused-by-server",
             Self::ExpiredUnsent => "expired-unsent",
             Self::ExpiredSent => "expired-sent",
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -253,7 +253,7 @@
             let frame = tokio::time::timeout_at(deadline.into(), upstream.body.frame()).await;
             let error = match frame {
                 Ok(Some(Ok(frame))) => {
-                    upstream.in_flight.on_response_started();
+                    upstream.in_flight.on_response_part();
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -18,6 +18,7 @@
 use super::budget::cold_share;
 use super::dialect::Prompt;
 use super::dialect::ServerAnnouncement;
+use super::digest::RequestDigest;
 use super::fleet::Fleet;
 use super::fleet::InFlightKey;
 use super::health::is_failing;
@@ -28,6 +29,8 @@
 use super::rate_limit::rate_limit_share;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::request_quarantine::RequestClearance;
+use super::request_quarantine::SentRequest;
 use super::schedule::EngineView;
 use super::schedule::PartCrash;
 use super::schedule::Progress;
@@ -61,6 +64,8 @@
     pub flight: InFlightKey,
     /// Key of the server.
     pub server: ServerKey,
+    /// Hash that identifies the run of the server.
+    pub run: u64,
     /// The server's last announcement, which it renews in the platform's object store.
     pub entry: ServerAnnouncement,
     /// Prompt tokens that the server has to process according to the scheduler, 0 for a plain
@@ -105,6 +110,33 @@
 }
 
 impl Fleet {
+    /// Checks that a request is not held back because it makes servers crash.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if it must not be sent now.
+    pub fn check_request(&self, now: Timestamp, digest: RequestDigest) -> Result<(), Refusal> {
+        match self.request_quarantine.clearance(now, digest) {
+            RequestClearance::Free | RequestClearance::Trial => Ok(()),
+            RequestClearance::HeldBack { retry_after } => {
+                let reason = Reason::RequestCrashesServers;
+                Err(Refusal::with_retry_after(reason, retry_after))
+            }
+        }
+    }
+
+    /// Records that a request is sent to the server of its placement.
+    pub fn on_sent(
+        &mut self,
+        now: Timestamp,
+        digest: RequestDigest,
+        placed: &Placement,
+        give_up_at: Timestamp,
+    ) -> SentRequest {
+        self.request_quarantine
+            .send(now, digest, placed.run, give_up_at)
+    }
+
     /// Chooses a server for a request to a plain service, other than those in `tried`, and counts
     /// the request there.
     ///
@@ -482,10 +514,11 @@
         if server.rate_limit(now).is_some() {
             server.sent_while_limited.add(now);
         }
-        let entry = server.entry.clone();
+        let (entry, run) = (server.entry.clone(), server.run_hash());
         Ok(Placement {
             flight: self.in_flight.insert(key),
             server: key,
+            run,
             entry,
             uncached_tokens,
         })
--- a/lib/src/entry/response.rs
+++ b/lib/src/entry/response.rs
@@ -182,7 +182,7 @@
     mut in_flight: InFlightRequest,
     response: ServerResponse,
 ) -> Result<Response<Body>, Failure> {
-    in_flight.on_response_started();
+    in_flight.on_response_part();
     let deadline = host.clock.instant(call.admitted.give_up_at);
     let complete = Limited::new(response.body, BUFFERED_RESPONSE_MAX_BYTES).collect();
     let (outcome, reason, error) = match tokio::time::timeout_at(deadline.into(), complete).await {
@@ -191,6 +191,7 @@
             let to_caller =
                 Response::from_parts(strip_hop_by_hop(response.parts), body.to_bytes().into());
             reuse_connection(host, response.connection, &response.head);
+            in_flight.on_survived(host.clock.now());
             if !status.is_server_error() {
                 in_flight.end(RequestOutcome::Answered);
                 on_answered(host, call, placed, status);
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -19,6 +19,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use prometheus::core::Collector;
 
 /// Upper bounds of the buckets for response times, seconds. They include the objectives of the
 /// current routes, 0.15 to 0.8 s, and their deadlines, 1.5 to 15 s.
@@ -54,6 +55,8 @@
     pub(crate) server_pauses: IntCounter,
     /// Times that a part of prompts was found to make servers crash and is held back.
     pub(crate) prompt_parts_held_back: IntCounter,
+    /// Times that a request was found to make servers crash and is held back.
+    pub(crate) requests_held_back: IntCounter,
     /// Headers of servers' responses and of platform responses whose values could not be read, by
     /// name.
     pub(crate) headers_unreadable: IntCounterVec,
@@ -82,26 +85,17 @@
     pub fn new(log_dropped_count: Arc<AtomicU64>) -> Result<Self, prometheus::Error> {
         let registry = Registry::new_custom(Some("cardamomshift".into()), None)?;
         let counters = |name: &str, help: &str, labels: &[&str]| {
-            let vec = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(vec.clone()))?;
-            Ok::<_, prometheus::Error>(vec)
+            register(
+                &registry,
+                IntCounterVec::new(Opts::new(name, help), labels)?,
+            )
         };
         let times = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(TIME_BUCKETS_SECONDS.to_vec());
-            let vec = HistogramVec::new(opts, &["route"])?;
-            registry.register(Box::new(vec.clone()))?;
-            Ok::<_, prometheus::Error>(vec)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
+            register(&registry, HistogramVec::new(opts, &["route"])?)
         };
+        let gauge = |name: &str, help: &str| register(&registry, IntGauge::new(name, help)?);
+        let counter = |name: &str, help: &str| register(&registry, IntCounter::new(name, help)?);
         // The metrics keep their names and help texts, in which a response is an "answer", an
         // overloaded host is "behind its work" and an object that cannot be parsed "unreadable".
         Ok(Self {
@@ -135,6 +129,10 @@
                 "prompt_parts_held_back_total",
                 "Times that a part of prompts was held back because it makes servers crash",
             )?,
+            requests_held_back: counter(
+                "requests_held_back_total",
+                "Times that a request was held back because it makes servers crash",
+            )?,
             headers_unreadable: counters(
                 "headers_unreadable_total",
                 "Headers of responses that could not be read",
@@ -184,3 +182,12 @@
         String::from_utf8(text).map_err(|err| prometheus::Error::Msg(err.to_string()))
     }
 }
+
+/// Adds a metric to a registry and returns it.
+fn register<T: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: T,
+) -> Result<T, prometheus::Error> {
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -15,12 +15,15 @@
 use cardamomshift_lib::entry::Progress;
 use cardamomshift_lib::entry::ProgressStep;
 use cardamomshift_lib::entry::PromptPart;
+use cardamomshift_lib::entry::RequestCrash;
+use cardamomshift_lib::entry::RequestDigest;
 use cardamomshift_lib::entry::ReservationId;
 use cardamomshift_lib::entry::ScheduleDecision;
 use cardamomshift_lib::entry::ScheduleRequest;
 use cardamomshift_lib::entry::ServerLimit;
 use cardamomshift_lib::entry::Shard;
 use cardamomshift_lib::entry::ShardWork;
+use cardamomshift_lib::entry::SuspectRequest;
 use cardamomshift_lib::entry::WorkspaceWork;
 use cardamomshift_lib::entry::decode;
 use cardamomshift_lib::entry::encode;
@@ -153,9 +156,30 @@
                 let shards = ShardWork { contention, work };
                 Datagram::Shares { service, shards }
             }),
+        proptest::collection::vec(suspect(), 0..24).prop_map(Datagram::SuspectRequests),
     ]
 }
 
+fn suspect() -> impl Strategy<Value = SuspectRequest> {
+    let crash = (any::<u64>(), span(), any::<bool>());
+    let crash = crash.prop_map(|(run, age, was_trial)| RequestCrash {
+        run,
+        age,
+        was_trial,
+    });
+    let digest =
+        any::<[u64; 2]>().prop_map(|[workspace, content]| RequestDigest { workspace, content });
+    let crashes = proptest::collection::vec(crash, 0..8);
+    (digest, crashes, proptest::option::of(span()), span()).prop_map(
+        |(digest, crashes, answered_age, trial_remaining)| SuspectRequest {
+            digest,
+            crashes,
+            answered_age,
+            trial_remaining,
+        },
+    )
+}
+
 fn crashes() -> impl Strategy<Value = Vec<PartCrash>> {
     let crash = (any::<[u64; 2]>(), span(), span(), any::<[bool; 2]>());
     let crash = crash.prop_map(|(n, age, remaining, flags)| PartCrash {
