schedule: blame a part of prompts only for crashes of different requests

Requests are told apart by their digest, which schedule requests and reports of crashes now carry. Where another request of the session broke off in the same crash, both are kept, and the part stays free if one of them was there each time.

parts_of_one_request_that_crashes_engines_are_not_held_back fails with that condition switched off.

--- a/bench/src/experiment/simulation.rs
+++ b/bench/src/experiment/simulation.rs
@@ -267,6 +267,7 @@
             is_caller_retry: false,
             last_server: 0,
             kind: request.kind as u64 + 1,
+            content: 0,
             was_refused: false,
             refused_tokens: 0,
             excluded: Vec::new(),
--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -87,6 +87,9 @@
 
   limits @19 :List(ServerLimit);
   # Limits that servers have named to the asking host, as far as the scheduler was not told of them.
+
+  content @20 :UInt64;
+  # Hash of what the request asks a server to do, the same for every repeat.
 }
 
 struct SuspectRequest {
@@ -183,6 +186,9 @@
 
   wasTrial @5 :Bool;
   # Whether the request was sent to find out whether the part is to blame.
+
+  content @6 :UInt64;
+  # Hash of what the request asked the server to do, the same for every repeat.
 }
 
 struct HoldBack {
--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -74,7 +74,7 @@
         let mut request = {
             let mut fleet = host.fleet();
             fleet.check_request(now, call.digest)?;
-            fleet.schedule_request(now, &call.admitted, prompt, tried)?
+            fleet.schedule_request(now, &call.admitted, prompt, call.digest, tried)?
         };
         request.excluded.extend(&unusable);
         search.direct(&mut request);
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -170,6 +170,7 @@
     out.set_is_returning(request.is_caller_retry);
     out.set_last_server(request.last_server);
     out.set_kind(request.kind);
+    out.set_content(request.content);
     out.set_was_refused(request.was_refused);
     out.set_refused_tokens(request.refused_tokens);
     let count = u32::try_from(request.shared_parts.len()).unwrap_or(u32::MAX);
@@ -237,6 +238,7 @@
         let mut out = list.reborrow().get(at);
         out.set_part(crash.part);
         out.set_run(crash.run);
+        out.set_content(crash.content);
         out.set_age(micros(crash.age));
         out.set_remaining(micros(crash.remaining));
         out.set_is_blamed(crash.is_blamed);
@@ -248,6 +250,7 @@
     let read = |crash: part_crash::Reader<'_>| PartCrash {
         part: crash.get_part(),
         run: crash.get_run(),
+        content: crash.get_content(),
         age: Duration::from_micros(crash.get_age()),
         remaining: Duration::from_micros(crash.get_remaining()),
         is_blamed: crash.get_is_blamed(),
@@ -432,6 +435,7 @@
         is_caller_retry: bid.get_is_returning(),
         last_server: bid.get_last_server(),
         kind: bid.get_kind(),
+        content: bid.get_content(),
         was_refused: bid.get_was_refused(),
         refused_tokens: bid.get_refused_tokens(),
         excluded: bid.get_excluded()?.iter().collect(),
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -887,6 +887,10 @@
         pub fn has_limits(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_content(self) -> u64 {
+            self.reader.get_data_field::<u64>(12)
+        }
     }
 
     pub struct Builder<'a> {
@@ -895,7 +899,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 12,
+                data: 13,
                 pointers: 4,
             };
     }
@@ -1263,6 +1267,14 @@
         pub fn has_limits(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_content(self) -> u64 {
+            self.builder.get_data_field::<u64>(12)
+        }
+        #[inline]
+        pub fn set_content(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(12, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1277,164 +1289,171 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 346] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 361] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 12, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 13, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 159, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 66),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 193, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(201, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(209, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1624,6 +1643,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1647,6 +1674,7 @@
                 17 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 18 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::part_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 19 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::server_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                20 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1666,11 +1694,11 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[
-            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19,
+            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20,
         ];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[
-            18, 3, 11, 0, 4, 9, 15, 10, 19, 5, 14, 17, 1, 13, 12, 6, 8, 7, 16, 2,
+            20, 18, 3, 11, 0, 4, 9, 15, 10, 19, 5, 14, 17, 1, 13, 12, 6, 8, 7, 16, 2,
         ];
         pub(crate) const TYPE_ID: u64 = 0xfb00_7bc1_3044_86ea;
     }
@@ -3927,6 +3955,10 @@
         pub fn get_was_trial(self) -> bool {
             self.reader.get_bool_field(257)
         }
+        #[inline]
+        pub fn get_content(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
     }
 
     pub struct Builder<'a> {
@@ -3935,7 +3967,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 5,
+                data: 6,
                 pointers: 0,
             };
     }
@@ -4066,6 +4098,14 @@
         pub fn set_was_trial(&mut self, value: bool) {
             self.builder.set_bool_field(257, value);
         }
+        #[inline]
+        pub fn get_content(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_content(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(5, value);
+        }
     }
 
     pub struct Pipeline {
@@ -4080,17 +4120,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 126] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(55, 135, 68, 27, 183, 85, 18, 190),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
@@ -4098,49 +4138,56 @@
             ::capnp::word(97, 114, 116, 67, 114, 97, 115, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4192,6 +4239,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4201,6 +4256,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4219,9 +4275,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 0, 3, 1, 5];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 6, 4, 0, 3, 1, 5];
         pub(crate) const TYPE_ID: u64 = 0xbe12_55b7_1b44_8737;
     }
 }
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -168,6 +168,7 @@
         now: Timestamp,
         admitted: &Admitted,
         prompt: &Prompt,
+        digest: RequestDigest,
         tried: &[ServerKey],
     ) -> Result<ScheduleRequest, Refusal> {
         let parts = prompt.shared_parts().iter().map(|part| part.id);
@@ -216,6 +217,7 @@
             is_caller_retry: admitted.is_caller_retry,
             last_server: last_server.unwrap_or(0),
             kind: xxh3_64(admitted.route.name.as_bytes()),
+            content: digest.content,
             was_refused: false,
             refused_tokens: self.take_refused_tokens(admitted),
             excluded,
--- a/lib/src/entry/schedule/quarantine.rs
+++ b/lib/src/entry/schedule/quarantine.rs
@@ -11,8 +11,9 @@
 //! one with the most crashes, and of several the last, which the fewest requests share. An answer that
 //! goes on clears all parts of its request.
 //!
-//! From the second crash on, requests with a blamed part are sent one at a time, as trials. If a trial
-//! ends its engine too, the part is held back, each time for longer. Hosts tell each other of crashes
+//! From the second crash on, requests with a blamed part are sent one at a time, as trials, provided that
+//! different requests have crashed: the parts of a single one that comes again and again are sound, and
+//! that request is held back by itself (see `request_quarantine`). If a trial ends its engine too, the part is held back, each time for longer. Hosts tell each other of crashes
 //! in their schedule requests and decisions, so that neither another scheduler nor a restarted host has
 //! to learn the same by further crashes.
 
@@ -57,6 +58,8 @@
     pub part: u64,
     /// Hash that identifies the run of the engine.
     pub run: u64,
+    /// Hash of what the request asked the engine to do, the same for every repeat.
+    pub content: u64,
     /// Time since the crash.
     pub age: Duration,
     /// How long the crash still counts.
@@ -107,6 +110,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Crash {
     run: u64,
+    /// Hash of what the request asked the engine to do.
+    content: u64,
+    /// The same of another request with the part that broke off with it, if there was one.
+    other_content: Option<u64>,
     at: Timestamp,
     /// Until when the crash counts. If it ended a trial, the part is held back until then.
     counts_until: Timestamp,
@@ -114,6 +121,13 @@
     was_trial: bool,
 }
 
+impl Crash {
+    /// Whether a request broke off in the crash.
+    fn is_of(&self, content: u64) -> bool {
+        self.content == content || self.other_content == Some(content)
+    }
+}
+
 /// What is known of one part.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
@@ -133,6 +147,9 @@
         }
         if let Some(known) = self.crashes.iter_mut().find(|c| c.run == crash.run) {
             known.is_blamed |= crash.is_blamed;
+            if !known.is_of(crash.content) {
+                known.other_content.get_or_insert(crash.content);
+            }
             // What is known stays as it is: times that come back from other hosts are a little later
             // each time.
             if crash.was_trial && !known.was_trial {
@@ -153,13 +170,24 @@
     }
 
     fn is_suspected(&self) -> bool {
-        self.crashes.len() >= TRIAL_CRASHES && self.crashes.iter().any(|crash| crash.is_blamed)
+        let is_blamed = self.crashes.iter().any(|crash| crash.is_blamed);
+        self.crashes.len() >= TRIAL_CRASHES && is_blamed && self.has_different_requests()
+    }
+
+    /// Whether different requests with the part have crashed engines: none was there each time.
+    fn has_different_requests(&self) -> bool {
+        let Some(first) = self.crashes.first() else {
+            return false;
+        };
+        let was_always_there = |content| self.crashes.iter().all(|crash| crash.is_of(content));
+        !was_always_there(first.content) && !first.other_content.is_some_and(was_always_there)
     }
 
     /// Until when the part is held back, `None` if it was never since it was last cleared.
     fn held_until(&self) -> Option<Timestamp> {
         let ends = self.failed_trials().map(|crash| crash.counts_until);
-        ends.max().filter(|_| self.crashes.len() >= HELD_CRASHES)
+        let is_held = self.crashes.len() >= HELD_CRASHES && self.has_different_requests();
+        ends.max().filter(|_| is_held)
     }
 
     /// How long the next failed trial counts.
@@ -248,9 +276,19 @@
     }
 
     /// Records that an engine's run ended as it began to answer a request with the given shared parts.
-    pub fn on_crash(&mut self, now: Timestamp, run: u64, parts: &[u64], was_trial: bool) {
+    /// `content` is the hash of what the request asked the engine to do.
+    pub fn on_crash(
+        &mut self,
+        now: Timestamp,
+        run: u64,
+        content: u64,
+        parts: &[u64],
+        was_trial: bool,
+    ) {
         let crash = Crash {
             run,
+            content,
+            other_content: None,
             at: now,
             counts_until: now + CRASH_RETENTION,
             is_blamed: false,
@@ -335,6 +373,7 @@
             .map(|(part, crash)| PartCrash {
                 part,
                 run: crash.run,
+                content: crash.content,
                 age: now.since(crash.at),
                 remaining: crash.counts_until.remaining(now),
                 is_blamed: crash.is_blamed,
@@ -351,6 +390,8 @@
             }
             let crash = Crash {
                 run: shared.run,
+                content: shared.content,
+                other_content: None,
                 at: now - shared.age,
                 counts_until: now + shared.remaining.min(HOLD_MAX),
                 is_blamed: shared.is_blamed,
--- a/lib/src/entry/schedule/request.rs
+++ b/lib/src/entry/schedule/request.rs
@@ -110,6 +110,8 @@
     pub last_server: u64,
     /// Hash of the class of requests of similar size that the request belongs to.
     pub kind: u64,
+    /// Hash of what the request asks a server to do, the same for every repeat.
+    pub content: u64,
     /// Whether the scheduler of another shard has refused the request before.
     pub was_refused: bool,
     /// Tokens of the workspace's requests that the asking host has refused by itself since its last
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -118,6 +118,8 @@
     server: u64,
     /// Hash that identifies the run of the engine.
     run: u64,
+    /// Hash of what the request asks the engine to do.
+    content: u64,
     /// Identifiers of the shared parts of the prompt.
     parts: Box<[u64]>,
     /// Whether the request is sent to find out whether its prompt makes engines crash.
@@ -373,6 +375,7 @@
             service: request.service,
             server,
             run: view.run,
+            content: request.content,
             parts,
             is_trial,
             domain: request.domain,
@@ -502,9 +505,10 @@
                     engine.health.on_failed(now);
                 }
                 if progress.step == ProgressStep::BrokenAtStart {
-                    let (run, is_trial) = (reservation.run, reservation.is_trial);
+                    let Reservation { run, content, .. } = *reservation;
+                    let is_trial = reservation.is_trial;
                     self.quarantine
-                        .on_crash(now, run, &reservation.parts, is_trial);
+                        .on_crash(now, run, content, &reservation.parts, is_trial);
                 }
             }
             ProgressStep::Ended => {
--- a/lib/tests/test_entry_engine_health.rs
+++ b/lib/tests/test_entry_engine_health.rs
@@ -40,6 +40,7 @@
         is_caller_retry: false,
         last_server: 0,
         kind: 1,
+        content: 0,
         was_refused: false,
         refused_tokens: 0,
         excluded: Vec::new(),
--- a/lib/tests/test_entry_fairness.rs
+++ b/lib/tests/test_entry_fairness.rs
@@ -159,6 +159,7 @@
                 is_caller_retry: false,
                 last_server: 0,
                 kind: 1,
+                content: 0,
                 was_refused: false,
                 refused_tokens: 0,
                 excluded: Vec::new(),
--- a/lib/tests/test_entry_fleet.rs
+++ b/lib/tests/test_entry_fleet.rs
@@ -6,6 +6,7 @@
 use std::collections::HashSet;
 
 use cardamomshift_lib::entry::Reason;
+use cardamomshift_lib::entry::RequestDigest;
 use cardamomshift_lib::entry::RequestOutcome;
 use cardamomshift_lib::entry::RetryPolicy;
 use cardamomshift_lib::entry::ScheduleDecision;
@@ -25,6 +26,12 @@
 use crate::entry::route;
 use crate::entry::server;
 
+/// Digest of a request of the tests.
+const DIGEST: RequestDigest = RequestDigest {
+    workspace: 1,
+    content: 1,
+};
+
 /// Time at which the tests start, milliseconds.
 const START_MS: u64 = 10_000;
 
@@ -196,7 +203,7 @@
         fleet.confirm_config(at(now));
         let admitted = fleet.admit(at(now), &head, "/s/x").unwrap();
         fleet
-            .schedule_request(at(now), &admitted, &prompt(), &[])
+            .schedule_request(at(now), &admitted, &prompt(), DIGEST, &[])
             .is_ok()
     };
     assert!(has_usable_engine(&mut fleet, START_MS + 1_700));
@@ -330,7 +337,7 @@
     let head = head(Some(KEY), at(START_MS + 6_000));
     let admitted = fleet.admit(at(START_MS), &head, "/s/x").unwrap();
     let request = fleet
-        .schedule_request(at(START_MS), &admitted, &prompt(), &[])
+        .schedule_request(at(START_MS), &admitted, &prompt(), DIGEST, &[])
         .unwrap();
     let ScheduleDecision::Start { server: chosen, .. } = fleet.decide(at(START_MS), &request)
     else {
@@ -374,7 +381,7 @@
     let tokens = u64::from(prompt.input_tokens) + u64::from(prompt.output_tokens());
     let mut refused_tokens = |refused| {
         fleet.on_connections_refused(refused);
-        let request = fleet.schedule_request(now, &admitted, &prompt, &[]);
+        let request = fleet.schedule_request(now, &admitted, &prompt, DIGEST, &[]);
         request.unwrap().refused_tokens
     };
     // Nothing is known yet of what callers send to this host.
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -79,6 +79,7 @@
             rank: rest.0,
             last_server: n.3,
             kind: n.0 ^ n.1,
+            content: n.1 ^ n.2,
             was_refused: rest.4,
             refused_tokens: n.2,
             excluded,
@@ -181,10 +182,11 @@
 }
 
 fn crashes() -> impl Strategy<Value = Vec<PartCrash>> {
-    let crash = (any::<[u64; 2]>(), span(), span(), any::<[bool; 2]>());
+    let crash = (any::<[u64; 3]>(), span(), span(), any::<[bool; 2]>());
     let crash = crash.prop_map(|(n, age, remaining, flags)| PartCrash {
         part: n[0],
         run: n[1],
+        content: n[2],
         age,
         remaining,
         is_blamed: flags[0],
--- a/lib/tests/test_entry_quarantine.rs
+++ b/lib/tests/test_entry_quarantine.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use cardamomshift_lib::entry::Clearance;
 use cardamomshift_lib::entry::EngineView;
 use cardamomshift_lib::entry::PartCrash;
 use cardamomshift_lib::entry::PartQuarantine;
@@ -36,7 +37,7 @@
     Timestamp::from_micros(millis * 1_000)
 }
 
-fn request(parts: &[u64]) -> ScheduleRequest {
+fn request(content: u64, parts: &[u64]) -> ScheduleRequest {
     let part = |id: &u64| PromptPart {
         id: *id,
         tokens: 100,
@@ -55,6 +56,7 @@
         is_caller_retry: false,
         last_server: 0,
         kind: 1,
+        content,
         was_refused: false,
         refused_tokens: 0,
         excluded: Vec::new(),
@@ -132,7 +134,14 @@
                     rate_limit: None,
                 })
                 .collect();
-            let decision = decide(&mut hosts, host, scheduler, now, &request(&parts), &views);
+            let decision = decide(
+                &mut hosts,
+                host,
+                scheduler,
+                now,
+                &request(n, &parts),
+                &views,
+            );
             let started = match decision {
                 Some(ScheduleDecision::Start {
                     reservation,
@@ -284,7 +293,7 @@
 fn engines_that_crash_at_once_hold_back_no_sound_part() {
     let mut quarantine = PartQuarantine::default();
     for run in 0..6 {
-        quarantine.on_crash(at(1_000), run, &[FIRST_PART, 7], false);
+        quarantine.on_crash(at(1_000), run, run, &[FIRST_PART, 7], false);
     }
     // One of the requests that were in flight elsewhere.
     quarantine.on_answered(at(1_200), &[FIRST_PART, 7]);
@@ -299,8 +308,8 @@
     let mut quarantine = PartQuarantine::default();
     for run in 1..=4 {
         let now = at(run * 1_000);
-        quarantine.on_crash(now, run, &[FIRST_PART, 107, HARMFUL_PART], run > 2);
-        quarantine.on_crash(now, run, &[FIRST_PART, 200 + run], false);
+        quarantine.on_crash(now, run, run, &[FIRST_PART, 107, HARMFUL_PART], run > 2);
+        quarantine.on_crash(now, run, 100 + run, &[FIRST_PART, 200 + run], false);
         quarantine.on_answered(at(run * 1_000 + 1), &[FIRST_PART, 300]);
     }
     let held = |part| quarantine.held_back(at(4_100), [part].into_iter());
@@ -308,12 +317,34 @@
     assert_eq!((held(FIRST_PART), held(107)), (None, None));
 }
 
+/// Each engine that runs the same request crashes, and another request of its session with it.
+#[test]
+fn parts_of_one_request_that_crashes_engines_are_not_held_back() {
+    for harmful_is_first in [true, false] {
+        let mut quarantine = PartQuarantine::default();
+        for run in 1..=8 {
+            let mut crashed = [(666, 300), (1_000 + run, 200 + run)];
+            if !harmful_is_first {
+                crashed.reverse();
+            }
+            for (content, own_part) in crashed {
+                let parts = [FIRST_PART, 107, own_part];
+                quarantine.on_crash(at(run * 1_000), run, content, &parts, run > 2);
+            }
+        }
+        for part in [FIRST_PART, 107, 300] {
+            let clearance = quarantine.clearance(at(9_000), [part].into_iter());
+            assert_eq!(clearance, Clearance::Free, "part {part}");
+        }
+    }
+}
+
 /// Crashes three engines, the last one in a trial.
 fn held_quarantine() -> PartQuarantine {
     let mut quarantine = PartQuarantine::default();
     for (run, was_trial) in [(1, false), (2, false), (3, true)] {
         let parts = [FIRST_PART, HARMFUL_PART];
-        quarantine.on_crash(at(run * 1_000), run, &parts, was_trial);
+        quarantine.on_crash(at(run * 1_000), run, run, &parts, was_trial);
     }
     quarantine
 }
@@ -328,7 +359,7 @@
     let first = left(&quarantine, 3_000).expect("the part is held back");
     let end = 3_000 + first.as_millis() as u64;
     assert_eq!(left(&quarantine, end), None);
-    quarantine.on_crash(at(end), 4, &[FIRST_PART, HARMFUL_PART], true);
+    quarantine.on_crash(at(end), 4, 4, &[FIRST_PART, HARMFUL_PART], true);
     let second = left(&quarantine, end).expect("the part is held back again");
     assert!(second > first, "{second:?} after {first:?}");
     quarantine.on_answered(at(end + 1_000), &[HARMFUL_PART]);
@@ -356,7 +387,7 @@
 fn quarantine_is_bounded() {
     let mut quarantine = PartQuarantine::default();
     for n in 0..5_000 {
-        quarantine.on_crash(at(n), n, &[FIRST_PART, 10_000 + n], false);
+        quarantine.on_crash(at(n), n, n, &[FIRST_PART, 10_000 + n], false);
     }
     assert!(quarantine.crashes_to_share(at(5_000)).len() <= 16);
     assert!(format!("{quarantine:?}").len() < 256 * 2_000);
--- a/lib/tests/test_entry_rate_limit.rs
+++ b/lib/tests/test_entry_rate_limit.rs
@@ -11,6 +11,7 @@
 use cardamomshift_lib::entry::Fleet;
 use cardamomshift_lib::entry::Progress;
 use cardamomshift_lib::entry::ProgressStep;
+use cardamomshift_lib::entry::RequestDigest;
 use cardamomshift_lib::entry::RequestOutcome;
 use cardamomshift_lib::entry::ResponseHead;
 use cardamomshift_lib::entry::ScheduleDecision;
@@ -24,6 +25,12 @@
 use crate::entry::head;
 use crate::entry::prompt;
 
+/// Digest of a request of the tests.
+const DIGEST: RequestDigest = RequestDigest {
+    workspace: 1,
+    content: 1,
+};
+
 /// Time at which the tests start, milliseconds.
 const START_MS: u64 = 10_000;
 /// Interval between requests, milliseconds.
@@ -99,7 +106,7 @@
         let admitted = admitted.unwrap();
         let mut prompt = prompt();
         prompt.parts[1].id = 100 + n % 30;
-        let request = fleets[host].schedule_request(at(now), &admitted, &prompt, &[]);
+        let request = fleets[host].schedule_request(at(now), &admitted, &prompt, DIGEST, &[]);
         let address = SocketAddr::from(([10, 0, 0, scheduler as u8], 7_400));
         let told = fleets[host].limits_to_tell(at(now), address);
         fleets[scheduler].on_limits_told(at(now), &told);
--- a/lib/tests/test_entry_schedule.rs
+++ b/lib/tests/test_entry_schedule.rs
@@ -57,6 +57,7 @@
         is_caller_retry: false,
         last_server: 0,
         kind: 1,
+        content: 0,
         was_refused: false,
         refused_tokens: 0,
         excluded: Vec::new(),
