entry: read and log the software versions of servers

The log could not tell a stream that went on at another version from one that did not. Announcements' versions are read, and the lines of a request have the version of its server and the attempt that a caller resumes. An announcement without a version names no server to use, as with the other fields.

--- a/lib/src/entry/dialect.rs
+++ b/lib/src/entry/dialect.rs
@@ -96,6 +96,9 @@
     /// Identifier of the last event that the caller received, if the request continues an
     /// interrupted stream.
     pub resumes_after: Option<CompactString>,
+    /// Identifier of the caller's attempt that brought the first event of that stream, if the caller
+    /// names it.
+    pub resumes: Option<CompactString>,
 }
 
 /// Error in the head of a request.
@@ -216,6 +219,8 @@
     /// When the server's cold start ends, by the clock of this host. Until then the server can take
     /// only a few requests per second.
     pub cold_until: Timestamp,
+    /// Version of the server's software. What two versions write does not fit together in one stream.
+    pub version: CompactString,
     /// Unix time at which the server started, milliseconds. An instance keeps its identifier when
     /// it restarts, so a restart shows only in this time.
     pub started_at_ms: u64,
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -313,12 +313,13 @@
         prompt.map(|prompt| placed.uncached_tokens.saturating_sub(prompt.own_tokens()));
     // `placed.entry` is the server's last announcement. `unread` is the number of prompt tokens that
     // the server has to process, `unread_shared` how many of them other requests share; `returning`
-    // tells whether the request looks like a caller's retry
-    // after a refusal.
+    // tells whether the request looks like a caller's retry after a refusal. `resumes` is the caller's
+    // attempt that began the stream which the request continues.
     info!(target: "request", id = call.head.id.as_str(),
         route = call.admitted.route.name.as_str(),
         workspace = call.admitted.workspace.as_deref(),
         config = call.admitted.config_version, server = placed.entry.instance.as_str(),
+        version = placed.entry.version.as_str(), resumes = call.head.resumes.as_deref(),
         unread = placed.uncached_tokens, unread_shared = unread_shared, returning = call.admitted.is_caller_retry,
         left_ms = millis(call.admitted.give_up_at.remaining(host.clock.now()));
         "sending request to server");
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -363,8 +363,8 @@
             });
             return false;
         }
-        info!(target: "request", id = id, server = server, after = last_id.as_str();
-            "stream resumed");
+        info!(target: "request", id = id, server = server,
+            version = placed.entry.version.as_str(), after = last_id.as_str(); "stream resumed");
         self.placed = placed;
         self.upstream = Some(Upstream::new(in_flight, response));
         true
--- a/lib/tests/entry/mod.rs
+++ b/lib/tests/entry/mod.rs
@@ -120,6 +120,7 @@
         slots: 6,
         is_leaving: false,
         cold_until: Timestamp::ZERO,
+        version: "v1".into(),
         started_at_ms: 0,
     }
 }
@@ -132,6 +133,7 @@
         key: key.map(Into::into),
         prompt: None,
         resumes_after: None,
+        resumes: None,
     }
 }
 
