--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -24,7 +24,6 @@
 
 use log::info;
 use log::warn;
-use rand::seq::index::sample;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -40,7 +39,6 @@
 use crate::entry::fleet::RequestOutcome;
 use crate::entry::forward::millis;
 use crate::entry::host::EntryHost;
-use crate::entry::request_quarantine::SuspectRequest;
 use crate::entry::schedule::Progress;
 use crate::entry::schedule::ProgressStep;
 use crate::entry::schedule::ReservationId;
@@ -65,11 +63,6 @@
 /// Least number of kept decisions at which expired ones are dropped. A busy shard makes about that
 /// many decisions within [`DECISION_RETENTION`].
 const DECISION_SWEEP_THRESHOLD_MIN: usize = 256;
-/// Interval at which a host repeats which requests it suspects of making servers crash.
-const SUSPECTS_PERIOD: Duration = Duration::from_secs(1);
-/// Number of hosts that are told each time. Of the hosts that have restarted or were cut off, all but
-/// one in 8,000 learn it within three seconds.
-const SUSPECTS_PEERS: usize = 3;
 /// Most progress reports in one datagram. At about 25 bytes each, the datagram fits in one packet.
 const REPORTS_PER_DATAGRAM: usize = 40;
 /// Size of the receive buffer, bytes; longer datagrams are truncated and cannot be decoded.
@@ -86,14 +79,14 @@
     has_decided: Notify,
     /// Notified when something new is known of requests that make servers crash, which wakes
     /// [`Link::tell_suspects`].
-    has_suspect_news: Notify,
+    pub(super) has_suspect_news: Notify,
     /// Whether the list of hosts was read.
     has_peers: watch::Sender<bool>,
 }
 
 /// State of a [`Link`] behind its lock.
-struct Inner {
-    peers: Peers,
+pub(super) struct Inner {
+    pub(super) peers: Peers,
     /// Identifier of the last schedule request sent.
     next_id: u64,
     /// Schedule requests sent that wait for a reply, by identifier.
@@ -242,7 +235,7 @@
         self.has_suspect_news.notify_one();
     }
 
-    fn inner(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn inner(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -354,7 +347,7 @@
     }
 
     /// Sends a datagram. Errors are only logged: they have the same effect as a lost datagram.
-    async fn send(&self, address: SocketAddr, bytes: &[u8]) {
+    pub(super) async fn send(&self, address: SocketAddr, bytes: &[u8]) {
         if let Err(err) = self.socket.send_to(bytes, address).await {
             // The missing reply is noticed anyway, so this is logged for debugging only.
             log::debug!(target: "peer", peer = address.to_string(), reason = err.to_string();
@@ -513,42 +506,6 @@
         }
     }
 
-    /// Tells the other hosts what is known of requests that make servers crash, until the task is
-    /// dropped: news to all of them at once, and what is suspected to a few every second.
-    pub(crate) async fn tell_suspects(host: Arc<EntryHost>) {
-        let link = &host.link;
-        loop {
-            let has_suspects = host.fleet().request_quarantine().has_suspects();
-            let news = link.has_suspect_news.notified();
-            let is_repeat = match has_suspects {
-                true => tokio::time::timeout(SUSPECTS_PERIOD, news).await.is_err(),
-                false => {
-                    news.await;
-                    false
-                }
-            };
-            let now = host.clock.now();
-            let news = host.fleet().request_quarantine().take_news(now);
-            let all = link.inner().peers.addresses();
-            link.send_suspects(&all, news).await;
-            if is_repeat {
-                let suspects = host.fleet().request_quarantine().suspects(now);
-                let some = sample(&mut rand::rng(), all.len(), SUSPECTS_PEERS.min(all.len()));
-                let some: Vec<_> = some.into_iter().map(|index| all[index]).collect();
-                link.send_suspects(&some, vec![suspects]).await;
-            }
-        }
-    }
-
-    async fn send_suspects(&self, addresses: &[SocketAddr], lists: Vec<Vec<SuspectRequest>>) {
-        for list in lists.into_iter().filter(|list| !list.is_empty()) {
-            let bytes = encode(&Datagram::SuspectRequests(list));
-            for address in addresses {
-                self.send(*address, &bytes).await;
-            }
-        }
-    }
-
     /// Sends queued progress reports in batches until the task is dropped.
     pub(crate) async fn report(host: Arc<EntryHost>) {
         loop {
