--- a/bench/src/experiment/simulation.rs
+++ b/bench/src/experiment/simulation.rs
@@ -268,6 +268,7 @@
             last_server: 0,
             kind: request.kind as u64 + 1,
             content: 0,
+            version: None,
             was_refused: false,
             refused_tokens: 0,
             excluded: Vec::new(),
--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -21,6 +21,12 @@
 
     suspectRequests @5 :List(SuspectRequest);
     # Sent to other hosts when something new is known of these requests, and now and then again.
+
+    origin @6 :StreamOrigin;
+    # Sent to a few other hosts when a stream has begun that its caller may take up.
+
+    originRequest @7 :OriginRequest;
+    originReply @8 :OriginReply;
   }
 }
 
@@ -90,6 +96,46 @@
 
   content @20 :UInt64;
   # Hash of what the request asks a server to do, the same for every repeat.
+
+  version @21 :UInt64;
+  # Software version that the server must run, 0 for any. Versions are identified by a hash of the
+  # names of service and version.
+}
+
+struct StreamOrigin {
+  # Where a stream began.
+
+  key @0 :UInt64;
+  # Hash that identifies the stream.
+
+  version @1 :UInt64;
+  # Software version of the server that sent its first event.
+
+  remaining @2 :UInt64;
+  # How long the stream has to be remembered.
+}
+
+struct OriginRequest {
+  # Asks where a stream began.
+
+  id @0 :UInt64;
+  # Chosen by the asking host and repeated in the reply.
+
+  key @1 :UInt64;
+  service @2 :UInt64;
+}
+
+struct OriginReply {
+  id @0 :UInt64;
+
+  union {
+    unknown @1 :Void;
+    version @2 :UInt64;
+    # The version that began the stream.
+    onlyVersion @3 :UInt64;
+    # The stream is not known, but the service has run this version only for longer than any stream
+    # lasts.
+  }
 }
 
 struct SuspectRequest {
--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -22,6 +22,7 @@
 use super::schedule::SearchStep;
 use super::schedule::ShardSearch;
 use super::servers::ServerKey;
+use super::stream_origins::VersionId;
 
 /// Retry time given to callers when their request was not sent, because no server could be reached
 /// or found, or because this host has reached its limit of connections. It is about the first
@@ -36,7 +37,8 @@
     pub(crate) in_flight: InFlightRequest,
 }
 
-/// Chooses a server for a request, other than those in `tried`. For a request to a model this waits
+/// Chooses a server for a request, other than those in `tried`, and one of `version` if the request
+/// continues a stream. For a request to a model this waits
 /// for the scheduler's decision and then until the time at which the request may be sent.
 ///
 /// # Errors
@@ -46,6 +48,7 @@
 pub(crate) async fn assign_server(
     host: &Arc<EntryHost>,
     call: &Call,
+    version: Option<VersionId>,
     tried: &[ServerKey],
 ) -> Result<Assignment, Refusal> {
     let Some(prompt) = &call.head.prompt else {
@@ -56,7 +59,7 @@
         let (placed, sent) = {
             let mut fleet = host.fleet();
             fleet.check_request(now, call.digest)?;
-            let placed = fleet.place(now, &call.admitted.service, tried)?;
+            let placed = fleet.place(now, &call.admitted.service, version, tried)?;
             let sent = fleet.on_sent(now, call.digest, &placed, call.admitted.give_up_at);
             (placed, sent)
         };
@@ -76,6 +79,7 @@
             fleet.check_request(now, call.digest)?;
             fleet.schedule_request(now, &call.admitted, prompt, call.digest, tried)?
         };
+        request.version = version;
         request.excluded.extend(&unusable);
         search.direct(&mut request);
         let (decision, scheduler) = host.link.decide(host, &request).await;
@@ -101,7 +105,7 @@
             // A repeat may have ended its server meanwhile.
             fleet.check_request(now, call.digest)?;
             let admitted = &call.admitted;
-            let placed = fleet.place_scheduled(now, admitted, prompt, server, uncached);
+            let placed = fleet.place_scheduled(now, admitted, prompt, version, server, uncached);
             placed.map(|placed| {
                 let sent = fleet.on_sent(now, call.digest, &placed, admitted.give_up_at);
                 (placed, sent)
--- a/lib/src/entry/config.rs
+++ b/lib/src/entry/config.rs
@@ -217,6 +217,12 @@
         !self.workspaces.is_empty() && !route.is_anonymous
     }
 
+    /// The longest timeout of any route.
+    pub fn longest_timeout(&self) -> Duration {
+        let routes = self.routes.values().flatten();
+        routes.map(|route| route.timeout).max().unwrap_or_default()
+    }
+
     /// Number of routes, over all `Host` headers.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -35,6 +35,8 @@
 use super::servers::ServerKey;
 use super::servers::Servers;
 use super::session_affinity::SessionAffinity;
+use super::stream_origins::StreamOrigins;
+use super::stream_origins::VersionHistory;
 use crate::time::Timestamp;
 
 new_key_type! {
@@ -48,6 +50,9 @@
 /// an announcement with the true state arrives within this time.
 const ASSUMED_COLD_DURATION: Duration = Duration::from_secs(3);
 
+/// Interval at which the software versions of the servers are recorded.
+const VERSIONS_PERIOD: Duration = Duration::from_secs(1);
+
 /// Number and work of requests to models, which decay with each use.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ReadPrompts {
@@ -137,6 +142,14 @@
     pub(super) read_prompts: HashMap<(CompactString, Option<CompactString>), ReadPrompts>,
     /// Requests that make servers crash.
     pub(super) request_quarantine: RequestQuarantine,
+    /// Versions at which streams began.
+    pub(super) stream_origins: StreamOrigins,
+    /// Versions that servers have lately run.
+    pub(super) version_history: VersionHistory,
+    /// Latest time at which the list of servers was known to be complete.
+    pub(super) servers_confirmed_at: Option<Timestamp>,
+    /// When the versions of the servers are recorded next.
+    pub(super) versions_due_at: Timestamp,
     /// What schedulers were told of the limits of runs of engines, by address and run.
     pub(super) told_limits: HashMap<(SocketAddr, u64), ToldLimit>,
     /// Number of these requests by workspace, for log lines.
@@ -179,6 +192,10 @@
             refused_counts: HashMap::new(),
             read_prompts: HashMap::new(),
             request_quarantine: RequestQuarantine::default(),
+            stream_origins: StreamOrigins::default(),
+            version_history: VersionHistory::default(),
+            servers_confirmed_at: None,
+            versions_due_at: Timestamp::ZERO,
             told_limits: HashMap::new(),
             session_affinity: SessionAffinity::default(),
             longest_deadlines: HashMap::new(),
@@ -279,9 +296,18 @@
     /// identifiers.
     pub fn sweep(&mut self, now: Timestamp) -> Vec<CompactString> {
         self.told_limits.retain(|_, told| told.is_recent(now));
+        if self.versions_due_at.has_passed(now) {
+            self.versions_due_at = now + VERSIONS_PERIOD;
+            self.record_versions(now);
+        }
         self.servers.sweep(now)
     }
 
+    /// Records that the list of servers was complete at `at`.
+    pub fn confirm_servers(&mut self, at: Timestamp) {
+        self.servers_confirmed_at = self.servers_confirmed_at.max(Some(at));
+    }
+
     /// Replaces the set of failure domains that are out of service.
     pub fn set_evacuated(&mut self, domains: HashSet<CompactString>) {
         self.evacuated = domains;
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -40,6 +40,8 @@
 use super::response::handle_response;
 use super::response::on_error;
 use super::servers::ServerKey;
+use super::stream_origins::StreamKey;
+use super::take_up::stream_version;
 use crate::gateway::end_to_end;
 
 /// Maximum number of servers tried for one request, including those that could not be reached.
@@ -72,6 +74,13 @@
         }
     }
 
+    /// The stream that the request continues, `None` if it does not or the caller does not name it.
+    pub(crate) fn stream_key(&self) -> Option<StreamKey> {
+        let resumes = self.head.resumes.as_deref();
+        let attempt = resumes.filter(|_| self.head.resumes_after.is_some())?;
+        Some(StreamKey::new(self.admitted.workspace.as_deref(), attempt))
+    }
+
     /// Builds the request for a server. `remaining` is the time until the deadline. If the server
     /// is to continue a stream that broke off, `resumes_after` is the identifier of the last event
     /// that the caller received of it; otherwise the one in the caller's request applies, if any.
@@ -258,10 +267,12 @@
     let admitted = &call.admitted;
     // Adds to the retry budget of the service, once per request.
     host.fleet().on_request(host.clock.now(), &admitted.service);
+    let version = stream_version(host, call).await?;
     let mut attempts = Attempts::default();
     let mut last: Option<Failure> = None;
     loop {
-        let assignment = match (assign_server(host, call, &attempts.tried).await, last) {
+        let assignment = assign_server(host, call, version, &attempts.tried).await;
+        let assignment = match (assignment, last) {
             (Ok(assignment), _) => assignment,
             (Err(refusal), None) => return Err(refusal),
             (Err(_), Some(failure)) => return attempts.caller_result(failure.caller_result),
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -17,6 +17,7 @@
 
 use super::schedule_capnp::bid;
 use super::schedule_capnp::datagram;
+use super::schedule_capnp::origin_reply;
 use super::schedule_capnp::part_crash;
 use super::schedule_capnp::progress;
 use super::schedule_capnp::request_crash;
@@ -39,6 +40,10 @@
 use crate::entry::schedule::Shard;
 use crate::entry::schedule::ShardWork;
 use crate::entry::schedule::WorkspaceWork;
+use crate::entry::stream_origins::KnownOrigin;
+use crate::entry::stream_origins::StreamKey;
+use crate::entry::stream_origins::StreamOrigin;
+use crate::entry::stream_origins::VersionId;
 
 /// Most words (8 bytes each) that are read from one datagram, so that a malformed one cannot take
 /// much time. The largest valid one, a schedule request that excludes all servers of a service, has
@@ -86,6 +91,24 @@
     },
     /// What the sending host knows of requests under which servers have crashed.
     SuspectRequests(Vec<SuspectRequest>),
+    /// A stream has begun at the sending host.
+    Origin(StreamOrigin),
+    /// Asks where a stream began.
+    OriginRequest {
+        /// Identifier chosen by the asking host; the reply carries it.
+        id: u64,
+        /// The stream.
+        key: StreamKey,
+        /// Hash of the name of its service.
+        service: u64,
+    },
+    /// What the sending host knows of where a stream began.
+    OriginReply {
+        /// Identifier of the request.
+        id: u64,
+        /// What is known.
+        origin: KnownOrigin,
+    },
 }
 
 /// Why a datagram cannot be decoded.
@@ -150,6 +173,27 @@
                 write_suspect(out.reborrow().get(at), suspect);
             }
         }
+        Datagram::Origin(origin) => {
+            let mut out = root.init_origin();
+            out.set_key(origin.key.0);
+            out.set_version(origin.version.0);
+            out.set_remaining(micros(origin.remaining));
+        }
+        Datagram::OriginRequest { id, key, service } => {
+            let mut out = root.init_origin_request();
+            out.set_id(*id);
+            out.set_key(key.0);
+            out.set_service(*service);
+        }
+        Datagram::OriginReply { id, origin } => {
+            let mut out = root.init_origin_reply();
+            out.set_id(*id);
+            match origin {
+                KnownOrigin::Unknown => out.set_unknown(()),
+                KnownOrigin::Version(version) => out.set_version(version.0),
+                KnownOrigin::OnlyVersion(version) => out.set_only_version(version.0),
+            }
+        }
     }
     let mut bytes = Vec::new();
     serialize_packed::write_message(&mut bytes, &builder).expect("writing to a Vec cannot fail");
@@ -171,6 +215,7 @@
     out.set_last_server(request.last_server);
     out.set_kind(request.kind);
     out.set_content(request.content);
+    out.set_version(request.version.map_or(0, |version| version.0));
     out.set_was_refused(request.was_refused);
     out.set_refused_tokens(request.refused_tokens);
     let count = u32::try_from(request.shared_parts.len()).unwrap_or(u32::MAX);
@@ -398,6 +443,32 @@
             let list: Result<_, _> = list.iter().map(read_suspect).collect();
             Ok(Datagram::SuspectRequests(list.context(EncodingSnafu)?))
         }
+        datagram::Origin(origin) => {
+            let origin = origin.context(EncodingSnafu)?;
+            Ok(Datagram::Origin(StreamOrigin {
+                key: StreamKey(origin.get_key()),
+                version: VersionId(origin.get_version()),
+                remaining: Duration::from_micros(origin.get_remaining()),
+            }))
+        }
+        datagram::OriginRequest(request) => {
+            let request = request.context(EncodingSnafu)?;
+            Ok(Datagram::OriginRequest {
+                id: request.get_id(),
+                key: StreamKey(request.get_key()),
+                service: request.get_service(),
+            })
+        }
+        datagram::OriginReply(reply) => {
+            let reply = reply.context(EncodingSnafu)?;
+            let origin = match reply.which().context(KindSnafu)? {
+                origin_reply::Unknown(()) => KnownOrigin::Unknown,
+                origin_reply::Version(version) => KnownOrigin::Version(VersionId(version)),
+                origin_reply::OnlyVersion(version) => KnownOrigin::OnlyVersion(VersionId(version)),
+            };
+            let id = reply.get_id();
+            Ok(Datagram::OriginReply { id, origin })
+        }
         datagram::Leaving(id) => Ok(Datagram::Leaving { id }),
         datagram::Shares(shares) => {
             let shares = shares.context(EncodingSnafu)?;
@@ -436,6 +507,9 @@
         last_server: bid.get_last_server(),
         kind: bid.get_kind(),
         content: bid.get_content(),
+        version: Some(bid.get_version())
+            .filter(|version| *version != 0)
+            .map(VersionId),
         was_refused: bid.get_was_refused(),
         refused_tokens: bid.get_refused_tokens(),
         excluded: bid.get_excluded()?.iter().collect(),
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -26,6 +26,7 @@
 use log::warn;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
@@ -45,12 +46,14 @@
 use crate::entry::schedule::ScheduleDecision;
 use crate::entry::schedule::ScheduleRequest;
 use crate::entry::schedule::Shard;
+use crate::entry::stream_origins::KnownOrigin;
 use crate::time::Timestamp;
 
 /// How long to wait for a reply before a schedule request is sent again, and then before the asked
 /// host counts as silent. A round trip between failure domains takes 2 to 3 ms, and a host
 /// with a CPU quota may be paused for most of 100 ms.
-const REPLY_TIMEOUTS: [Duration; 2] = [Duration::from_millis(40), Duration::from_millis(60)];
+pub(super) const REPLY_TIMEOUTS: [Duration; 2] =
+    [Duration::from_millis(40), Duration::from_millis(60)];
 /// How long a decision is kept in case the schedule request is sent again.
 const DECISION_RETENTION: Duration = Duration::from_millis(500);
 /// How long progress reports are held back so that later ones go out in the same datagram.
@@ -87,10 +90,12 @@
 /// State of a [`Link`] behind its lock.
 pub(super) struct Inner {
     pub(super) peers: Peers,
-    /// Identifier of the last schedule request sent.
-    next_id: u64,
+    /// Identifier of the last request sent to another host.
+    pub(super) next_id: u64,
     /// Schedule requests sent that wait for a reply, by identifier.
     waiting: HashMap<u64, oneshot::Sender<Reply>>,
+    /// Questions sent to other hosts where a stream began, by identifier.
+    pub(super) origin_requests: HashMap<u64, mpsc::UnboundedSender<(SocketAddr, KnownOrigin)>>,
     /// Decisions sent to other hosts, by asking host and identifier.
     decisions: HashMap<(SocketAddr, u64), RecentDecision>,
     /// Number of kept decisions at which expired ones are dropped next: twice the number that
@@ -190,10 +195,10 @@
     }
 }
 
-/// Ends the wait for the reply to a schedule request when it is dropped.
-struct WaitGuard<'a> {
-    link: &'a Link,
-    id: u64,
+/// Ends the wait for replies to a request of this host when it is dropped.
+pub(super) struct WaitGuard<'a> {
+    pub(super) link: &'a Link,
+    pub(super) id: u64,
 }
 
 impl Drop for WaitGuard<'_> {
@@ -212,6 +217,7 @@
                 peers: Peers::new(own),
                 next_id: first_id,
                 waiting: HashMap::new(),
+                origin_requests: HashMap::new(),
                 decisions: HashMap::new(),
                 decision_sweep_threshold: DECISION_SWEEP_THRESHOLD_MIN,
                 reports: HashMap::new(),
@@ -343,7 +349,9 @@
     }
 
     fn stop_waiting(&self, id: u64) {
-        self.inner().waiting.remove(&id);
+        let mut inner = self.inner();
+        inner.waiting.remove(&id);
+        inner.origin_requests.remove(&id);
     }
 
     /// Sends a datagram. Errors are only logged: they have the same effect as a lost datagram.
@@ -377,8 +385,7 @@
         }
     }
 
-    /// Handles a datagram. If a decision arrives after its request has stopped waiting for it, the
-    /// reservation that it made is released.
+    /// Handles a datagram.
     async fn on_datagram(&self, host: &Arc<EntryHost>, from: SocketAddr, datagram: Datagram) {
         match datagram {
             Datagram::Bid { id, .. } if host.fleet().is_stopping() => {
@@ -415,17 +422,8 @@
                 decision,
                 crashes,
             } => {
-                let now = host.clock.now();
-                host.fleet().on_crashes_shared(now, &crashes);
-                let waiting = self.inner().waiting.remove(&id);
-                let is_unclaimed = match waiting {
-                    Some(tx) => tx.send(Reply::Decision(decision)).is_err(),
-                    None => true,
-                };
-                if is_unclaimed && let ScheduleDecision::Start { reservation, .. } = decision {
-                    let step = ProgressStep::Ended;
-                    self.add_report(from, Progress { reservation, step });
-                }
+                host.fleet().on_crashes_shared(host.clock.now(), &crashes);
+                self.on_decision(from, id, decision);
             }
             Datagram::Shares { service, shards } => {
                 let now = host.clock.now();
@@ -440,6 +438,24 @@
                 drop(fleet);
                 self.on_suspect_news();
             }
+            Datagram::Origin(origin) => {
+                let now = host.clock.now();
+                host.fleet().on_stream_told(now, &origin);
+            }
+            Datagram::OriginRequest { id, key, service } => {
+                let now = host.clock.now();
+                let origin = host.fleet().stream_origin(now, Some(key), service);
+                let bytes = encode(&Datagram::OriginReply { id, origin });
+                self.send(from, &bytes).await;
+            }
+            Datagram::OriginReply { id, origin } => {
+                let inner = self.inner();
+                // Sending fails if the request no longer waits for this reply.
+                let _ = inner
+                    .origin_requests
+                    .get(&id)
+                    .map(|tx| tx.send((from, origin)));
+            }
             Datagram::Progress(list) => {
                 let now = host.clock.now();
                 let mut fleet = host.fleet();
@@ -450,6 +466,20 @@
         }
     }
 
+    /// Hands a decision to the request that waits for it. If none does any more, the reservation that the
+    /// scheduler has made is released.
+    fn on_decision(&self, from: SocketAddr, id: u64, decision: ScheduleDecision) {
+        let waiting = self.inner().waiting.remove(&id);
+        let is_unclaimed = match waiting {
+            Some(tx) => tx.send(Reply::Decision(decision)).is_err(),
+            None => true,
+        };
+        if is_unclaimed && let ScheduleDecision::Start { reservation, .. } = decision {
+            let step = ProgressStep::Ended;
+            self.add_report(from, Progress { reservation, step });
+        }
+    }
+
     /// The decision on a schedule request of another host: the kept one if the request has been
     /// received before, or else a new one.
     fn decision_for(
--- a/lib/src/entry/peers/mod.rs
+++ b/lib/src/entry/peers/mod.rs
@@ -1,5 +1,6 @@
 //! UDP datagrams between entry hosts: schedule requests for requests to models, the schedulers'
-//! decisions, reports on the progress of the scheduled requests, and requests that make servers crash.
+//! decisions, reports on the progress of the scheduled requests, requests that make servers crash, and
+//! the software versions at which streams began.
 //!
 //! An entry host is a reverse proxy that forwards callers' requests to backend servers. The fleet
 //! is the entry hosts and the backend servers together. A scheduler decides when a request to a
@@ -14,6 +15,7 @@
 
 mod codec;
 mod link;
+mod origin;
 mod reply;
 mod selection;
 mod suspects;
--- a/lib/src/entry/peers/reply.rs
+++ b/lib/src/entry/peers/reply.rs
@@ -16,10 +16,18 @@
 /// Waits until the receiving task hands over the reply. `None` if no reply had arrived when the timeout
 /// was noticed, or if none can arrive.
 pub async fn wait_for_reply<T>(rx: &mut oneshot::Receiver<T>, timeout: Duration) -> Option<T> {
+    wait_for(rx, timeout).await?.ok()
+}
+
+/// Waits for replies that the receiving task hands over, like [`wait_for_reply`].
+pub(crate) async fn wait_for<F: Future + Unpin>(
+    mut replies: F,
+    timeout: Duration,
+) -> Option<F::Output> {
     let polls = std::iter::repeat_n(SOCKET_POLL_TIMEOUT, SOCKET_POLLS);
     for timeout in std::iter::once(timeout).chain(polls) {
-        if let Ok(reply) = tokio::time::timeout(timeout, &mut *rx).await {
-            return reply.ok();
+        if let Ok(output) = tokio::time::timeout(timeout, &mut replies).await {
+            return Some(output);
         }
     }
     None
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -5,7 +5,10 @@
 // capnpc crate version: 0.27.0
 
 pub mod datagram {
-    pub use self::Which::{Bid, Leaving, Progress, Shares, SuspectRequests, Verdict};
+    pub use self::Which::{
+        Bid, Leaving, Origin, OriginReply, OriginRequest, Progress, Shares, SuspectRequests,
+        Verdict,
+    };
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -145,6 +148,27 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_origin(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 6 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_origin_request(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 7 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_origin_reply(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 8 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Bid(
@@ -178,6 +202,24 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                6 => ::core::result::Result::Ok(Origin(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                7 => ::core::result::Result::Ok(OriginRequest(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                8 => ::core::result::Result::Ok(OriginReply(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -420,6 +462,84 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_origin(
+            &mut self,
+            value: crate::entry::peers::schedule_capnp::stream_origin::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 6);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_origin(
+            self,
+        ) -> crate::entry::peers::schedule_capnp::stream_origin::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 6);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_origin(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 6 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_origin_request(
+            &mut self,
+            value: crate::entry::peers::schedule_capnp::origin_request::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 7);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_origin_request(
+            self,
+        ) -> crate::entry::peers::schedule_capnp::origin_request::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 7);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_origin_request(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 7 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_origin_reply(
+            &mut self,
+            value: crate::entry::peers::schedule_capnp::origin_reply::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 8);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_origin_reply(
+            self,
+        ) -> crate::entry::peers::schedule_capnp::origin_reply::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 8);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_origin_reply(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 8 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Bid(
@@ -453,6 +573,24 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                6 => ::core::result::Result::Ok(Origin(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                7 => ::core::result::Result::Ok(OriginRequest(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                8 => ::core::result::Result::Ok(OriginReply(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -470,66 +608,87 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 117] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 164] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(15, 207, 249, 96, 47, 214, 11, 227),
             ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 6, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 9, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 68),
             ::capnp::word(97, 116, 97, 103, 114, 97, 109, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(98, 105, 100, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
@@ -588,6 +747,32 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 105, 103, 105, 110, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(50, 56, 228, 40, 166, 107, 58, 150),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 105, 103, 105, 110, 82, 101),
+            ::capnp::word(113, 117, 101, 115, 116, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 223, 100, 135, 59, 213, 33, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 105, 103, 105, 110, 82, 101),
+            ::capnp::word(112, 108, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 67, 108, 107, 28, 228, 46, 141),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -597,6 +782,9 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::entry::peers::schedule_capnp::shares::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::suspect_request::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::entry::peers::schedule_capnp::stream_origin::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::entry::peers::schedule_capnp::origin_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::entry::peers::schedule_capnp::origin_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -616,17 +804,20 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 2, 4, 5, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 6, 8, 7, 2, 4, 5, 1];
         pub(crate) const TYPE_ID: u64 = 0xe30b_d62f_60f9_cf0f;
     }
-    pub enum Which<A0, A1, A2, A3, A4> {
+    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7> {
         Bid(A0),
         Verdict(A1),
         Progress(A2),
         Leaving(u64),
         Shares(A3),
         SuspectRequests(A4),
+        Origin(A5),
+        OriginRequest(A6),
+        OriginReply(A7),
     }
     pub type WhichReader<'a> = Which<
         ::capnp::Result<crate::entry::peers::schedule_capnp::bid::Reader<'a>>,
@@ -641,6 +832,9 @@
                 crate::entry::peers::schedule_capnp::suspect_request::Owned,
             >,
         >,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::stream_origin::Reader<'a>>,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::origin_request::Reader<'a>>,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::origin_reply::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         ::capnp::Result<crate::entry::peers::schedule_capnp::bid::Builder<'a>>,
@@ -655,6 +849,9 @@
                 crate::entry::peers::schedule_capnp::suspect_request::Owned,
             >,
         >,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::stream_origin::Builder<'a>>,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::origin_request::Builder<'a>>,
+        ::capnp::Result<crate::entry::peers::schedule_capnp::origin_reply::Builder<'a>>,
     >;
 }
 
@@ -891,6 +1088,10 @@
         pub fn get_content(self) -> u64 {
             self.reader.get_data_field::<u64>(12)
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(13)
+        }
     }
 
     pub struct Builder<'a> {
@@ -899,7 +1100,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 13,
+                data: 14,
                 pointers: 4,
             };
     }
@@ -1275,6 +1476,14 @@
         pub fn set_content(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(12, value);
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(13)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(13, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1289,171 +1498,178 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 361] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 376] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 13, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 14, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 159, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 215, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 66),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(225, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 193, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(229, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(29, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(33, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1651,6 +1867,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1675,6 +1899,7 @@
                 18 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::part_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 19 => <::capnp::struct_list::Owned<crate::entry::peers::schedule_capnp::server_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 20 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                21 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1694,16 +1919,1068 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[
-            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20,
+            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21,
         ];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[
-            20, 18, 3, 11, 0, 4, 9, 15, 10, 19, 5, 14, 17, 1, 13, 12, 6, 8, 7, 16, 2,
+            20, 18, 3, 11, 0, 4, 9, 15, 10, 19, 5, 14, 17, 1, 13, 12, 6, 8, 7, 21, 16, 2,
         ];
         pub(crate) const TYPE_ID: u64 = 0xfb00_7bc1_3044_86ea;
     }
 }
 
+pub mod stream_origin {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_remaining(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_remaining(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_remaining(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(50, 56, 228, 40, 166, 107, 58, 150),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+            ::capnp::word(116, 114, 101, 97, 109, 79, 114, 105),
+            ::capnp::word(103, 105, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 97, 105, 110, 105, 110),
+            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+        pub(crate) const TYPE_ID: u64 = 0x963a_6ba6_28e4_3832;
+    }
+}
+
+pub mod origin_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_service(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_service(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(176, 223, 100, 135, 59, 213, 33, 255),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 79),
+            ::capnp::word(114, 105, 103, 105, 110, 82, 101, 113),
+            ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2];
+        pub(crate) const TYPE_ID: u64 = 0xff21_d53b_8764_dfb0;
+    }
+}
+
+pub mod origin_reply {
+    pub use self::Which::{OnlyVersion, Unknown, Version};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(4) {
+                0 => ::core::result::Result::Ok(Unknown(())),
+                1 => ::core::result::Result::Ok(Version(self.reader.get_data_field::<u64>(2))),
+                2 => ::core::result::Result::Ok(OnlyVersion(self.reader.get_data_field::<u64>(2))),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn set_unknown(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(4, 0);
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u16>(4, 1);
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn set_only_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u16>(4, 2);
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(4) {
+                0 => ::core::result::Result::Ok(Unknown(())),
+                1 => ::core::result::Result::Ok(Version(self.builder.get_data_field::<u64>(2))),
+                2 => ::core::result::Result::Ok(OnlyVersion(self.builder.get_data_field::<u64>(2))),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(100, 67, 108, 107, 28, 228, 46, 141),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 79),
+            ::capnp::word(114, 105, 103, 105, 110, 82, 101, 112),
+            ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 254, 255, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 253, 255, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 110, 108, 121, 86, 101, 114, 115),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <() as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 1, 2];
+        pub(crate) const TYPE_ID: u64 = 0x8d2e_e41c_6b6c_4364;
+    }
+    pub enum Which {
+        Unknown(()),
+        Version(u64),
+        OnlyVersion(u64),
+    }
+    pub type WhichReader = Which;
+    pub type WhichBuilder = Which;
+}
+
 pub mod suspect_request {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/lib/src/entry/peers/selection.rs
+++ b/lib/src/entry/peers/selection.rs
@@ -13,6 +13,7 @@
 //! without communication. The subject is a number that identifies what a host is selected for: the
 //! scheduling of a shard, or the mirroring of a kind of platform object.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -61,6 +62,8 @@
     /// Hash of its name.
     hash: u64,
     address: SocketAddr,
+    /// Hash of its failure domain.
+    domain: u64,
     /// Whether it is in this host's failure domain.
     is_same_domain: bool,
     cores: f64,
@@ -100,6 +103,35 @@
         addresses
     }
 
+    /// The first hosts for `subject`, at most `count` including this one, which is left out. All hosts
+    /// that know the same hosts select the same ones. Failure domains take turns, so that few are lost
+    /// with a domain.
+    pub fn homes(&self, subject: u64, count: usize) -> Vec<SocketAddr> {
+        let own_domain = xxh3_64(self.own.domain.as_bytes());
+        let own = (rank(self.own_hash, subject), own_domain, None);
+        let others = self
+            .known
+            .values()
+            .map(|peer| (rank(peer.hash, subject), peer.domain, Some(peer.address)));
+        let mut hosts: Vec<_> = others.chain([own]).collect();
+        hosts.sort_unstable_by(|a, b| b.cmp(a));
+        let mut counts: HashMap<u64, usize> = HashMap::new();
+        let mut by_turn: Vec<_> = hosts
+            .into_iter()
+            .map(|(rank, domain, address)| {
+                let turn = counts.entry(domain).or_default();
+                *turn += 1;
+                (*turn, Reverse(rank), address)
+            })
+            .collect();
+        by_turn.sort_unstable();
+        by_turn.truncate(count);
+        by_turn
+            .into_iter()
+            .filter_map(|(.., address)| address)
+            .collect()
+    }
+
     /// Replaces the list of hosts. For an address that was known before, the earlier entry stays as
     /// a whole: the time until which the host is skipped, but also its name hash, failure domain
     /// and cores.
@@ -109,6 +141,7 @@
             let fresh = || KnownPeer {
                 hash: xxh3_64(peer.name.as_bytes()),
                 address: peer.address,
+                domain: xxh3_64(peer.domain.as_bytes()),
                 is_same_domain: peer.domain == self.own.domain,
                 cores: peer.cores,
                 skipped_until: Timestamp::ZERO,
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -48,6 +48,9 @@
     PromptCrashesServers,
     /// The request itself makes servers crash, or is suspected of it.
     RequestCrashesServers,
+    /// The request continues a stream of which this host cannot find out at which software version it
+    /// began.
+    UnknownStreamVersion,
     /// A server refused the request without running it, and no further attempt could be made: the
     /// attempts or the retry budget of the service were used up, or no other server could be
     /// chosen.
@@ -81,6 +84,7 @@
             | Self::ServersLimited
             | Self::PromptCrashesServers
             | Self::RequestCrashesServers
+            | Self::UnknownStreamVersion
             | Self::RefusedByServer
             | Self::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::ExpiredSent => StatusCode::GATEWAY_TIMEOUT,
@@ -116,6 +120,7 @@
             Self::ServersLimited => "servers-limited",
             Self::PromptCrashesServers => "prompt-crashes-servers",
             Self::RequestCrashesServers => "request-crashes-servers",
+            Self::UnknownStreamVersion => "unknown-stream-version",
             Self::RefusedByServer => "refused-by-server",
             Self::ExpiredUnsent => "expired-unsent",
             Self::ExpiredSent => "expired-sent",
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -308,6 +308,8 @@
     /// Continues the stream at another server after the last complete event. Returns whether it
     /// did.
     ///
+    /// The other server runs the same software version.
+    ///
     /// It does not if the stream is not resumable, no event with an identifier has arrived yet, the
     /// route's limit of servers is reached, the retry budget is used up, or the other server does
     /// not continue this request. Only one other server is tried.
@@ -323,7 +325,10 @@
         if self.sent_count >= admitted.route.attempts_max {
             return false;
         }
-        let Ok(assignment) = assign_server(&self.host, &self.call, &self.tried).await else {
+        // Another version would not continue the text.
+        let version = Some(self.placed.version);
+        let assignment = assign_server(&self.host, &self.call, version, &self.tried).await;
+        let Ok(assignment) = assignment else {
             return false;
         };
         let Assignment { placed, in_flight } = assignment;
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -45,6 +45,7 @@
 use super::selection::healthy_candidates;
 use super::selection::select_server;
 use super::servers::ServerKey;
+use super::stream_origins::VersionId;
 use crate::time::Timestamp;
 
 /// Retry delay after a refusal for lack of a server: about the interval at which changes of servers
@@ -66,6 +67,8 @@
     pub server: ServerKey,
     /// Hash that identifies the run of the server.
     pub run: u64,
+    /// Software version of the server.
+    pub version: VersionId,
     /// The server's last announcement, which it renews in the platform's object store.
     pub entry: ServerAnnouncement,
     /// Prompt tokens that the server has to process according to the scheduler, 0 for a plain
@@ -138,7 +141,7 @@
     }
 
     /// Chooses a server for a request to a plain service, other than those in `tried`, and counts
-    /// the request there.
+    /// the request there. With `version` only servers of that software version are chosen.
     ///
     /// # Errors
     ///
@@ -147,9 +150,13 @@
         &mut self,
         now: Timestamp,
         service: &CompactString,
+        version: Option<VersionId>,
         tried: &[ServerKey],
     ) -> Result<Placement, Refusal> {
-        let usable = self.usable(now, service, tried);
+        let mut usable = self.usable(now, service, tried);
+        usable
+            .candidates
+            .retain(|candidate| self.is_version(candidate.key, version));
         match select_server(&usable.candidates) {
             Some(key) => self.add_in_flight(now, key, 0),
             None => Err(usable.refusal(now)),
@@ -218,6 +225,7 @@
             last_server: last_server.unwrap_or(0),
             kind: xxh3_64(admitted.route.name.as_bytes()),
             content: digest.content,
+            version: None,
             was_refused: false,
             refused_tokens: self.take_refused_tokens(admitted),
             excluded,
@@ -242,7 +250,11 @@
         let engines: Vec<_> = servers
             .into_iter()
             .filter(|server| {
-                server.is_available(now) && !self.evacuated.contains(&server.entry.domain)
+                server.is_available(now)
+                    && !self.evacuated.contains(&server.entry.domain)
+                    && request
+                        .version
+                        .is_none_or(|version| server.version == version)
             })
             .map(|server| EngineView {
                 hash: server.hash,
@@ -401,19 +413,31 @@
         self.scheduler.shares_to_send(now)
     }
 
+    /// Whether a server runs a software version, if one is asked for.
+    fn is_version(&self, key: ServerKey, version: Option<VersionId>) -> bool {
+        version.is_none_or(|version| {
+            let server = self.servers.get(key);
+            server.is_some_and(|server| server.version == version)
+        })
+    }
+
     /// Counts a request at the server that a scheduler chose, and remembers the server for the
-    /// session. `None` if this host may not use the server.
+    /// session. `None` if this host may not use the server, or if it does not run `version`.
     pub fn place_scheduled(
         &mut self,
         now: Timestamp,
         admitted: &Admitted,
         prompt: &Prompt,
+        version: Option<VersionId>,
         server: u64,
         uncached_tokens: u32,
     ) -> Option<Placement> {
         let usable = self.usable(now, &admitted.service, &[]);
         let chosen = usable.candidates.iter().find(|c| c.hash == server)?;
         let key = chosen.key;
+        if !self.is_version(key, version) {
+            return None;
+        }
         if let Some(session) = prompt.session() {
             self.session_affinity.set(now, session, server);
         }
@@ -516,11 +540,12 @@
         if server.rate_limit(now).is_some() {
             server.sent_while_limited.add(now);
         }
-        let (entry, run) = (server.entry.clone(), server.run_hash());
+        let (entry, run, version) = (server.entry.clone(), server.run_hash(), server.version);
         Ok(Placement {
             flight: self.in_flight.insert(key),
             server: key,
             run,
+            version,
             entry,
             uncached_tokens,
         })
--- a/lib/src/entry/response.rs
+++ b/lib/src/entry/response.rs
@@ -47,6 +47,7 @@
 use super::relay::RelayError;
 use super::relay::StreamRelay;
 use super::request_placement::Placement;
+use super::take_up::tell_stream_origin;
 use crate::gateway::end_to_end;
 
 /// Largest response that is not a stream, bytes. It is read completely before it is forwarded, so
@@ -244,7 +245,10 @@
     let parts = strip_hop_by_hop(response.parts.clone());
     let mut relay = StreamRelay::new(host, call, placed, in_flight, response, attempts);
     match relay.receive_first_chunk().await {
-        Ok(()) => Ok(Response::from_parts(parts, relay.into_body())),
+        Ok(()) => {
+            tell_stream_origin(host, call, placed).await;
+            Ok(Response::from_parts(parts, relay.into_body()))
+        }
         Err(failure) => {
             log_failed(host, call, placed, &failure.to_string());
             let reason = failure.reason();
--- a/lib/src/entry/schedule/request.rs
+++ b/lib/src/entry/schedule/request.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::super::dialect::PromptPart;
+use super::super::stream_origins::VersionId;
 
 /// Subset of the engines of a service that has a scheduler of its own.
 ///
@@ -112,6 +113,8 @@
     pub kind: u64,
     /// Hash of what the request asks a server to do, the same for every repeat.
     pub content: u64,
+    /// Software version that the server must run, `None` for any.
+    pub version: Option<VersionId>,
     /// Whether the scheduler of another shard has refused the request before.
     pub was_refused: bool,
     /// Tokens of the workspace's requests that the asking host has refused by itself since its last
--- a/lib/src/entry/servers.rs
+++ b/lib/src/entry/servers.rs
@@ -25,6 +25,7 @@
 use super::rate_limit::NamedLimit;
 use super::rate_limit::SHARE_WINDOW;
 use super::rate_limit::ServerLimit;
+use super::stream_origins::VersionId;
 use crate::time::Timestamp;
 
 new_key_type! {
@@ -145,6 +146,8 @@
     pub hash: u64,
     /// Hash of the failure domain (zone).
     pub domain_hash: u64,
+    /// Software version of the server.
+    pub version: VersionId,
     /// Whether the server was removed. A removed server gets no new requests, and is forgotten once
     /// its last request has ended.
     pub is_removed: bool,
@@ -175,6 +178,7 @@
         Self {
             hash: xxh3_64(entry.instance.as_bytes()),
             domain_hash: xxh3_64(entry.domain.as_bytes()),
+            version: VersionId::new(&entry.service, &entry.version),
             is_removed: false,
             expires_at: None,
             is_misdirected: false,
@@ -472,6 +476,7 @@
         || server.entry.is_leaving != entry.is_leaving;
     server.cold_until = entry.cold_until;
     server.domain_hash = xxh3_64(entry.domain.as_bytes());
+    server.version = VersionId::new(&entry.service, &entry.version);
     server.entry = entry;
     if server.run.is_leaving && !was_leaving {
         ServerChange::Leaving
--- /dev/null
+++ b/lib/src/entry/stream_origins.rs
@@ -0,0 +1,239 @@
+//! Remembers at which software version of its service each stream began.
+//!
+//! The load: servers of several software versions run side by side in one service, while an operator
+//! replaces one by the other. A resumable stream that breaks off goes on at another server, either
+//! because this host sends it there or because its caller takes it up, mostly at another host. It may
+//! only go on at the version that began it: two versions do not write the same text.
+//!
+//! A caller that takes a stream up names the attempt that brought its first event. The host that served
+//! that attempt may be gone, and was perhaps killed together with the servers. It therefore tells a few
+//! other hosts, its *homes* by rendezvous hashing (see `Peers::homes`), before it forwards the first
+//! event; a host that is asked to continue a stream asks them.
+//!
+//! If none of them knows the stream, it goes on only if its service has run a single version for longer
+//! than any stream lasts, at this host or one of those that were asked. Otherwise it is refused.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::time::Timestamp;
+
+/// How long after the deadline of its caller a stream is remembered. Clocks of callers and the time on
+/// the network are covered by it.
+const RETENTION_MARGIN: Duration = Duration::from_secs(2);
+/// Longest time for which a stream is remembered, whatever deadline its caller states.
+const RETENTION_MAX: Duration = Duration::from_secs(120);
+/// Most streams that are remembered. Each takes about 40 bytes.
+const STREAMS_MAX: usize = 16_384;
+/// How much longer than any stream lasts a service has to have run a single version. It covers the time
+/// until a host knows a server, and the time between two records of the versions.
+const SINGLE_VERSION_MARGIN: Duration = Duration::from_secs(4);
+
+/// Identifies a stream over all attempts of its caller: the hash of its workspace and of the attempt
+/// that began it. The workspace is part of it, so that no caller can name a stream of another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Key of the stream that an attempt of a workspace has begun.
+    pub fn new(workspace: Option<&str>, attempt: &str) -> Self {
+        let mut hasher = Xxh3::new();
+        hasher.update(workspace.unwrap_or_default().as_bytes());
+        // No name contains this byte.
+        hasher.update(&[0]);
+        hasher.update(attempt.as_bytes());
+        Self(hasher.digest())
+    }
+}
+
+/// Identifies a software version of a service, never 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct VersionId(pub u64);
+
+impl VersionId {
+    /// The version that servers of a service announce.
+    pub fn new(service: &str, version: &str) -> Self {
+        let mut hasher = Xxh3::new();
+        hasher.update(service.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(version.as_bytes());
+        Self(hasher.digest().max(1))
+    }
+}
+
+/// Where a stream began, as hosts tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub key: StreamKey,
+    /// Version of the server that sent its first event.
+    pub version: VersionId,
+    /// How long the stream has to be remembered.
+    pub remaining: Duration,
+}
+
+/// What a host knows of the version at which a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KnownOrigin {
+    /// The version that began the stream.
+    Version(VersionId),
+    /// The stream is not known, but the service has run this version only for longer than any stream
+    /// lasts.
+    OnlyVersion(VersionId),
+    /// Nothing is known.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownStream {
+    version: VersionId,
+    keep_until: Timestamp,
+}
+
+/// The versions at which streams began.
+#[derive(Clone, Debug, Default)]
+pub struct StreamOrigins {
+    streams: HashMap<StreamKey, KnownStream>,
+}
+
+impl StreamOrigins {
+    /// Records that a stream has begun here, whose caller gives it up at `give_up_at`. Returns what to
+    /// tell other hosts.
+    pub fn on_started(
+        &mut self,
+        now: Timestamp,
+        key: StreamKey,
+        version: VersionId,
+        give_up_at: Timestamp,
+    ) -> StreamOrigin {
+        let origin = StreamOrigin {
+            key,
+            version,
+            remaining: give_up_at.remaining(now) + RETENTION_MARGIN,
+        };
+        self.on_told(now, &origin);
+        origin
+    }
+
+    /// Records what another host has told of a stream. Its first version stays: later attempts of its
+    /// caller run at the same one.
+    pub fn on_told(&mut self, now: Timestamp, origin: &StreamOrigin) {
+        let keep_until = now + origin.remaining.min(RETENTION_MAX);
+        let known = self.streams.entry(origin.key).or_insert(KnownStream {
+            version: origin.version,
+            keep_until,
+        });
+        known.keep_until = known.keep_until.max(keep_until);
+        if self.streams.len() > STREAMS_MAX {
+            self.forget_half();
+        }
+    }
+
+    /// The version at which a stream began.
+    pub fn version(&self, key: StreamKey) -> Option<VersionId> {
+        self.streams.get(&key).map(|known| known.version)
+    }
+
+    /// Forgets the streams that no caller takes up any more.
+    pub fn sweep(&mut self, now: Timestamp) {
+        self.streams
+            .retain(|_, known| !known.keep_until.has_passed(now));
+    }
+
+    /// Forgets the half of the streams that end first.
+    fn forget_half(&mut self) {
+        let mut ends: Vec<_> = self
+            .streams
+            .values()
+            .map(|known| known.keep_until)
+            .collect();
+        ends.sort_unstable();
+        let middle = ends[ends.len() / 2];
+        self.streams.retain(|_, known| known.keep_until > middle);
+    }
+}
+
+/// Versions that the servers of services have lately run.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    /// Since when this host has recorded versions without a gap, `None` if it does not now.
+    since: Option<Timestamp>,
+    /// When each version was last recorded, with the version by service.
+    last_seen: HashMap<u64, HashMap<VersionId, Timestamp>>,
+}
+
+impl VersionHistory {
+    /// Records the versions of all known servers, with the hashes of their services. `is_current` states
+    /// whether the list of servers was confirmed lately.
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        is_current: bool,
+        servers: impl Iterator<Item = (u64, VersionId)>,
+    ) {
+        if !is_current {
+            self.since = None;
+            return;
+        }
+        self.since.get_or_insert(now);
+        for (service, version) in servers {
+            let versions = self.last_seen.entry(service).or_default();
+            versions.insert(version, now);
+        }
+    }
+
+    /// The version of a service if it was the only one for longer than `longest`, the time that the
+    /// longest streams take.
+    pub fn only_version(
+        &self,
+        now: Timestamp,
+        service: u64,
+        longest: Duration,
+    ) -> Option<VersionId> {
+        let span = longest + SINGLE_VERSION_MARGIN;
+        let is_recorded = self.since.is_some_and(|since| now.since(since) >= span);
+        let versions = self.last_seen.get(&service).filter(|_| is_recorded)?;
+        let mut recent = versions.iter().filter(|(_, at)| now.since(**at) <= span);
+        let (version, _) = recent.next()?;
+        recent.next().is_none().then_some(*version)
+    }
+
+    /// Forgets the versions that have not been recorded for longer than `longest`.
+    pub fn sweep(&mut self, now: Timestamp, longest: Duration) {
+        let span = longest + SINGLE_VERSION_MARGIN;
+        self.last_seen.retain(|_, versions| {
+            versions.retain(|_, at| now.since(*at) <= span);
+            !versions.is_empty()
+        });
+    }
+}
+
+/// The answers of hosts that were asked where a stream began.
+#[derive(Clone, Debug, Default)]
+pub struct OriginSearch {
+    only: Option<VersionId>,
+    /// Whether hosts have named different single versions.
+    is_contradictory: bool,
+}
+
+impl OriginSearch {
+    /// Adds an answer. Returns the version if it is known there.
+    pub fn on_answer(&mut self, answer: KnownOrigin) -> Option<VersionId> {
+        match answer {
+            KnownOrigin::Version(version) => return Some(version),
+            KnownOrigin::OnlyVersion(version) => {
+                let known = *self.only.get_or_insert(version);
+                self.is_contradictory |= known != version;
+            }
+            KnownOrigin::Unknown => {}
+        }
+        None
+    }
+
+    /// The version if no host knows the stream: the only one that its service has run.
+    pub fn only_version(&self) -> Option<VersionId> {
+        self.only.filter(|_| !self.is_contradictory)
+    }
+}
--- /dev/null
+++ b/lib/src/entry/take_up.rs
@@ -0,0 +1,136 @@
+//! Finds the software version at which a stream began that a caller takes up, and tells other hosts of
+//! the streams that begin here. What is known and decided is in `stream_origins`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::config::RetryPolicy;
+use super::fleet::Fleet;
+use super::forward::Call;
+use super::forward::millis;
+use super::host::EntryHost;
+use super::refusal::Reason;
+use super::refusal::Refusal;
+use super::request_placement::Placement;
+use super::stream_origins::KnownOrigin;
+use super::stream_origins::OriginSearch;
+use super::stream_origins::StreamKey;
+use super::stream_origins::StreamOrigin;
+use super::stream_origins::VersionId;
+use crate::time::Timestamp;
+
+impl Fleet {
+    /// Records that a stream has begun here. Returns what to tell other hosts.
+    pub fn on_stream_started(
+        &mut self,
+        now: Timestamp,
+        key: StreamKey,
+        version: VersionId,
+        give_up_at: Timestamp,
+    ) -> StreamOrigin {
+        self.stream_origins
+            .on_started(now, key, version, give_up_at)
+    }
+
+    /// Records what another host has told of a stream.
+    pub fn on_stream_told(&mut self, now: Timestamp, origin: &StreamOrigin) {
+        self.stream_origins.on_told(now, origin);
+    }
+
+    /// What this host knows of the version at which a stream of a service began. `key` is `None` if its
+    /// caller does not name it.
+    pub fn stream_origin(
+        &self,
+        now: Timestamp,
+        key: Option<StreamKey>,
+        service: u64,
+    ) -> KnownOrigin {
+        if let Some(version) = key.and_then(|key| self.stream_origins.version(key)) {
+            return KnownOrigin::Version(version);
+        }
+        let longest = self.longest_stream();
+        let only = self.version_history.only_version(now, service, longest);
+        only.map_or(KnownOrigin::Unknown, KnownOrigin::OnlyVersion)
+    }
+
+    /// Records the versions of the known servers.
+    pub(super) fn record_versions(&mut self, now: Timestamp) {
+        let lag = self.bounds.config_lag;
+        let is_current = self
+            .servers_confirmed_at
+            .is_some_and(|at| now.since(at) < lag);
+        let servers = self.servers.iter().map(|(_, server)| {
+            let service = xxh3_64(server.entry.service.as_bytes());
+            (service, server.version)
+        });
+        self.version_history.record(now, is_current, servers);
+        let longest = self.longest_stream();
+        self.version_history.sweep(now, longest);
+        self.stream_origins.sweep(now);
+    }
+
+    /// Longest time from the first attempt of a caller to its last one.
+    fn longest_stream(&self) -> Duration {
+        let deadlines = self.longest_deadlines.values().copied();
+        let config = self.config.as_ref();
+        let by_route = config.map_or(Duration::ZERO, |config| config.longest_timeout());
+        deadlines.fold(by_route, Duration::max)
+    }
+}
+
+/// The version that has to continue the stream of a request, `None` for a request that begins one.
+///
+/// # Errors
+///
+/// A refusal if the request continues a stream, and no host knows at which version it began.
+pub(crate) async fn stream_version(
+    host: &Arc<EntryHost>,
+    call: &Call,
+) -> Result<Option<VersionId>, Refusal> {
+    let is_resumable = call.admitted.route.retry_policy == RetryPolicy::ResumableStream;
+    if !is_resumable || call.head.resumes_after.is_none() {
+        return Ok(None);
+    }
+    let key = call.stream_key();
+    let service = xxh3_64(call.admitted.service.as_bytes());
+    let now = host.clock.now();
+    let own = host.fleet().stream_origin(now, key, service);
+    let mut search = OriginSearch::default();
+    if let Some(version) = search.on_answer(own) {
+        return Ok(Some(version));
+    }
+    // Without a key others can still tell that there is a single version.
+    let found = host
+        .link
+        .find_origin(key.unwrap_or_default(), service, &mut search)
+        .await;
+    let version = found.or(search.only_version());
+    info!(target: "request", id = call.head.id.as_str(), resumes = call.head.resumes.as_deref(),
+        is_known = found.is_some(), is_single_version = search.only_version().is_some(),
+        ms = millis(host.clock.now().since(now)); "asked other hosts where stream began");
+    match version {
+        Some(version) => Ok(Some(version)),
+        None => Err(Refusal::new(Reason::UnknownStreamVersion)),
+    }
+}
+
+/// Tells other hosts where a stream began, before its first event is forwarded.
+pub(crate) async fn tell_stream_origin(host: &Arc<EntryHost>, call: &Call, placed: &Placement) {
+    if call.admitted.route.retry_policy != RetryPolicy::ResumableStream {
+        return;
+    }
+    let attempt = call.head.id.as_str();
+    let workspace = call.admitted.workspace.as_deref();
+    let key = call
+        .stream_key()
+        .unwrap_or_else(|| StreamKey::new(workspace, attempt));
+    let now = host.clock.now();
+    let give_up_at = call.head.deadline.unwrap_or(call.admitted.give_up_at);
+    let origin = host
+        .fleet()
+        .on_stream_started(now, key, placed.version, give_up_at);
+    host.link.tell_origin(&origin).await;
+}
--- a/lib/src/entry/updates.rs
+++ b/lib/src/entry/updates.rs
@@ -245,7 +245,10 @@
                     "announcement removed");
             }
         }
-        Update::Confirmed(_) => return,
+        Update::Confirmed(at) => {
+            host.fleet().confirm_servers(at);
+            return;
+        }
         Update::Lost => host
             .stats
             .platform_lost
--- a/lib/tests/test_entry_engine_health.rs
+++ b/lib/tests/test_entry_engine_health.rs
@@ -41,6 +41,7 @@
         last_server: 0,
         kind: 1,
         content: 0,
+        version: None,
         was_refused: false,
         refused_tokens: 0,
         excluded: Vec::new(),
--- a/lib/tests/test_entry_fairness.rs
+++ b/lib/tests/test_entry_fairness.rs
@@ -160,6 +160,7 @@
                 last_server: 0,
                 kind: 1,
                 content: 0,
+                version: None,
                 was_refused: false,
                 refused_tokens: 0,
                 excluded: Vec::new(),
--- a/lib/tests/test_entry_fleet.rs
+++ b/lib/tests/test_entry_fleet.rs
@@ -183,7 +183,9 @@
         ServerChange::Leaving
     );
     assert!(fleet.withdraw_server(at(START_MS), "l2", None));
-    let refusal = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap_err();
+    let refusal = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap_err();
     assert_eq!(refusal.reason, Reason::NoServer);
 }
 
@@ -220,26 +222,38 @@
 fn evacuated_domains_get_no_requests_until_restored() {
     let mut fleet = fleet(at(START_MS));
     fleet.set_evacuated(HashSet::from(["d1".into()]));
-    let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+    let placed = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap();
     assert_eq!(placed.entry.instance, "l2");
     fleet.set_evacuated(HashSet::from(["d1".into(), "d2".into()]));
-    assert!(fleet.place(at(START_MS), &LEDGER.into(), &[]).is_err());
+    assert!(
+        fleet
+            .place(at(START_MS), &LEDGER.into(), None, &[])
+            .is_err()
+    );
     fleet.set_evacuated(HashSet::new());
-    let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+    let placed = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap();
     assert_eq!(placed.entry.instance, "l1");
 }
 
 #[test]
 fn restarted_instance_is_a_new_server() {
     let mut fleet = fleet(at(START_MS));
-    let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+    let placed = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap();
     let mut restarted = server("l1", LEDGER, "d1");
     restarted.started_at_ms = 5;
     assert_eq!(
         fleet.announce_server(at(START_MS), restarted),
         ServerChange::Arrived
     );
-    let again = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+    let again = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap();
     assert_ne!(placed.server, again.server);
     // The end of a request to the earlier incarnation leaves the new one's load unchanged.
     fleet.end(at(START_MS), placed.flight, RequestOutcome::Answered);
@@ -255,18 +269,20 @@
         fleet.announce_server(at(START_MS), cold);
     }
     let mut sent = 0;
-    while fleet.place(at(START_MS), &LEDGER.into(), &[]).is_ok() {
+    while fleet.place(at(START_MS), &LEDGER.into(), None, &[]).is_ok() {
         sent += 1;
         assert!(sent < 100, "cold servers get requests without a limit");
     }
     // Each of the two servers may get 14 requests a second (9.8 times 1.5). The share of one of the
     // six hosts is two or three.
     assert!((4..=6).contains(&sent), "{sent}");
-    let refusal = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap_err();
+    let refusal = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap_err();
     assert_eq!(refusal.reason, Reason::ServersCold);
     assert!(
         fleet
-            .place(at(START_MS + 1_000), &LEDGER.into(), &[])
+            .place(at(START_MS + 1_000), &LEDGER.into(), None, &[])
             .is_ok()
     );
 }
@@ -274,11 +290,15 @@
 #[test]
 fn unreachable_servers_are_skipped_and_count_as_cold() {
     let mut fleet = fleet(at(START_MS));
-    let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+    let placed = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap();
     fleet.end(at(START_MS), placed.flight, RequestOutcome::Unreachable);
     let known = fleet.servers().get(placed.server).unwrap();
     assert!(known.is_cold(at(START_MS + 2_000)));
-    let other = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+    let other = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap();
     assert_ne!(placed.server, other.server);
     // The backoff after a first failed connection is 250 ms.
     assert!(
@@ -298,7 +318,9 @@
     let run = |fleet: &mut cardamomshift_lib::entry::Fleet, name: &str, end| {
         let other = if name == "l1" { "l2" } else { "l1" };
         let tried = fleet.servers().key_of(other).unwrap();
-        let placed = fleet.place(at(START_MS), &LEDGER.into(), &[tried]).unwrap();
+        let placed = fleet
+            .place(at(START_MS), &LEDGER.into(), None, &[tried])
+            .unwrap();
         fleet.end(at(START_MS), placed.flight, end);
     };
     for _ in 0..6 {
@@ -306,14 +328,18 @@
         run(&mut fleet, "l2", RequestOutcome::Answered);
     }
     for _ in 0..5 {
-        let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+        let placed = fleet
+            .place(at(START_MS), &LEDGER.into(), None, &[])
+            .unwrap();
         assert_eq!(placed.entry.instance, "l2");
     }
     // Now both fail, so neither fails much more than is usual for the service.
     for _ in 0..40 {
         run(&mut fleet, "l2", RequestOutcome::Failed);
     }
-    let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+    let placed = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap();
     assert_eq!(
         placed.entry.instance, "l1",
         "less loaded, and not failing more than the other"
@@ -323,10 +349,14 @@
 #[test]
 fn misdirected_response_removes_a_server_from_use() {
     let mut fleet = fleet(at(START_MS));
-    let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+    let placed = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap();
     fleet.end(at(START_MS), placed.flight, RequestOutcome::Misdirected);
     for _ in 0..5 {
-        let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+        let placed = fleet
+            .place(at(START_MS), &LEDGER.into(), None, &[])
+            .unwrap();
         assert_eq!(placed.entry.instance, "l2");
     }
 }
@@ -350,7 +380,7 @@
     };
     let name = *names.iter().find(|name| key(name)).unwrap();
     assert!(fleet.withdraw_server(at(START_MS), name, None));
-    let started = fleet.place_scheduled(at(START_MS), &admitted, &prompt(), chosen, 300);
+    let started = fleet.place_scheduled(at(START_MS), &admitted, &prompt(), None, chosen, 300);
     assert!(started.is_none());
 }
 
@@ -359,7 +389,7 @@
     let mut fleet = fleet(at(START_MS));
     fleet.withdraw_server(at(START_MS), "l2", None);
     // A server takes 360 connections, which six hosts share.
-    let placed = (0..100).filter(|_| fleet.place(at(START_MS), &LEDGER.into(), &[]).is_ok());
+    let placed = (0..100).filter(|_| fleet.place(at(START_MS), &LEDGER.into(), None, &[]).is_ok());
     assert_eq!(placed.count(), 60);
 }
 
--- a/lib/tests/test_entry_leaving.rs
+++ b/lib/tests/test_entry_leaving.rs
@@ -38,7 +38,7 @@
 
 /// Places a request on a server, and ends it at once.
 fn place(fleet: &mut Fleet, now: u64) -> Result<Placement, Refusal> {
-    let placed = fleet.place(at(now), &LEDGER.into(), &[])?;
+    let placed = fleet.place(at(now), &LEDGER.into(), None, &[])?;
     fleet.end(at(now), placed.flight, RequestOutcome::Abandoned);
     Ok(placed)
 }
@@ -129,7 +129,9 @@
 #[test]
 fn late_response_of_a_removed_server_counts_if_the_run_is_announced_again() {
     let mut fleet = ledger_fleet();
-    let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+    let placed = fleet
+        .place(at(START_MS), &LEDGER.into(), None, &[])
+        .unwrap();
     let name = placed.entry.instance.clone();
     fleet.withdraw_server(at(START_MS), &name, None);
     fleet.on_response_head(at(START_MS), placed.server, &leaving());
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cardamomshift_lib::entry::Datagram;
+use cardamomshift_lib::entry::KnownOrigin;
 use cardamomshift_lib::entry::PartCrash;
 use cardamomshift_lib::entry::Peer;
 use cardamomshift_lib::entry::Peers;
@@ -23,7 +24,10 @@
 use cardamomshift_lib::entry::ServerLimit;
 use cardamomshift_lib::entry::Shard;
 use cardamomshift_lib::entry::ShardWork;
+use cardamomshift_lib::entry::StreamKey;
+use cardamomshift_lib::entry::StreamOrigin;
 use cardamomshift_lib::entry::SuspectRequest;
+use cardamomshift_lib::entry::VersionId;
 use cardamomshift_lib::entry::WorkspaceWork;
 use cardamomshift_lib::entry::decode;
 use cardamomshift_lib::entry::encode;
@@ -80,6 +84,7 @@
             last_server: n.3,
             kind: n.0 ^ n.1,
             content: n.1 ^ n.2,
+            version: (n.3 % 2 == 1).then_some(VersionId(n.3)),
             was_refused: rest.4,
             refused_tokens: n.2,
             excluded,
@@ -158,6 +163,27 @@
                 Datagram::Shares { service, shards }
             }),
         proptest::collection::vec(suspect(), 0..24).prop_map(Datagram::SuspectRequests),
+        (any::<[u64; 2]>(), span()).prop_map(|([key, version], remaining)| {
+            Datagram::Origin(StreamOrigin {
+                key: StreamKey(key),
+                version: VersionId(version),
+                remaining,
+            })
+        }),
+        any::<[u64; 3]>().prop_map(|[id, key, service]| {
+            let key = StreamKey(key);
+            Datagram::OriginRequest { id, key, service }
+        }),
+        (any::<u64>(), known_origin())
+            .prop_map(|(id, origin)| Datagram::OriginReply { id, origin }),
+    ]
+}
+
+fn known_origin() -> impl Strategy<Value = KnownOrigin> {
+    prop_oneof![
+        Just(KnownOrigin::Unknown),
+        any::<u64>().prop_map(|version| KnownOrigin::Version(VersionId(version))),
+        any::<u64>().prop_map(|version| KnownOrigin::OnlyVersion(VersionId(version))),
     ]
 }
 
--- a/lib/tests/test_entry_quarantine.rs
+++ b/lib/tests/test_entry_quarantine.rs
@@ -57,6 +57,7 @@
         last_server: 0,
         kind: 1,
         content,
+        version: None,
         was_refused: false,
         refused_tokens: 0,
         excluded: Vec::new(),
--- a/lib/tests/test_entry_rate_limit.rs
+++ b/lib/tests/test_entry_rate_limit.rs
@@ -127,7 +127,7 @@
         };
         fleets[scheduler].on_progress(at(now), &progress);
         let placed = fleets[host]
-            .place_scheduled(at(now), &admitted, &prompt, server, uncached_tokens)
+            .place_scheduled(at(now), &admitted, &prompt, None, server, uncached_tokens)
             .unwrap();
         fleets[host].end(at(now), placed.flight, RequestOutcome::Answered);
         let sent_at = now + send_after.as_millis() as u64;
@@ -178,7 +178,7 @@
         for n in 0..15_000 / INTERVAL_MS {
             let now = START_MS + n * INTERVAL_MS;
             let fleet = &mut fleets[n as usize * 5 % count];
-            let Ok(placed) = fleet.place(at(now), &LEDGER.into(), &[]) else {
+            let Ok(placed) = fleet.place(at(now), &LEDGER.into(), None, &[]) else {
                 refused += 1;
                 continue;
             };
--- a/lib/tests/test_entry_restore.rs
+++ b/lib/tests/test_entry_restore.rs
@@ -171,7 +171,9 @@
     let used = |fleet: &mut Fleet| {
         let mut names = BTreeSet::new();
         for _ in 0..4 {
-            let placed = fleet.place(at(START_MS), &LEDGER.into(), &[]).unwrap();
+            let placed = fleet
+                .place(at(START_MS), &LEDGER.into(), None, &[])
+                .unwrap();
             names.insert(placed.entry.instance.to_string());
         }
         names
--- a/lib/tests/test_entry_schedule.rs
+++ b/lib/tests/test_entry_schedule.rs
@@ -58,6 +58,7 @@
         last_server: 0,
         kind: 1,
         content: 0,
+        version: None,
         was_refused: false,
         refused_tokens: 0,
         excluded: Vec::new(),
