gateway: hold back requests that crash every server that runs them

The product's own interface had the cause of the incident too: a request that ends its server is sent to the next one, each time that its caller repeats it. Gateways use the same decisions as entry hosts now, which therefore move to a module of their own. Evidence is a connection that breaks before the first byte of the body; a whole answer, also an error of an engine, ends the suspicion. Each host goes by what it has seen itself: gateways exchange no such messages yet.

--- a/lib/src/entry/digest.rs
+++ b/lib/src/crashing/digest.rs
@@ -5,7 +5,9 @@
 
 use compact_str::CompactString;
 use compact_str::format_compact;
-use hyper::http::request;
+use hyper::Method;
+use hyper::Uri;
+use hyper::http::uri::PathAndQuery;
 use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -22,11 +24,17 @@
 }
 
 impl RequestDigest {
-    /// Digest of a request with the given `Host` header.
-    pub fn new(parts: &request::Parts, host: &str, workspace: Option<&str>, body: &[u8]) -> Self {
-        let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    /// Digest of a request of a workspace for `host`, a name of the caller's choice.
+    pub fn new(
+        method: &Method,
+        host: &str,
+        uri: &Uri,
+        workspace: Option<&str>,
+        body: &[u8],
+    ) -> Self {
+        let target = uri.path_and_query().map_or("/", PathAndQuery::as_str);
         let mut hasher = Xxh3::new();
-        for field in [parts.method.as_str(), host, target] {
+        for field in [method.as_str(), host, target] {
             hasher.update(field.as_bytes());
             // No field contains this byte, so that their ends are part of the hash.
             hasher.update(&[0]);
--- a/lib/src/entry/request_quarantine.rs
+++ b/lib/src/crashing/quarantine.rs
@@ -20,7 +20,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use super::digest::RequestDigest;
+use super::RequestDigest;
 use crate::time::Timestamp;
 
 /// Crashes from which on a request is sent one at a time.
@@ -49,8 +49,10 @@
 /// A crash that counts for less than this is no longer told to other hosts. They may have forgotten it
 /// a little earlier and would learn it anew.
 const TOLD_REMAINING_MIN: Duration = Duration::from_secs(2);
+/// Interval between removals of what no longer counts.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// Most requests of which another host is told in one datagram.
-pub(crate) const REPORTS_PER_DATAGRAM: usize = 24;
+const REPORTS_PER_DATAGRAM: usize = 24;
 
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -212,6 +214,7 @@
     /// Requests of which something is known since other hosts were last told.
     untold: HashSet<RequestDigest>,
     changes: Vec<RequestQuarantineChange>,
+    sweep_due_at: Timestamp,
 }
 
 impl RequestQuarantine {
@@ -395,6 +398,14 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Calls [`Self::sweep`] once a second at most.
+    pub fn sweep_when_due(&mut self, now: Timestamp) {
+        if self.sweep_due_at.has_passed(now) {
+            self.sweep_due_at = now + SWEEP_PERIOD;
+            self.sweep(now);
+        }
+    }
+
     /// Forgets what no longer counts, and the requests with the fewest crashes if there are too many.
     pub fn sweep(&mut self, now: Timestamp) {
         self.suspects.retain(|_, suspect| suspect.sweep(now));
--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -28,7 +28,7 @@
 use super::host::EntryHost;
 use super::peers::ScheduledRequest;
 use super::request_placement::Placement;
-use super::request_quarantine::SentRequest;
+use crate::crashing::SentRequest;
 use crate::gateway::ConnectError;
 use crate::gateway::Connection;
 use crate::gateway::Written;
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -27,7 +27,6 @@
 use super::dialect::ResponseHead;
 use super::dialect::ServerAnnouncement;
 use super::rate_limit::ToldLimit;
-use super::request_quarantine::RequestQuarantine;
 use super::schedule::Scheduler;
 use super::servers::RunUpdate;
 use super::servers::Server;
@@ -37,6 +36,7 @@
 use super::session_affinity::SessionAffinity;
 use super::stream_origins::StreamOrigins;
 use super::stream_origins::VersionHistory;
+use crate::crashing::RequestQuarantine;
 use crate::time::Timestamp;
 
 new_key_type! {
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -32,7 +32,6 @@
 use super::attempt::send;
 use super::dialect::CallHead;
 use super::dialect::Dispatch;
-use super::digest::RequestDigest;
 use super::host::EntryHost;
 use super::refusal::Reason;
 use super::refusal::Refusal;
@@ -42,6 +41,7 @@
 use super::servers::ServerKey;
 use super::stream_origins::StreamKey;
 use super::take_up::stream_version;
+use crate::crashing::RequestDigest;
 use crate::gateway::end_to_end;
 
 /// Maximum number of servers tried for one request, including those that could not be reached.
@@ -66,7 +66,7 @@
     fn new(parts: Parts, head: CallHead, admitted: Admitted, body: Bytes) -> Self {
         let workspace = admitted.workspace.as_deref();
         Self {
-            digest: RequestDigest::new(&parts, &head.host, workspace, &body),
+            digest: RequestDigest::new(&parts.method, &head.host, &parts.uri, workspace, &body),
             parts,
             head,
             admitted,
--- a/lib/src/entry/peers/suspects.rs
+++ b/lib/src/entry/peers/suspects.rs
@@ -9,8 +9,8 @@
 use super::codec::Datagram;
 use super::codec::encode;
 use super::link::Link;
+use crate::crashing::SuspectRequest;
 use crate::entry::host::EntryHost;
-use crate::entry::request_quarantine::SuspectRequest;
 
 /// Interval at which a host repeats which requests it suspects of making servers crash.
 const SUSPECTS_PERIOD: Duration = Duration::from_secs(1);
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -18,7 +18,6 @@
 use super::budget::cold_share;
 use super::dialect::Prompt;
 use super::dialect::ServerAnnouncement;
-use super::digest::RequestDigest;
 use super::fleet::Fleet;
 use super::fleet::InFlightKey;
 use super::health::is_failing;
@@ -29,8 +28,6 @@
 use super::rate_limit::rate_limit_share;
 use super::refusal::Reason;
 use super::refusal::Refusal;
-use super::request_quarantine::RequestClearance;
-use super::request_quarantine::SentRequest;
 use super::schedule::EngineView;
 use super::schedule::PartCrash;
 use super::schedule::Progress;
@@ -46,6 +43,9 @@
 use super::selection::select_server;
 use super::servers::ServerKey;
 use super::stream_origins::VersionId;
+use crate::crashing::RequestClearance;
+use crate::crashing::RequestDigest;
+use crate::crashing::SentRequest;
 use crate::time::Timestamp;
 
 /// Retry delay after a refusal for lack of a server: about the interval at which changes of servers
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -16,6 +16,8 @@
 //! (RFC 9110); and never after a part of a response has been forwarded.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use axum::body::Body;
@@ -44,6 +46,9 @@
 use crate::control::DispatchOrder;
 use crate::control::Ticket;
 use crate::control::Verdict;
+use crate::crashing::RequestClearance;
+use crate::crashing::RequestDigest;
+use crate::crashing::RequestQuarantine;
 use crate::host::ServiceKind;
 use crate::message::EndOutcome;
 use crate::message::RefusalReason;
@@ -70,6 +75,8 @@
     pub(crate) estimates: Arc<Estimates>,
     /// Limit on waiting requests per workspace.
     pub(crate) waiting: WaitingLimit,
+    /// Requests that make backend servers crash, as far as this host has sent them.
+    pub(crate) quarantine: Arc<Mutex<RequestQuarantine>>,
 }
 
 impl Shared {
@@ -78,6 +85,20 @@
         Duration::from_millis(self.limits.idle_timeout_ms)
     }
 
+    /// How long a request is held back because it makes backend servers crash, `None` if it is not.
+    fn held_back(&self, digest: RequestDigest) -> Option<Duration> {
+        let now = self.clock.now();
+        let mut quarantine = self
+            .quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        quarantine.sweep_when_due(now);
+        match quarantine.clearance(now, digest) {
+            RequestClearance::Free | RequestClearance::Trial => None,
+            RequestClearance::HeldBack { retry_after } => Some(retry_after),
+        }
+    }
+
     /// Longest time from sending a request to the head of its response.
     fn answer_timeout(&self) -> Duration {
         Duration::from_millis(self.limits.answer_timeout_ms)
@@ -142,6 +163,10 @@
     let mut retries = 0;
     let mut may_have_run = false;
     loop {
+        if let Some(wait) = shared.held_back(call.digest) {
+            let error = ErrorResponse::not_run(ErrorCode::RequestCrashesServers);
+            return Err(error.with_retry_after(wait).unknown_if(may_have_run));
+        }
         let failure = match dispatcher.attempt().await {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
@@ -262,8 +287,10 @@
             metrics: self.shared.metrics.clone(),
             histograms: self.histograms.clone(),
             estimates: self.shared.estimates.clone(),
+            quarantine: self.shared.quarantine.clone(),
         };
-        let mut running = RunningRequest::new(self.call, ticket, connection, instruments);
+        let mut running =
+            RunningRequest::new(self.call, order.server, ticket, connection, instruments);
         if running.connection.sender.ready().await.is_err() {
             // Nothing was written, so the result is `NotSent`, for which `on_no_response` counts no
             // fault.
@@ -304,6 +331,9 @@
             };
         }
         self.shared.metrics.count_fault(fault);
+        if fault == Fault::Truncated {
+            running.tracker.on_broken();
+        }
         // No token usage is known. Dropping the connection closes it.
         drop(running.end(EndOutcome::Failed, None));
         let code = match fault {
--- a/lib/src/gateway/error_code.rs
+++ b/lib/src/gateway/error_code.rs
@@ -88,6 +88,8 @@
     ServerRefused = "server_refused", SERVICE_UNAVAILABLE, "the backend server refused the request before running it";
     /// The backend server is not ready and does not state whether it ran the request.
     ServerUnavailable = "server_unavailable", BAD_GATEWAY, "the backend server is not ready";
+    /// Backend servers crash when they run the request.
+    RequestCrashesServers = "request_crashes_servers", SERVICE_UNAVAILABLE, "backend servers crash when they run this request";
     /// The connection to the backend server broke, or its response was malformed or truncated.
     ServerFailed = "server_failed", BAD_GATEWAY, "the backend server gave no whole answer";
     /// The backend server's response carried the identifier of another request.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -103,6 +103,7 @@
             pool: BackendPool::new(parts.clock, usize::MAX),
             estimates: Arc::default(),
             waiting: WaitingLimit::new(parts.limits.waiting_per_workspace),
+            quarantine: Arc::default(),
         });
         let state = RouterState {
             shared,
--- a/lib/src/gateway/request.rs
+++ b/lib/src/gateway/request.rs
@@ -15,6 +15,7 @@
 use super::error_code::ErrorCode;
 use super::run_flag::RunFlag;
 use crate::control::RequestSpec;
+use crate::crashing::RequestDigest;
 use crate::host::ServiceKind;
 use crate::time::Timestamp;
 
@@ -41,6 +42,8 @@
     pub(crate) prompt_tokens: u64,
     /// Time at which the head of the request arrived.
     pub(crate) arrived: Timestamp,
+    /// The same for every repeat of the request.
+    pub(crate) digest: RequestDigest,
     /// Whether a backend server may have run the request.
     pub(crate) run_flag: RunFlag,
 }
--- a/lib/src/gateway/response_body.rs
+++ b/lib/src/gateway/response_body.rs
@@ -152,7 +152,10 @@
     /// Ends the response so that the caller detects the failure: an error event if it is an event
     /// stream, then an aborted connection.
     fn fail(&mut self, e: RelayError) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        if let Some(running) = self.running.take() {
+        if let Some(mut running) = self.running.take() {
+            if matches!(e, RelayError::Truncated) {
+                running.tracker.on_broken();
+            }
             drop(running.end(EndOutcome::Failed, None));
         }
         let code = e.code();
--- a/lib/src/gateway/routes.rs
+++ b/lib/src/gateway/routes.rs
@@ -44,6 +44,7 @@
 use crate::control::FleetView;
 use crate::control::RequestSpec;
 use crate::control::ServiceEntry;
+use crate::crashing::RequestDigest;
 use crate::host::ServiceKind;
 use crate::operation::Records;
 
@@ -169,6 +170,7 @@
     };
     let target = path_and_query(&parts.uri)?;
     Ok(Call {
+        digest: digest(&parts, &caller, &body),
         id,
         caller,
         kind: ServiceKind::Model,
@@ -205,6 +207,7 @@
         prefix: 0,
     };
     Ok(Call {
+        digest: digest(&parts, &caller, &body),
         id,
         caller,
         kind: ServiceKind::Plain,
@@ -219,6 +222,12 @@
     })
 }
 
+/// Digest of a request. The path names the service, and callers reach no other host by this interface.
+fn digest(parts: &Parts, caller: &Caller, body: &[u8]) -> RequestDigest {
+    let workspace = Some(caller.workspace_name.as_str());
+    RequestDigest::new(&parts.method, "", &parts.uri, workspace, body)
+}
+
 /// Splits a URI into the name of a plain service and the path and query for its servers.
 fn plain_target(uri: &Uri) -> Result<(&str, PathAndQuery), ErrorCode> {
     let path = uri
--- a/lib/src/gateway/running.rs
+++ b/lib/src/gateway/running.rs
@@ -2,6 +2,9 @@
 //! its progress and end to the control thread, which decides which request runs on which server.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use axum::http::response::Parts;
@@ -18,7 +21,10 @@
 use super::scan::Usage;
 use crate::control::EndReport;
 use crate::control::Ticket;
+use crate::crashing::RequestQuarantine;
+use crate::crashing::SentRequest;
 use crate::host::ServiceKind;
+use crate::id::ServerId;
 use crate::id::ServiceId;
 use crate::id::WorkspaceId;
 use crate::message::EndOutcome;
@@ -38,6 +44,14 @@
     /// Metrics of the request's workspace and class.
     pub(crate) histograms: Arc<RequestHistograms>,
     pub(crate) estimates: Arc<Estimates>,
+    pub(crate) quarantine: Arc<Mutex<RequestQuarantine>>,
+}
+
+impl Instruments {
+    fn quarantine(&self) -> MutexGuard<'_, RequestQuarantine> {
+        let lock = self.quarantine.lock();
+        lock.unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// A request on a connection to a backend server.
@@ -53,11 +67,13 @@
 impl RunningRequest {
     pub(crate) fn new(
         call: &Call,
+        server: ServerId,
         ticket: Ticket,
         connection: Connection,
         instruments: Instruments,
     ) -> Self {
-        let tracker = RequestTracker::new(call, ticket, connection.gate.clone(), instruments);
+        let gate = connection.gate.clone();
+        let tracker = RequestTracker::new(call, server, ticket, gate, instruments);
         Self {
             connection,
             tracker,
@@ -86,6 +102,9 @@
 /// Tracks cost and latency of a running request. Dropping it without a report reports the request
 /// as cancelled.
 pub(crate) struct RequestTracker {
+    sent: SentRequest,
+    /// Whether the connection broke before the server had begun to respond.
+    has_broken: bool,
     /// Handle for reports to the control thread; `None` once the end has been reported.
     ticket: Option<Ticket>,
     /// Gate of the connection, which tells a dropped tracker whether the request was sent.
@@ -116,9 +135,20 @@
 }
 
 impl RequestTracker {
-    fn new(call: &Call, ticket: Ticket, gate: Arc<WriteGate>, instruments: Instruments) -> Self {
+    fn new(
+        call: &Call,
+        server: ServerId,
+        ticket: Ticket,
+        gate: Arc<WriteGate>,
+        instruments: Instruments,
+    ) -> Self {
         let now = instruments.clock.now();
+        let sent = instruments
+            .quarantine()
+            .send(now, call.digest, server.0, Timestamp::FAR_FUTURE);
         Self {
+            sent,
+            has_broken: false,
             ticket: Some(ticket),
             gate,
             run_flag: call.run_flag.clone(),
@@ -140,9 +170,15 @@
 
     /// Takes the ticket for another order after the request was provably not sent.
     pub(crate) fn take_ticket(&mut self) -> Option<Ticket> {
+        self.instruments.quarantine().on_ended(&self.sent);
         self.ticket.take()
     }
 
+    /// Records that the connection broke.
+    pub(crate) fn on_broken(&mut self) {
+        self.has_broken = self.first_byte.is_none();
+    }
+
     /// Records the server's instance and whether the response is an error of a model engine.
     ///
     /// A model engine's 5xx status counts as a failure of the server. A plain service's 5xx status
@@ -206,6 +242,15 @@
             return;
         };
         let now = self.instruments.clock.now();
+        {
+            let mut quarantine = self.instruments.quarantine();
+            if outcome == EndOutcome::Complete || self.is_engine_error {
+                quarantine.on_answered(now, self.sent.digest);
+            } else if self.has_broken {
+                quarantine.on_crash(now, &self.sent);
+            }
+            quarantine.on_ended(&self.sent);
+        }
         // The server refused a rejected request, so the workspace is not charged for it.
         let cost = match outcome {
             EndOutcome::Rejected => 0,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod backend_server;
 pub mod configuration;
 pub mod control;
+pub mod crashing;
 pub mod entry;
 pub mod gateway;
 pub mod host;
--- a/lib/tests/test_entry_fleet.rs
+++ b/lib/tests/test_entry_fleet.rs
@@ -5,8 +5,8 @@
 
 use std::collections::HashSet;
 
+use cardamomshift_lib::crashing::RequestDigest;
 use cardamomshift_lib::entry::Reason;
-use cardamomshift_lib::entry::RequestDigest;
 use cardamomshift_lib::entry::RequestOutcome;
 use cardamomshift_lib::entry::RetryPolicy;
 use cardamomshift_lib::entry::ScheduleDecision;
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -8,6 +8,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cardamomshift_lib::crashing::RequestCrash;
+use cardamomshift_lib::crashing::RequestDigest;
+use cardamomshift_lib::crashing::SuspectRequest;
 use cardamomshift_lib::entry::Datagram;
 use cardamomshift_lib::entry::KnownOrigin;
 use cardamomshift_lib::entry::PartCrash;
@@ -16,8 +19,6 @@
 use cardamomshift_lib::entry::Progress;
 use cardamomshift_lib::entry::ProgressStep;
 use cardamomshift_lib::entry::PromptPart;
-use cardamomshift_lib::entry::RequestCrash;
-use cardamomshift_lib::entry::RequestDigest;
 use cardamomshift_lib::entry::ReservationId;
 use cardamomshift_lib::entry::ScheduleDecision;
 use cardamomshift_lib::entry::ScheduleRequest;
@@ -26,7 +27,6 @@
 use cardamomshift_lib::entry::ShardWork;
 use cardamomshift_lib::entry::StreamKey;
 use cardamomshift_lib::entry::StreamOrigin;
-use cardamomshift_lib::entry::SuspectRequest;
 use cardamomshift_lib::entry::VersionId;
 use cardamomshift_lib::entry::WorkspaceWork;
 use cardamomshift_lib::entry::decode;
--- a/lib/tests/test_entry_rate_limit.rs
+++ b/lib/tests/test_entry_rate_limit.rs
@@ -8,10 +8,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cardamomshift_lib::crashing::RequestDigest;
 use cardamomshift_lib::entry::Fleet;
 use cardamomshift_lib::entry::Progress;
 use cardamomshift_lib::entry::ProgressStep;
-use cardamomshift_lib::entry::RequestDigest;
 use cardamomshift_lib::entry::RequestOutcome;
 use cardamomshift_lib::entry::ResponseHead;
 use cardamomshift_lib::entry::ScheduleDecision;
--- a/lib/tests/test_entry_request_quarantine.rs
+++ b/lib/tests/test_entry_request_quarantine.rs
@@ -7,11 +7,11 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use cardamomshift_lib::entry::RequestClearance;
-use cardamomshift_lib::entry::RequestDigest;
-use cardamomshift_lib::entry::RequestQuarantine;
-use cardamomshift_lib::entry::SentRequest;
-use cardamomshift_lib::entry::SuspectRequest;
+use cardamomshift_lib::crashing::RequestClearance;
+use cardamomshift_lib::crashing::RequestDigest;
+use cardamomshift_lib::crashing::RequestQuarantine;
+use cardamomshift_lib::crashing::SentRequest;
+use cardamomshift_lib::crashing::SuspectRequest;
 use cardamomshift_lib::time::Timestamp;
 
 const HOSTS: usize = 6;
--- a/lib/tests/test_gateway_faults.rs
+++ b/lib/tests/test_gateway_faults.rs
@@ -419,3 +419,25 @@
         assert_eq!(rig.end().await.outcome, outcome);
     }
 }
+
+#[tokio::test]
+async fn request_that_crashes_servers_is_held_back() {
+    let backend = Backend::closing(|req| match req.body.contains("two") {
+        true => "HTTP/1.1 200".to_owned(),
+        false => req.response("200 OK", "", "booked"),
+    })
+    .await;
+    let script = std::iter::repeat_with(|| order(backend.address));
+    let rig = Rig::start(script.take(12).collect()).await;
+    for n in 0..10 {
+        let response = rig.call(&post()).await;
+        if n < 3 {
+            assert_refused(&response, 502, "server_failed", "unknown");
+        } else {
+            assert_refused(&response, 503, "request_crashes_servers", "not_run");
+        }
+    }
+    assert_eq!(backend.runs(), 3);
+    let other = request("POST", &format!("/services/{PLAIN}/book"), "", "three");
+    assert!(rig.call(&other).await.ends_with("booked"));
+}
