--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -37,9 +37,9 @@
     pub(crate) in_flight: InFlightRequest,
 }
 
-/// Chooses a server for a request, other than those in `tried`, and one of `version` if the request
-/// continues a stream. For a request to a model this waits
-/// for the scheduler's decision and then until the time at which the request may be sent.
+/// Chooses a server for a request, other than those in `tried`. `version` is set if the request continues
+/// a stream, which only servers of that software version may do. For a request to a model this waits for
+/// the scheduler's decision and then until the time at which the request may be sent.
 ///
 /// # Errors
 ///
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -305,10 +305,8 @@
         }
     }
 
-    /// Continues the stream at another server after the last complete event. Returns whether it
-    /// did.
-    ///
-    /// The other server runs the same software version.
+    /// Continues the stream at another server of the same software version after the last complete
+    /// event. Returns whether it did.
     ///
     /// It does not if the stream is not resumable, no event with an identifier has arrived yet, the
     /// route's limit of servers is reached, the retry budget is used up, or the other server does
@@ -325,7 +323,6 @@
         if self.sent_count >= admitted.route.attempts_max {
             return false;
         }
-        // Another version would not continue the text.
         let version = Some(self.placed.version);
         let assignment = assign_server(&self.host, &self.call, version, &self.tried).await;
         let Ok(assignment) = assignment else {
