--- a/lib/src/entry/peers/origin.rs
+++ b/lib/src/entry/peers/origin.rs
@@ -20,6 +20,7 @@
 const ORIGIN_HOMES: usize = 4;
 /// Hosts that are asked. It is more than are told, since hosts may have joined meanwhile.
 const ORIGIN_HOMES_ASKED: usize = 6;
+
 impl Link {
     /// Tells a few other hosts where a stream began.
     pub(crate) async fn tell_origin(&self, origin: &StreamOrigin) {
--- a/lib/src/entry/take_up.rs
+++ b/lib/src/entry/take_up.rs
@@ -102,6 +102,10 @@
     if let Some(version) = search.on_answer(own) {
         return Ok(Some(version));
     }
+    let own_only = search.only_version().filter(|_| key.is_none());
+    if own_only.is_some() {
+        return Ok(own_only);
+    }
     // Without a key others can still tell that there is a single version.
     let found = host
         .link
