--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -27,6 +27,8 @@
 use axum::http::header;
 use bytes::Bytes;
 use http_body_util::Full;
+use log::info;
+use log::warn;
 
 use super::backend::BackendPool;
 use super::backend::Connection;
@@ -49,6 +51,7 @@
 use crate::crashing::RequestClearance;
 use crate::crashing::RequestDigest;
 use crate::crashing::RequestQuarantine;
+use crate::crashing::RequestQuarantineChange;
 use crate::host::ServiceKind;
 use crate::message::EndOutcome;
 use crate::message::RefusalReason;
@@ -93,6 +96,9 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         quarantine.sweep_when_due(now);
+        // Gateways do not tell each other.
+        quarantine.take_news(now);
+        quarantine.take_changes().iter().for_each(log_change);
         match quarantine.clearance(now, digest) {
             RequestClearance::Free | RequestClearance::Trial => None,
             RequestClearance::HeldBack { retry_after } => Some(retry_after),
@@ -105,6 +111,21 @@
     }
 }
 
+fn log_change(change: &RequestQuarantineChange) {
+    match change {
+        RequestQuarantineChange::HeldBack {
+            digest, crashes, ..
+        } => {
+            warn!(target: "request", digest = digest.log_value().as_str(), crashes = crashes;
+                "request crashes servers: held back");
+        }
+        RequestQuarantineChange::Cleared { digest, crashes } => {
+            info!(target: "request", digest = digest.log_value().as_str(), crashes = crashes;
+                "request no longer suspected of crashing servers");
+        }
+    }
+}
+
 /// End of an attempt that gave no response that can be forwarded.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Failure {
