entry: bound the time for which a single version must have run by the longest memory of streams

A caller that states an endless deadline made every host wait for ever before it took a service for one of a single version, so that streams whose origin is not known were refused to all workspaces. Found by reading; the new test fails without the bound.

--- a/lib/src/entry/stream_origins.rs
+++ b/lib/src/entry/stream_origins.rs
@@ -24,7 +24,7 @@
 /// the network are covered by it.
 const RETENTION_MARGIN: Duration = Duration::from_secs(2);
 /// Longest time for which a stream is remembered, whatever deadline its caller states.
-const RETENTION_MAX: Duration = Duration::from_secs(120);
+pub(crate) const RETENTION_MAX: Duration = Duration::from_secs(120);
 /// Most streams that are remembered. Each takes about 40 bytes.
 const STREAMS_MAX: usize = 16_384;
 /// How much longer than any stream lasts a service has to have run a single version. It covers the time
--- a/lib/src/entry/take_up.rs
+++ b/lib/src/entry/take_up.rs
@@ -17,6 +17,7 @@
 use super::request_placement::Placement;
 use super::stream_origins::KnownOrigin;
 use super::stream_origins::OriginSearch;
+use super::stream_origins::RETENTION_MAX;
 use super::stream_origins::StreamKey;
 use super::stream_origins::StreamOrigin;
 use super::stream_origins::VersionId;
@@ -72,12 +73,13 @@
         self.stream_origins.sweep(now);
     }
 
-    /// Longest time from the first attempt of a caller to its last one.
+    /// Longest time from the first attempt of a caller to its last one. No caller can make it longer than
+    /// streams are remembered.
     fn longest_stream(&self) -> Duration {
         let deadlines = self.longest_deadlines.values().copied();
         let config = self.config.as_ref();
         let by_route = config.map_or(Duration::ZERO, |config| config.longest_timeout());
-        deadlines.fold(by_route, Duration::max)
+        deadlines.fold(by_route, Duration::max).min(RETENTION_MAX)
     }
 }
 
--- a/lib/tests/test_entry_fleet.rs
+++ b/lib/tests/test_entry_fleet.rs
@@ -4,15 +4,19 @@
 mod entry;
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use cardamomshift_lib::crashing::RequestDigest;
+use cardamomshift_lib::entry::KnownOrigin;
 use cardamomshift_lib::entry::Reason;
 use cardamomshift_lib::entry::RequestOutcome;
 use cardamomshift_lib::entry::RetryPolicy;
 use cardamomshift_lib::entry::ScheduleDecision;
 use cardamomshift_lib::entry::ServerChange;
 use cardamomshift_lib::entry::Target;
+use cardamomshift_lib::entry::VersionId;
 use hyper::StatusCode;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::entry::KEY;
 use crate::entry::LEDGER;
@@ -419,3 +423,22 @@
     assert_eq!(refused_tokens(30), 30 * tokens);
     assert_eq!(refused_tokens(0), 0);
 }
+
+/// A deadline that a caller of one workspace states must not decide for the others.
+#[test]
+fn caller_with_an_endless_deadline_does_not_end_the_knowledge_of_a_single_version() {
+    let mut fleet = fleet(at(START_MS));
+    let endless = at(START_MS) + Duration::from_secs(1 << 40);
+    fleet
+        .admit(at(START_MS), &head(Some(KEY), endless), "/s/1")
+        .unwrap();
+    for second in 0..200 {
+        let now = at(START_MS + second * 1_000);
+        fleet.confirm_servers(now);
+        fleet.sweep(now);
+    }
+    let now = at(START_MS + 199_000);
+    let origin = fleet.stream_origin(now, None, xxh3_64(MODEL.as_bytes()));
+    let expected = VersionId::new(MODEL, "v1");
+    assert_eq!(origin, KnownOrigin::OnlyVersion(expected));
+}
