schedule: plan requests for the slots that running ones are about to leave

Cause: an engine whose slots were all taken got no request, and a request was refused at once if all engines of its shard were full.

Change: the scheduler keeps when each request is expected to leave its engine, learned from the responses, and plans a request for the time at which a slot gets free. Contention counts that wait too.

--- a/lib/src/entry/schedule/engine.rs
+++ b/lib/src/entry/schedule/engine.rs
@@ -10,7 +10,9 @@
 use super::super::prefix_cache::PrefixCache;
 use super::super::rate_limit::RatePacer;
 use super::engine_health::EngineHealth;
+use super::request::ReservationId;
 use super::request::ScheduleRequest;
+use super::slots::SlotPlan;
 use crate::time::Timestamp;
 
 /// Largest fraction of an engine's time that is planned for prefills. An engine processes prompts
@@ -48,7 +50,7 @@
     /// When a request was last started.
     pub(crate) started_at: Timestamp,
     /// Requests that were started and whose end was not reported yet.
-    pub(crate) running: u32,
+    pub(crate) slots: SlotPlan,
     /// Memory reserved for these requests, tokens. They occupy at most this.
     pub(crate) reserved_tokens: u64,
     /// Spaces the requests while the engine names a limit.
@@ -59,13 +61,24 @@
     pub(crate) prefix_cache: PrefixCache,
 }
 
+/// When and how a request is planned to run on an engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlannedStart {
+    /// Time until the prefill can start.
+    pub(crate) wait: Duration,
+    /// Prompt tokens that the engine has not cached.
+    pub(crate) uncached: u32,
+    /// Expected time from the start to the end of the response.
+    pub(crate) hold: Duration,
+}
+
 impl Default for EngineState {
     fn default() -> Self {
         Self {
             busy_until: Timestamp::ZERO,
             speed: SPEED_INITIAL,
             started_at: Timestamp::ZERO,
-            running: 0,
+            slots: SlotPlan::default(),
             reserved_tokens: 0,
             pacer: RatePacer::default(),
             health: EngineHealth::default(),
@@ -75,9 +88,10 @@
 }
 
 impl EngineState {
-    /// Time until the engine can start the prefill of another prompt.
-    pub(crate) fn wait(&self, now: Timestamp) -> Duration {
-        self.busy_until.max(self.pacer.earliest()).since(now)
+    /// Time until the engine can start the prefill of another prompt, if it may run `slots` requests.
+    pub(crate) fn wait(&self, now: Timestamp, slots: u32) -> Duration {
+        let prefill_wait = self.busy_until.max(self.pacer.earliest()).since(now);
+        prefill_wait.max(self.slots.wait(now, slots))
     }
 
     /// Time for the prefill of the last `uncached` tokens of a prompt of `input` tokens.
@@ -89,21 +103,23 @@
         Duration::from_secs_f64(uncached / self.speed * attention / 1000.0)
     }
 
-    /// Counts a request that starts with `uncached` tokens to process. `capacity` is the size of
-    /// the engine's memory, tokens. The part that is not reserved for requests holds the cache.
+    /// Counts a request that starts as planned. `capacity` is the size of the engine's memory, tokens.
+    /// The part that is not reserved for requests holds the cache.
     pub(crate) fn start(
         &mut self,
         now: Timestamp,
+        reservation: ReservationId,
         request: &ScheduleRequest,
-        uncached: u32,
+        planned: &PlannedStart,
         capacity: u64,
     ) {
-        let start = self.busy_until.max(self.pacer.earliest()).max(now);
+        let start = now + planned.wait;
         self.pacer.on_sent(start);
-        let prefill = self.prefill_time(uncached, request.input_tokens);
+        let prefill = self.prefill_time(planned.uncached, request.input_tokens);
         self.busy_until = start + prefill.div_f64(PREFILL_SHARE_MAX);
         self.started_at = now;
-        self.running += 1;
+        let first_event_at = start + prefill + FIRST_EVENT_DELAY;
+        self.slots.add(reservation, first_event_at + planned.hold);
         self.health.on_started(now, request.domain);
         self.reserved_tokens += request.memory_tokens();
         self.record_cached(now, &request.shared_parts, capacity);
@@ -138,8 +154,8 @@
     }
 
     /// Counts the end of a request for which `memory_tokens` were reserved.
-    pub(crate) fn end(&mut self, memory_tokens: u64) {
-        self.running = self.running.saturating_sub(1);
+    pub(crate) fn end(&mut self, reservation: ReservationId, memory_tokens: u64) {
+        self.slots.remove(reservation);
         self.reserved_tokens = self.reserved_tokens.saturating_sub(memory_tokens);
     }
 
--- a/lib/src/entry/schedule/mod.rs
+++ b/lib/src/entry/schedule/mod.rs
@@ -12,6 +12,7 @@
 mod scheduler;
 mod shard_search;
 mod shares;
+mod slots;
 
 pub use quarantine::Clearance;
 pub use quarantine::PartCrash;
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -36,6 +36,7 @@
 use super::super::health::median;
 use super::engine::EngineState;
 use super::engine::FIRST_EVENT_DELAY;
+use super::engine::PlannedStart;
 use super::quarantine::Clearance;
 use super::quarantine::PartCrash;
 use super::quarantine::PartQuarantine;
@@ -47,6 +48,7 @@
 use super::shares::ShardWork;
 use super::shares::Standing;
 use super::shares::WorkspaceShares;
+use super::slots::HoldTime;
 use crate::time::Timestamp;
 
 new_key_type! {
@@ -134,6 +136,8 @@
     planned: Duration,
     /// Planned time for processing the prompt.
     prefill: Duration,
+    /// Estimate of the tokens that are generated.
+    output_tokens: u32,
     /// When the response started, as far as is reported.
     response_started_at: Option<Timestamp>,
     /// Whether the server has failed the request.
@@ -171,6 +175,8 @@
     ranks: BTreeMap<u32, Timestamp>,
     /// Usual prefill time by kind of request.
     usual_prefills: HashMap<u64, UsualPrefill>,
+    /// How long responses occupy a slot.
+    hold_time: HoldTime,
     /// Number of shards of the service, as the last request states it.
     shard_count: u32,
     /// Time of the last request.
@@ -328,17 +334,17 @@
         let Some(best) = best else {
             return state.refuse(now, &candidates, limit, standing);
         };
-        let (hash, uncached) = (best.hash, best.uncached);
+        let (hash, wait, uncached) = (best.hash, best.wait, best.uncached);
         let Some(engine) = usable.into_iter().find(|engine| engine.hash == hash) else {
             return ScheduleDecision::NoEngine;
         };
-        self.start(
-            now,
-            request,
-            &engine,
+        let planned = PlannedStart {
+            wait,
             uncached,
-            clearance == Clearance::Trial,
-        )
+            hold: state.hold_time.of(request.output_tokens),
+        };
+        let is_trial = clearance == Clearance::Trial;
+        self.start(now, request, &engine, planned, is_trial)
     }
 
     /// Reserves an engine for a request that may start there.
@@ -347,7 +353,7 @@
         now: Timestamp,
         request: &ScheduleRequest,
         view: &EngineView,
-        uncached: u32,
+        planned: PlannedStart,
         is_trial: bool,
     ) -> ScheduleDecision {
         let server = view.hash;
@@ -361,10 +367,8 @@
         state.shares.on_granted(now, request.workspace, tokens);
         state.summary.granted += 1;
         let engine = state.engines.entry(server).or_default();
-        let wait = engine.wait(now);
+        let PlannedStart { wait, uncached, .. } = planned;
         let prefill = engine.prefill_time(uncached, request.input_tokens);
-        // The size of the memory bounds the estimate of what the engine has cached.
-        engine.start(now, request, uncached, view.memory_tokens);
         state
             .usual_prefills
             .entry(request.kind)
@@ -380,6 +384,7 @@
             is_trial,
             domain: request.domain,
             uncached_tokens: uncached,
+            output_tokens: request.output_tokens,
             memory_tokens: request.memory_tokens(),
             planned: wait - send_after + prefill + FIRST_EVENT_DELAY,
             prefill,
@@ -389,11 +394,14 @@
             // even if its response is still running.
             expires_at: now + request.until_give_up,
         });
+        let reservation = ReservationId {
+            epoch: self.epoch,
+            number: key.data().as_ffi(),
+        };
+        // The size of the memory bounds the estimate of what the engine has cached.
+        engine.start(now, reservation, request, &planned, view.memory_tokens);
         ScheduleDecision::Start {
-            reservation: ReservationId {
-                epoch: self.epoch,
-                number: key.data().as_ffi(),
-            },
+            reservation,
             server,
             send_after,
             uncached_tokens: uncached,
@@ -486,6 +494,8 @@
                 }
                 state.summary.responses += 1;
                 if let Some(engine) = engine {
+                    let end = now + state.hold_time.of(reservation.output_tokens);
+                    engine.slots.expect(progress.reservation, end);
                     if is_measured {
                         engine.on_response_started(now, uncached, after, planned);
                     }
@@ -512,8 +522,15 @@
                 }
             }
             ProgressStep::Ended => {
+                if let Some(at) = reservation.response_started_at
+                    && !reservation.has_failed
+                {
+                    state
+                        .hold_time
+                        .add(reservation.output_tokens, now.since(at));
+                }
                 if let Some(engine) = engine {
-                    engine.end(reservation.memory_tokens);
+                    engine.end(progress.reservation, reservation.memory_tokens);
                     if reservation.response_started_at.is_none() {
                         engine.cancel_prefill(now, reservation.prefill);
                     }
@@ -549,14 +566,16 @@
             state.shares.sweep(now);
         }
         let services = &mut self.services;
-        self.reservations.retain(|_, reservation| {
+        let epoch = self.epoch;
+        self.reservations.retain(|key, reservation| {
             if !reservation.expires_at.has_passed(now) {
                 return true;
             }
             let state = services.get_mut(&reservation.service);
             if let Some(engine) = state.and_then(|state| state.engines.get_mut(&reservation.server))
             {
-                engine.end(reservation.memory_tokens);
+                let number = key.data().as_ffi();
+                engine.end(ReservationId { epoch, number }, reservation.memory_tokens);
             }
             false
         });
@@ -663,7 +682,7 @@
     fn contention_of(&self, now: Timestamp, engines: &[EngineView]) -> f64 {
         let wait = |engine: &EngineView| {
             let state = self.engines.get(&engine.hash);
-            let wait = state.map_or(Duration::ZERO, |state| state.wait(now));
+            let wait = state.map_or(Duration::ZERO, |state| state.wait(now, engine.slots));
             wait.as_secs_f64() / CONTENDED_WAIT.as_secs_f64()
         };
         let sum: f64 = engines.iter().map(|engine| wait(engine).min(1.0)).sum();
@@ -678,11 +697,11 @@
         }
         self.engines_swept_at = now;
         self.engines.retain(|_, engine| {
-            engine.running > 0 || now.since(engine.started_at) < ENGINE_RETENTION
+            !engine.slots.is_empty() || now.since(engine.started_at) < ENGINE_RETENTION
         });
     }
 
-    /// Cost and times of sending a request to an engine, `None` if the engine has no capacity left.
+    /// Cost and times of sending a request to an engine, `None` if the engine has no memory left.
     /// Only the fraction `capacity_fraction` of its slots and request memory may be filled. An idle
     /// engine takes any request, since a request that exceeds these limits by itself would
     /// otherwise never start.
@@ -699,7 +718,7 @@
             (view.memory_tokens as f64 * REQUEST_MEMORY_FRACTION * capacity_fraction) as u64;
         let slot_limit = (f64::from(view.slots) * capacity_fraction) as u32;
         let has_memory = engine.reserved_tokens + request.memory_tokens() <= memory_limit;
-        if engine.running >= slot_limit.max(1) || (!has_memory && engine.running > 0) {
+        if !has_memory && !engine.slots.is_empty() {
             return None;
         }
         let mut cached = engine.prefix_cache.cached_tokens(&request.shared_parts);
@@ -711,7 +730,7 @@
         }
         let uncached = request.input_tokens.saturating_sub(cached);
         let uncached_shared = request.shared_tokens().saturating_sub(cached);
-        let wait = engine.wait(now);
+        let wait = engine.wait(now, slot_limit);
         let prefill = engine.prefill_time(uncached, request.input_tokens);
         let cross_domain = if view.domain == request.domain {
             Duration::ZERO
