schedule: let first attempts go before those that are late in any case

Cause: a request whose caller had been refused before might wait 400 ms for an engine, whatever the objective of its route. With an objective of 300 ms, first attempts may wait 240 ms: in an overload the waits were between the two, so that the callers who came back late took the room of those who were in time.

Change: a returning request may wait half of the objective, at most 400 ms as before. The retry delay aims at that limit and grows with the contention.

--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -64,10 +64,13 @@
 /// A prompt that cannot meet the start limit because of its own prefill time may still start if it
 /// waits for the engine for at most this fraction of the limit.
 const LONG_PROMPT_WAIT_FRACTION: f64 = 0.3;
-/// Lower bound of the start limit for a request whose caller was refused before and tries again.
+/// Largest lower bound of the start limit for a request whose caller was refused before and tries again.
 /// The objective counts from the caller's first attempt, so little or no time may be left until it.
 /// Throttling and a less urgent rank can still lower the limit below this bound.
-const CALLER_RETRY_LIMIT_MIN: Duration = Duration::from_millis(400);
+const CALLER_RETRY_LIMIT_MAX: Duration = Duration::from_millis(400);
+/// The lower bound as a fraction of the objective. It is lower than the limit of first attempts, so that
+/// a response that is late in any case does not make others late.
+const CALLER_RETRY_FRACTION: f64 = 0.5;
 /// Lower bound of the start limit for a request of an underserved workspace: one that was granted
 /// far less than it requested and far less than another workspace. Callers wait at least 2 s for
 /// the first event of a stream; the bound is half of this.
@@ -79,6 +82,8 @@
 /// that of the asking host, stated as a waiting time: 2 us for each byte, at about two bytes per
 /// token.
 const CROSS_DOMAIN_COST: Duration = Duration::from_micros(4);
+/// By how much the retry delay is longer at full contention, as a factor.
+const CONTENDED_RETRY_FACTOR: f64 = 2.0;
 /// Shortest retry delay sent to the caller of a refused request.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
 /// Longest retry delay sent to the caller of a refused request.
@@ -332,7 +337,7 @@
             .filter(|candidate| candidate.is_in_time(limit, usual_prefill))
             .min_by_key(|candidate| (candidate.cost, candidate.hash));
         let Some(best) = best else {
-            return state.refuse(now, &candidates, limit, standing);
+            return state.refuse(now, request, &candidates, limit, standing);
         };
         let (hash, wait, uncached) = (best.hash, best.wait, best.uncached);
         let Some(engine) = usable.into_iter().find(|engine| engine.hash == hash) else {
@@ -648,6 +653,7 @@
     fn refuse(
         &mut self,
         now: Timestamp,
+        request: &ScheduleRequest,
         candidates: &[EngineCandidate],
         limit: Duration,
         standing: Standing,
@@ -661,7 +667,7 @@
         let has_room_elsewhere =
             self.shares.least_contention_elsewhere(now) < SPREAD_CONTENTION_MAX as f32;
         ScheduleDecision::Refuse {
-            retry_after: retry_after(soonest, limit),
+            retry_after: retry_after(request, soonest, limit, self.contention),
             soonest,
             limit,
             is_over_share: standing.wants_more_than_share,
@@ -771,7 +777,7 @@
 fn start_limit(request: &ScheduleRequest, share_ratio: f64, contention: f64) -> Duration {
     let unthrottled = request.until_objective.mul_f64(OBJECTIVE_PLANNED_FRACTION);
     let unthrottled = if request.is_caller_retry {
-        unthrottled.max(CALLER_RETRY_LIMIT_MIN)
+        unthrottled.max(caller_retry_limit(request))
     } else {
         unthrottled
     };
@@ -782,9 +788,23 @@
     unthrottled.mul_f64(1.0 - contention * (1.0 - throttled))
 }
 
+/// Lower bound of the start limit of a request whose caller tries again.
+fn caller_retry_limit(request: &ScheduleRequest) -> Duration {
+    let limit = request.objective.mul_f64(CALLER_RETRY_FRACTION);
+    limit.min(CALLER_RETRY_LIMIT_MAX)
+}
+
 /// Retry delay for a refused request: how far the soonest possible first event of the response is
-/// beyond the start limit, within bounds.
-fn retry_after(soonest: Duration, limit: Duration) -> Duration {
+/// beyond the start limit that it has then, within bounds. While requests compete, the engines gain on
+/// the waiting requests by only a part of the time that passes.
+fn retry_after(
+    request: &ScheduleRequest,
+    soonest: Duration,
+    limit: Duration,
+    contention: f64,
+) -> Duration {
+    let limit = limit.min(caller_retry_limit(request));
     let over = soonest.saturating_sub(limit);
+    let over = over.mul_f64(1.0 + contention * CONTENDED_RETRY_FACTOR);
     over.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
 }
--- a/lib/src/entry/schedule/slots.rs
+++ b/lib/src/entry/schedule/slots.rs
@@ -62,7 +62,10 @@
 
     /// Removes a request. Returns whether it was there.
     pub(crate) fn remove(&mut self, reservation: ReservationId) -> bool {
-        let at = self.ends.iter().position(|(_, other)| *other == reservation);
+        let at = self
+            .ends
+            .iter()
+            .position(|(_, other)| *other == reservation);
         at.map(|at| self.ends.remove(at)).is_some()
     }
 }
