entry: hosts behind their work ask for the part of the requests that may start

Cause: of the requests that reach a few small hosts in an overload, schedulers refuse most.

Change: while its timers are more than 10 ms late, a host asks for as large a part of a workspace's requests as schedulers have let start lately, with a margin, and refuses the rest with their last reason. New metric refused_unasked_total.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -43,6 +43,7 @@
 use super::take_up::stream_version;
 use crate::crashing::RequestDigest;
 use crate::gateway::end_to_end;
+use crate::time::Timestamp;
 
 /// Maximum number of servers tried for one request, including those that could not be reached.
 /// Those are limited too because each may cost the connection timeout.
@@ -165,15 +166,10 @@
     };
     let route = admitted.route.clone();
     let id = head.id.clone();
-    let is_overloaded = host.lag.lag().is_overloaded();
-    if is_overloaded && let Some(prompt) = &head.prompt {
-        // A request to a model is refused; requests to plain services, which run no model, are
-        // still served. To save work, the body is not read and no line is logged for the request.
-        // The lag is logged when it crosses the limit.
-        host.stats.refused_overloaded.inc();
+    if let Some(prompt) = &head.prompt
+        && let Some(refusal) = refusal_behind_work(host, arrived, &admitted)
+    {
         host.fleet().on_refused_locally(&admitted, prompt);
-        let wait = host.lag.lag().retry_after(arrived);
-        let refusal = Refusal::with_retry_after(Reason::HostBusy, wait);
         return refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
     }
     let deadline = host.clock.instant(admitted.give_up_at);
@@ -215,6 +211,25 @@
     }
 }
 
+/// The refusal of a request to a model while this host is behind its work, `None` if it may be scheduled.
+/// Requests to plain services, which run no model, are still served. To save work, the body is not read
+/// and no line is logged for the request. The lag is logged when it crosses the limit.
+fn refusal_behind_work(
+    host: &EntryHost,
+    arrived: Timestamp,
+    admitted: &Admitted,
+) -> Option<Refusal> {
+    if host.lag.lag().is_overloaded() {
+        host.stats.refused_overloaded.inc();
+        let wait = host.lag.lag().retry_after(arrived);
+        return Some(Refusal::with_retry_after(Reason::HostBusy, wait));
+    }
+    let lag = host.lag.current(arrived);
+    let refusal = host.fleet().refusal_unasked(arrived, admitted, lag)?;
+    host.stats.refused_unasked.inc();
+    Some(refusal)
+}
+
 /// Reads a request body up to the configured size limit.
 async fn read_body(host: &EntryHost, body: Body) -> Result<Bytes, Reason> {
     let limit = host.fleet().config().map_or(0, |c| c.limits.body_bytes);
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -112,6 +112,13 @@
     }
 }
 
+/// Hashes of the names of a request's service and workspace; 0 for a request without a workspace.
+fn share_key(admitted: &Admitted) -> (u64, u64) {
+    let workspace = admitted.workspace.as_deref();
+    let workspace = workspace.map_or(0, |name| xxh3_64(name.as_bytes()));
+    (xxh3_64(admitted.service.as_bytes()), workspace)
+}
+
 impl Fleet {
     /// Checks that a request is not held back because it makes servers crash.
     ///
@@ -203,14 +210,14 @@
         let shard = Shard::of_session(session, hashes.iter().copied());
         let mut excluded = hashes;
         excluded.retain(|hash| !healthy.contains(hash));
-        let workspace = admitted.workspace.as_deref();
+        let (service, workspace_hash) = share_key(admitted);
         let last_server = prompt
             .session()
             .and_then(|session| self.session_affinity.get(session));
         Ok(ScheduleRequest {
-            service: xxh3_64(admitted.service.as_bytes()),
+            service,
             shard,
-            workspace: workspace.map_or(0, |name| xxh3_64(name.as_bytes())),
+            workspace: workspace_hash,
             domain: self.own_domain_hash,
             input_tokens: prompt.input_tokens,
             output_tokens: prompt.output_tokens(),
@@ -283,6 +290,30 @@
         self.scheduler.on_progress(now, progress);
     }
 
+    /// Records what the schedulers have decided on a request to a model.
+    pub fn on_decision(&mut self, now: Timestamp, admitted: &Admitted, refusal: Option<Refusal>) {
+        let (service, workspace) = share_key(admitted);
+        match refusal {
+            None => self.grant_rates.on_granted(now, service, workspace),
+            Some(refusal) => {
+                let rates = &mut self.grant_rates;
+                rates.on_refused(now, service, workspace, refusal);
+            }
+        }
+    }
+
+    /// The refusal of a request to a model for which no scheduler is asked, because this host is behind
+    /// its work and they refuse most requests of the workspace. `lag` is how late the host's timers fire.
+    pub fn refusal_unasked(
+        &mut self,
+        now: Timestamp,
+        admitted: &Admitted,
+        lag: Duration,
+    ) -> Option<Refusal> {
+        let (service, workspace) = share_key(admitted);
+        self.grant_rates.refusal(now, service, workspace, lag)
+    }
+
     /// Counts a request to a model that this host refuses by itself, without a schedule request. The
     /// next schedule request for its workspace tells the scheduler.
     pub fn on_refused_locally(&mut self, admitted: &Admitted, prompt: &Prompt) {
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -43,6 +43,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Requests refused because this host had too little processor time.
     pub(crate) refused_overloaded: IntCounter,
+    /// Requests refused without asking a scheduler since the host was behind its work.
+    pub(crate) refused_unasked: IntCounter,
     /// Connections opened to servers since the start.
     pub(crate) connections_opened: IntCounter,
     /// Connections to servers that are open now.
@@ -111,6 +113,10 @@
                 "refused_behind_total",
                 "Requests refused since the host was behind its work",
             )?,
+            refused_unasked: counter(
+                "refused_unasked_total",
+                "Requests refused without asking a scheduler since the host was behind its work",
+            )?,
             connections_opened: counter(
                 "server_connections_total",
                 "Connections opened to servers",
