entry: limit the lag of hosts by the shortest objective of models

Cause: a host refused requests from a lag of 60 ms on, which delays a response by about half a second. That is late in any case where responses have to start within 300 ms.

Change: the limit is a tenth of the shortest objective of the routes to models, at most 60 ms as before. Connections are refused from three quarters of it on.

--- a/lib/src/entry/config.rs
+++ b/lib/src/entry/config.rs
@@ -223,6 +223,17 @@
         routes.map(|route| route.timeout).max().unwrap_or_default()
     }
 
+    /// The shortest time within which responses of models should start, over all routes to models.
+    pub fn shortest_model_objective(&self) -> Option<Duration> {
+        let runs_model = |target: &Target| {
+            let service = self.services.get(&target.service);
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        let routes = self.routes.values().flatten();
+        let routes = routes.filter(|route| route.targets.iter().any(runs_model));
+        routes.map(|route| route.objective).min()
+    }
+
     /// Number of routes, over all `Host` headers.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -30,14 +30,16 @@
 /// Number of consecutive measurements without a request after which measuring pauses, so that an
 /// idle host does not wake up.
 const IDLE_SAMPLES_MAX: u32 = 10;
-/// Mean lag above which the host is overloaded. A request waits for the host about eight times
+/// Largest mean lag above which the host is overloaded. A request waits for the host about eight times
 /// between its arrival and the first event of its response. 60 ms of lag therefore add about half a
-/// second, which is most of the time within which a response should start. On a host with processor
-/// time left, timers are a few milliseconds late.
+/// second. On a host with processor time left, timers are a few milliseconds late.
 const LAG_MAX: Duration = Duration::from_millis(60);
-/// Lag above which new connections are refused. It is lower than [`LAG_MAX`], so that the requests on
-/// connections that were accepted are in time.
-const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(45);
+/// The mean lag above which the host is overloaded, as a fraction of the time within which responses of
+/// models should start. Eight times this fraction is most of that time.
+const LAG_OBJECTIVE_FRACTION: f64 = 0.1;
+/// Lag above which new connections are refused, as a fraction of that above which the host is
+/// overloaded. It is lower, so that the requests on connections that were accepted are in time.
+const ACCEPTING_LAG_FRACTION: f64 = 0.75;
 /// Time constant of the mean lag that decides on refusals. It is long enough that a single pause of
 /// 100 ms, as on a host with a processor time quota, does not cause refusals.
 const REFUSAL_SPAN: Duration = Duration::from_millis(150);
@@ -74,8 +76,10 @@
 }
 
 /// Lag of a host's timers, and the readiness that follows from it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Lag {
+    /// Mean lag above which the host is overloaded.
+    limit: Duration,
     /// Mean lag with the time constant [`REFUSAL_SPAN`].
     recent: DecayingMean,
     /// Mean lag with the time constant [`READINESS_SPAN`].
@@ -89,7 +93,28 @@
     unready_for: Duration,
 }
 
+impl Default for Lag {
+    fn default() -> Self {
+        Self {
+            limit: LAG_MAX,
+            recent: DecayingMean::default(),
+            sustained: DecayingMean::default(),
+            updated: Timestamp::ZERO,
+            unready_since: Timestamp::ZERO,
+            ready_at: Timestamp::ZERO,
+            unready_for: Duration::ZERO,
+        }
+    }
+}
+
 impl Lag {
+    /// Sets the shortest time within which responses of models should start, `None` if no route leads
+    /// to a model.
+    pub fn set_objective(&mut self, objective: Option<Duration>) {
+        let limit = objective.map(|objective| objective.mul_f64(LAG_OBJECTIVE_FRACTION));
+        self.limit = limit.map_or(LAG_MAX, |limit| limit.min(LAG_MAX));
+    }
+
     /// Adds a measurement: a timer that was due at `now - late` fired at `now`. Returns whether the
     /// host becomes not ready because of it.
     pub fn update(&mut self, now: Timestamp, late: Duration) -> bool {
@@ -106,7 +131,7 @@
             mean.add(Duration::ZERO, paused_for, span);
             mean.add(late, lasted, span);
         }
-        if self.sustained.0 <= LAG_MAX.as_secs_f64() || !self.is_ready(now) {
+        if self.sustained.0 <= self.limit.as_secs_f64() || !self.is_ready(now) {
             return false;
         }
         let ready_for = now.since(self.ready_at);
@@ -127,7 +152,7 @@
 
     /// Whether the lag is so long that the host should refuse requests.
     pub fn is_overloaded(&self) -> bool {
-        self.recent.0 > LAG_MAX.as_secs_f64()
+        self.recent.0 > self.limit.as_secs_f64()
     }
 
     /// Whether the lag allows that the host is reported as ready, so that the load balancer sends
@@ -150,7 +175,7 @@
     /// Time after which a caller with a new connection should try again, `None` if the host has
     /// processor time for its requests. `late` is how late the timers fire at present.
     pub fn refuses_connections_for(&self, now: Timestamp, late: Duration) -> Option<Duration> {
-        let is_late = late.max(self.recent()) > ACCEPTING_LAG_MAX;
+        let is_late = late.max(self.recent()) > self.limit.mul_f64(ACCEPTING_LAG_FRACTION);
         is_late.then(|| self.retry_after(now))
     }
 
--- a/lib/src/entry/updates.rs
+++ b/lib/src/entry/updates.rs
@@ -203,10 +203,12 @@
     let version = config.version;
     let routes = config.route_count();
     let workspaces = config.workspaces.len();
+    let objective = config.shortest_model_objective();
     if host.fleet().apply_config(config) {
         host.stats
             .config_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
+        host.lag.lag().set_objective(objective);
         info!(target: "config", version = version, routes = routes, workspaces = workspaces;
             "configuration activated");
     }
--- a/lib/tests/test_entry_lag.rs
+++ b/lib/tests/test_entry_lag.rs
@@ -37,6 +37,18 @@
     assert!(lag.is_ready(at(now)));
 }
 
+/// Guards against lag that makes most responses late where they have to start within less time.
+#[test]
+fn lag_is_limited_by_the_objective_of_models() {
+    for (objective_ms, is_overloaded) in [(300, true), (800, false)] {
+        let mut lag = Lag::default();
+        lag.set_objective(Some(Duration::from_millis(objective_ms)));
+        let (now, _) = simulate(&mut lag, 10_000, 2, 1_000);
+        simulate(&mut lag, now, 45, 1_000);
+        assert_eq!(lag.is_overloaded(), is_overloaded, "{objective_ms} ms");
+    }
+}
+
 #[test]
 fn single_pause_after_idle_time_does_not_refuse_requests() {
     let mut lag = Lag::default();
