shares: judge workspaces by the work of the last second

Cause: work was summed with a half-life of 2 s.

Change: a half-life of 500 ms, two periods of the reports of schedulers. A refusal is due to the share only if the workspace was granted its share: over so short a span, one request more or less would change the reason.

--- a/lib/src/entry/schedule/shares.rs
+++ b/lib/src/entry/schedule/shares.rs
@@ -8,6 +8,10 @@
 //! the others divide the rest evenly. A workspace is not limited while no other one sends requests,
 //! so that it can use idle capacity.
 //!
+//! Demand and capacity change within a second: workspaces begin to flood the service, and engines
+//! crash. Shares are therefore judged by the work of about the last second, so that what a workspace
+//! was granted while there was more for it does not count against it for long.
+//!
 //! The engines of a large service are divided into shards with a scheduler each. A workspace whose
 //! sessions are at the engines of one shard competes with other workspaces there than one whose
 //! sessions are elsewhere. Schedulers therefore report the work at their shards to each other, and judge
@@ -20,9 +24,10 @@
 
 use crate::time::Timestamp;
 
-/// Half-life of recorded work. The shares of workspaces are judged over spans of 4 to 6 s, which
-/// are two to three half-lives.
-const HALF_LIFE: Duration = Duration::from_secs(2);
+/// Half-life of recorded work, two periods of the reports of schedulers to each other. With 2 s, a
+/// workspace got almost nothing for 3 s after others had begun to flood the service too; with one
+/// period, flooded shards use less than half of their capacity.
+const HALF_LIFE: Duration = Duration::from_millis(500);
 /// A workspace is underserved if it was granted less than this fraction of the work that it
 /// requested, and also less than this fraction of the most work granted to any workspace. Each
 /// workspace is guaranteed at least half of the smaller of the two amounts; the margin above half
@@ -204,7 +209,7 @@
         Standing {
             share_ratio: if share <= 0.0 { 0.0 } else { granted / share },
             is_underserved,
-            wants_more_than_share: requested > share && !is_underserved,
+            wants_more_than_share: requested > share && granted >= share && !is_underserved,
         }
     }
 }
@@ -219,7 +224,7 @@
     /// Whether the workspace was granted far less than it requested and far less than another
     /// workspace.
     pub(crate) is_underserved: bool,
-    /// Whether the workspace has requested more than its fair share, and is not underserved.
+    /// Whether the workspace has requested more than its fair share and was granted at least that.
     pub(crate) wants_more_than_share: bool,
 }
 
--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unreachable_pub, unused_imports)]
 
+pub mod deployment;
 mod platform;
 
 use std::net::SocketAddr;
