schedule: no engine stays empty while requests are refused

Cause: a workspace above its share only got the engines that have cached its prompts, also while others ran nothing. And a shard without requests sends no reports, so others took it for full: with all sessions at two of four shards, the engines of the other two were empty throughout the flood.

Change: an engine that runs no request is always a candidate. A refused request is sent on every 100 ms although no shard has reported room; the shard that it reaches then reports. Ruled out: every 250 ms, with which an engine was empty for 598 ms at 195 hosts, since contention is reported as it was at the last request.

--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -211,6 +211,8 @@
     prefill: Duration,
     /// Time until the first event of the response.
     first_event_after: Duration,
+    /// Whether the engine runs no request.
+    is_empty: bool,
 }
 
 impl EngineCandidate {
@@ -639,8 +641,9 @@
             .map(|candidate| candidate.first_event_after)
             .min();
         let soonest = soonest.unwrap_or(FULL_ENGINE_WAIT);
-        let has_room_elsewhere =
-            self.shares.least_contention_elsewhere(now) < SPREAD_CONTENTION_MAX as f32;
+        let has_room_elsewhere = self
+            .shares
+            .may_have_room_elsewhere(now, SPREAD_CONTENTION_MAX);
         ScheduleDecision::Refuse {
             retry_after: retry_after(soonest, limit),
             soonest,
@@ -726,11 +729,13 @@
             wait,
             prefill,
             first_event_after: wait + prefill + FIRST_EVENT_DELAY,
+            is_empty: engine.running == 0,
         })
     }
 }
 
-/// Keeps the engines that have cached the most of the parts that other requests share.
+/// Keeps the engines that have cached the most of the parts that other requests share, and those that
+/// run no request.
 ///
 /// A workspace that floods the service finds its usual engines busy. If its requests went to others
 /// while these are wanted, they would process the same parts again, which takes engine time from all
@@ -740,7 +745,7 @@
         .iter()
         .map(|candidate| candidate.uncached_shared)
         .min();
-    candidates.retain(|candidate| Some(candidate.uncached_shared) == least);
+    candidates.retain(|candidate| candidate.is_empty || Some(candidate.uncached_shared) == least);
 }
 
 /// Start limit of a request: it is started only if the first event of its response is expected
--- a/lib/src/entry/schedule/shares.rs
+++ b/lib/src/entry/schedule/shares.rs
@@ -42,6 +42,10 @@
 /// How long a report of another scheduler counts. It is several periods of these
 /// messages, so that a lost one has no effect.
 const REPORT_RETENTION: Duration = Duration::from_secs(2);
+/// Interval at which a refused request is sent to other shards although none of them has reported
+/// room. A shard that gets no requests sends no reports, so that its free engines are not known.
+/// With 250 ms, engines stayed empty for more than two reports.
+const EXPLORATION_PERIOD: Duration = Duration::from_millis(100);
 
 /// Recent work of one workspace at the shards of one scheduler, tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,12 +93,25 @@
 
 /// Recent work of one service by workspace, in tokens that decay with [`HALF_LIFE`]. Workspaces are
 /// identified by the hashes of their names.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct WorkspaceShares {
     granted: HashMap<u64, Usage>,
     requested: HashMap<u64, Usage>,
     /// Work at the shards of other schedulers, by the address of the scheduler.
     reports: HashMap<SocketAddr, ReportedWork>,
+    /// When a request was last sent to other shards without a report of room there.
+    explored_at: Timestamp,
+}
+
+impl Default for WorkspaceShares {
+    fn default() -> Self {
+        Self {
+            granted: HashMap::new(),
+            requested: HashMap::new(),
+            reports: HashMap::new(),
+            explored_at: Timestamp::ZERO,
+        }
+    }
 }
 
 /// Work at all shards, as numbers of tokens by workspace.
@@ -120,11 +137,18 @@
         self.reports.insert(from, ReportedWork { at: now, shards });
     }
 
-    /// Least contention that another scheduler has reported lately, 1 if none has.
-    pub(crate) fn least_contention_elsewhere(&self, now: Timestamp) -> f32 {
-        self.reports(now)
-            .map(|report| report.shards.contention)
-            .fold(1.0, f32::min)
+    /// Whether a request that is refused here may be started at another shard: another scheduler
+    /// has lately reported a contention below `contention_max`, or it is time to find out.
+    pub(crate) fn may_have_room_elsewhere(&mut self, now: Timestamp, contention_max: f64) -> bool {
+        let has_room = |report: &ReportedWork| f64::from(report.shards.contention) < contention_max;
+        if self.reports(now).any(has_room) {
+            return true;
+        }
+        let is_due = now.since(self.explored_at) >= EXPLORATION_PERIOD;
+        if is_due {
+            self.explored_at = now;
+        }
+        is_due
     }
 
     /// Recent reports of other schedulers.
--- a/lib/tests/common/deployment.rs
+++ b/lib/tests/common/deployment.rs
@@ -32,6 +32,11 @@
 const OWN_TOKENS: u32 = 6_600;
 /// Tokens of a prompt.
 pub const PROMPT_TOKENS: u64 = SHARED_TOKENS as u64 + OWN_TOKENS as u64;
+/// Longest time for which an engine may stay empty while requests are refused, milliseconds: two
+/// reports of schedulers.
+const EMPTY_MAX_MS: u64 = 2 * SHARES_PERIOD_MS;
+/// Refusals further apart than this are not of the same span, milliseconds.
+const REFUSALS_APART_MS: u64 = 50;
 /// Prefill speed of engines that the scheduler assumes, tokens/ms.
 const ENGINE_SPEED: f64 = 38.7;
 /// Fraction of an engine's time that prefills take at most.
@@ -93,8 +98,12 @@
     pub report_delays: HashMap<SocketAddr, Option<u64>>,
     /// Scheduler of each shard. The number of shards stays the same.
     pub by_shard: Vec<SocketAddr>,
-    /// Milliseconds in which a request was refused while an engine had none.
-    pub refused_beside_empty: Vec<u64>,
+    /// Span during which requests have been refused, milliseconds.
+    refusing_ms: Range<u64>,
+    /// Longest time for which an engine was empty while requests were refused, milliseconds.
+    longest_empty_ms: u64,
+    /// When the engines became empty, milliseconds.
+    empty_since_ms: HashMap<u64, u64>,
     schedulers: HashMap<SocketAddr, Scheduler>,
     running: HashMap<u64, u32>,
     events: BTreeMap<(u64, u64), Event>,
@@ -144,7 +153,9 @@
             slowness: HashMap::new(),
             report_delays: HashMap::new(),
             by_shard,
-            refused_beside_empty: Vec::new(),
+            refusing_ms: 0..0,
+            longest_empty_ms: 0,
+            empty_since_ms: HashMap::new(),
             schedulers,
             running: HashMap::new(),
             events: BTreeMap::new(),
@@ -179,6 +190,33 @@
         PROMPT_TOKENS as f64 * 1_000.0 / (self.capacity() * fraction)
     }
 
+    /// Checks that no engine stays empty while requests are refused.
+    pub fn check_empty_engines(&self, name: &str) {
+        let longest_ms = self.longest_empty_ms;
+        assert!(
+            longest_ms <= EMPTY_MAX_MS,
+            "{name}: an engine was empty for {longest_ms} ms while requests were refused"
+        );
+    }
+
+    fn on_refused(&mut self, now_ms: u64) {
+        if now_ms - self.refusing_ms.end > REFUSALS_APART_MS {
+            self.refusing_ms.start = now_ms;
+        }
+        self.refusing_ms.end = now_ms;
+        for engine in &self.engines {
+            if self
+                .running
+                .get(&engine.hash)
+                .is_none_or(|running| *running == 0)
+            {
+                let since = self.empty_since_ms.get(&engine.hash).copied().unwrap_or(0);
+                let empty_ms = now_ms - since.max(self.refusing_ms.start);
+                self.longest_empty_ms = self.longest_empty_ms.max(empty_ms);
+            }
+        }
+    }
+
     /// Asks for a request as a host does. Returns the time after which its response starts, `None`
     /// if it is refused.
     fn ask(&mut self, now_ms: u64, workspace: u64, session: u64) -> Option<Duration> {
@@ -234,12 +272,7 @@
                 }
                 SearchStep::AskNext => {}
                 SearchStep::Refuse(_) => {
-                    let is_empty = |engine: &EngineView| {
-                        self.running.get(&engine.hash).copied().unwrap_or(0) == 0
-                    };
-                    if self.engines.iter().any(is_empty) {
-                        self.refused_beside_empty.push(now_ms);
-                    }
+                    self.on_refused(now_ms);
                     return None;
                 }
             }
@@ -282,8 +315,13 @@
             let event = entry.remove();
             let scheduler = self.schedulers.get_mut(&event.scheduler).unwrap();
             scheduler.on_progress(at(now_ms), &event.progress);
-            if let Some(running) = event.left.and_then(|server| self.running.get_mut(&server)) {
+            if let Some(server) = event.left
+                && let Some(running) = self.running.get_mut(&server)
+            {
                 *running -= 1;
+                if *running == 0 {
+                    self.empty_since_ms.insert(server, now_ms);
+                }
             }
         }
         while let Some(entry) = self.reports.first_entry()
--- a/lib/tests/test_entry_fairness.rs
+++ b/lib/tests/test_entry_fairness.rs
@@ -55,6 +55,7 @@
     }
     let all = play(&mut deployment, &workspaces, END_MS, |_, _| {});
     check_shares(&all, &format!("{hosts} hosts"));
+    deployment.check_empty_engines(&format!("{hosts} hosts"));
     check_work(&all, deployment.capacity());
 }
 
--- a/lib/tests/test_entry_share_shifts.rs
+++ b/lib/tests/test_entry_share_shifts.rs
@@ -43,6 +43,7 @@
         },
     );
     check_shares(&all, &format!("{hosts} hosts"));
+    deployment.check_empty_engines(&format!("{hosts} hosts"));
 }
 
 #[test]
@@ -105,6 +106,7 @@
         },
     );
     check_shares(&all, &format!("{hosts} hosts"));
+    deployment.check_empty_engines(&format!("{hosts} hosts"));
 }
 
 #[test]
