--- a/lib/src/entry/schedule/shares.rs
+++ b/lib/src/entry/schedule/shares.rs
@@ -8,6 +8,10 @@
 //! the others divide the rest evenly. A workspace is not limited while no other one sends requests,
 //! so that it can use idle capacity.
 //!
+//! Demand and capacity change within a second: workspaces begin to flood the service, and engines
+//! crash. Shares are therefore judged by the work of about the last second, so that what a workspace
+//! was granted while there was more for it does not count against it for long.
+//!
 //! The engines of a large service are divided into shards with a scheduler each. A workspace whose
 //! sessions are at the engines of one shard competes with other workspaces there than one whose
 //! sessions are elsewhere. Schedulers therefore report the work at their shards to each other, and judge
@@ -20,9 +24,10 @@
 
 use crate::time::Timestamp;
 
-/// Half-life of recorded work. The shares of workspaces are judged over spans of 4 to 6 s, which
-/// are two to three half-lives.
-const HALF_LIFE: Duration = Duration::from_secs(2);
+/// Half-life of recorded work, two periods of the reports of schedulers to each other. With 2 s, a
+/// workspace got almost nothing for 3 s after others had begun to flood the service too; with one
+/// period, flooded shards use less than half of their capacity.
+const HALF_LIFE: Duration = Duration::from_millis(500);
 /// A workspace is underserved if it was granted less than this fraction of the work that it
 /// requested, and also less than this fraction of the most work granted to any workspace. Each
 /// workspace is guaranteed at least half of the smaller of the two amounts; the margin above half
@@ -37,6 +42,10 @@
 /// How long a report of another scheduler counts. It is several periods of these
 /// messages, so that a lost one has no effect.
 const REPORT_RETENTION: Duration = Duration::from_secs(2);
+/// Interval at which a refused request is sent to other shards although none of them has reported
+/// room. A shard that gets no requests sends no reports, so that its free engines are not known.
+/// With 250 ms, engines stayed empty for more than two reports.
+const EXPLORATION_PERIOD: Duration = Duration::from_millis(100);
 
 /// Recent work of one workspace at the shards of one scheduler, tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,12 +93,25 @@
 
 /// Recent work of one service by workspace, in tokens that decay with [`HALF_LIFE`]. Workspaces are
 /// identified by the hashes of their names.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct WorkspaceShares {
     granted: HashMap<u64, Usage>,
     requested: HashMap<u64, Usage>,
     /// Work at the shards of other schedulers, by the address of the scheduler.
     reports: HashMap<SocketAddr, ReportedWork>,
+    /// When a request was last sent to other shards without a report of room there.
+    explored_at: Timestamp,
+}
+
+impl Default for WorkspaceShares {
+    fn default() -> Self {
+        Self {
+            granted: HashMap::new(),
+            requested: HashMap::new(),
+            reports: HashMap::new(),
+            explored_at: Timestamp::ZERO,
+        }
+    }
 }
 
 /// Work at all shards, as numbers of tokens by workspace.
@@ -115,11 +137,18 @@
         self.reports.insert(from, ReportedWork { at: now, shards });
     }
 
-    /// Least contention that another scheduler has reported lately, 1 if none has.
-    pub(crate) fn least_contention_elsewhere(&self, now: Timestamp) -> f32 {
-        self.reports(now)
-            .map(|report| report.shards.contention)
-            .fold(1.0, f32::min)
+    /// Whether a request that is refused here may be started at another shard: another scheduler
+    /// has lately reported a contention below `contention_max`, or it is time to find out.
+    pub(crate) fn may_have_room_elsewhere(&mut self, now: Timestamp, contention_max: f64) -> bool {
+        let has_room = |report: &ReportedWork| f64::from(report.shards.contention) < contention_max;
+        if self.reports(now).any(has_room) {
+            return true;
+        }
+        let is_due = now.since(self.explored_at) >= EXPLORATION_PERIOD;
+        if is_due {
+            self.explored_at = now;
+        }
+        is_due
     }
 
     /// Recent reports of other schedulers.
@@ -204,7 +233,7 @@
         Standing {
             share_ratio: if share <= 0.0 { 0.0 } else { granted / share },
             is_underserved,
-            wants_more_than_share: requested > share && !is_underserved,
+            wants_more_than_share: requested > share && granted >= share && !is_underserved,
         }
     }
 }
@@ -219,7 +248,7 @@
     /// Whether the workspace was granted far less than it requested and far less than another
     /// workspace.
     pub(crate) is_underserved: bool,
-    /// Whether the workspace has requested more than its fair share, and is not underserved.
+    /// Whether the workspace has requested more than its fair share and was granted at least that.
     pub(crate) wants_more_than_share: bool,
 }
 
