peers: messages about claims to continue a stream

A caller that takes a stream up will claim it at the hosts that remember it, so that it is not refused as new work. The datagram that tells of a stream has the tokens with which it was admitted, the question where it began the tokens of the request that claims it, and the reply whether it has the claim. The fields have the next free numbers; hosts without them read zero and false, that is no claim.

--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -186,6 +186,9 @@
 
   remaining @2 :UInt64;
   # How long the stream has to be remembered.
+
+  tokens @3 :UInt64;
+  # Tokens of the prompt and the estimated response with which the stream was admitted.
 }
 
 struct OriginRequest {
@@ -196,6 +199,10 @@
 
   key @1 :UInt64;
   service @2 :UInt64;
+
+  claimedTokens @3 :UInt64;
+  # Tokens of the prompt and the estimated response of a request that claims to continue the stream, 0 if
+  # the request makes no claim.
 }
 
 struct OriginReply {
@@ -209,6 +216,9 @@
     # The stream is not known, but the service has run this version only for longer than any stream
     # lasts.
   }
+
+  isClaimed @4 :Bool;
+  # Whether the request has the claim to continue the stream. Requests that claim it later do not.
 }
 
 struct SuspectRequest {
--- a/lib/src/entry/dialect.rs
+++ b/lib/src/entry/dialect.rs
@@ -50,6 +50,11 @@
         hint.min(self.output_tokens_max)
     }
 
+    /// Tokens of the prompt and the estimated response.
+    pub fn work_tokens(&self) -> u64 {
+        u64::from(self.input_tokens) + u64::from(self.output_tokens())
+    }
+
     /// The parts that other requests share: all but the last.
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -28,6 +28,7 @@
 use super::schedule_capnp::server_limit;
 use super::schedule_capnp::share;
 use super::schedule_capnp::shares;
+use super::schedule_capnp::stream_origin;
 use super::schedule_capnp::suspect_request;
 use super::schedule_capnp::verdict;
 use crate::crashing::RequestCrash;
@@ -107,6 +108,8 @@
         key: StreamKey,
         /// Hash of the name of its service.
         service: u64,
+        /// Tokens of a request that claims to continue the stream, 0 if it makes no claim.
+        claimed_tokens: u64,
     },
     /// What the sending host knows of where a stream began.
     OriginReply {
@@ -114,6 +117,8 @@
         id: u64,
         /// What is known.
         origin: KnownOrigin,
+        /// Whether the request has the claim to continue the stream.
+        is_claimed: bool,
     },
     /// What the sending host has seen of the versions of a service during a roll-out.
     RolloutReport(RolloutReport),
@@ -184,26 +189,28 @@
                 write_suspect(out.reborrow().get(at), suspect);
             }
         }
-        Datagram::Origin(origin) => {
-            let mut out = root.init_origin();
-            out.set_key(origin.key.0);
-            out.set_version(origin.version.0);
-            out.set_remaining(micros(origin.remaining));
-        }
-        Datagram::OriginRequest { id, key, service } => {
+        Datagram::Origin(origin) => write_origin(root.init_origin(), origin),
+        Datagram::OriginRequest {
+            id,
+            key,
+            service,
+            claimed_tokens,
+        } => {
             let mut out = root.init_origin_request();
             out.set_id(*id);
             out.set_key(key.0);
             out.set_service(*service);
+            out.set_claimed_tokens(*claimed_tokens);
         }
-        Datagram::OriginReply { id, origin } => {
+        Datagram::OriginReply {
+            id,
+            origin,
+            is_claimed,
+        } => {
             let mut out = root.init_origin_reply();
             out.set_id(*id);
-            match origin {
-                KnownOrigin::Unknown => out.set_unknown(()),
-                KnownOrigin::Version(version) => out.set_version(version.0),
-                KnownOrigin::OnlyVersion(version) => out.set_only_version(version.0),
-            }
+            out.set_is_claimed(*is_claimed);
+            write_known_origin(out, *origin);
         }
         Datagram::RolloutReport(report) => {
             write_rollout_report(root.init_rollout_report(), report);
@@ -217,6 +224,38 @@
     bytes
 }
 
+fn write_origin(mut out: stream_origin::Builder<'_>, origin: &StreamOrigin) {
+    out.set_key(origin.key.0);
+    out.set_version(origin.version.0);
+    out.set_remaining(micros(origin.remaining));
+    out.set_tokens(origin.tokens);
+}
+
+fn read_origin(origin: stream_origin::Reader<'_>) -> Datagram {
+    Datagram::Origin(StreamOrigin {
+        key: StreamKey(origin.get_key()),
+        version: VersionId(origin.get_version()),
+        remaining: Duration::from_micros(origin.get_remaining()),
+        tokens: origin.get_tokens(),
+    })
+}
+
+fn write_known_origin(mut out: origin_reply::Builder<'_>, origin: KnownOrigin) {
+    match origin {
+        KnownOrigin::Unknown => out.set_unknown(()),
+        KnownOrigin::Version(version) => out.set_version(version.0),
+        KnownOrigin::OnlyVersion(version) => out.set_only_version(version.0),
+    }
+}
+
+fn read_known_origin(reply: origin_reply::Reader<'_>) -> Result<KnownOrigin, DatagramError> {
+    Ok(match reply.which().context(KindSnafu)? {
+        origin_reply::Unknown(()) => KnownOrigin::Unknown,
+        origin_reply::Version(version) => KnownOrigin::Version(VersionId(version)),
+        origin_reply::OnlyVersion(version) => KnownOrigin::OnlyVersion(VersionId(version)),
+    })
+}
+
 fn write_schedule_request(mut out: bid::Builder<'_>, request: &ScheduleRequest) {
     out.set_service(request.service);
     out.set_shard_index(request.shard.index);
@@ -463,31 +502,23 @@
             let list: Result<_, _> = list.iter().map(read_suspect).collect();
             Ok(Datagram::SuspectRequests(list.context(EncodingSnafu)?))
         }
-        datagram::Origin(origin) => {
-            let origin = origin.context(EncodingSnafu)?;
-            Ok(Datagram::Origin(StreamOrigin {
-                key: StreamKey(origin.get_key()),
-                version: VersionId(origin.get_version()),
-                remaining: Duration::from_micros(origin.get_remaining()),
-            }))
-        }
+        datagram::Origin(origin) => Ok(read_origin(origin.context(EncodingSnafu)?)),
         datagram::OriginRequest(request) => {
             let request = request.context(EncodingSnafu)?;
             Ok(Datagram::OriginRequest {
                 id: request.get_id(),
                 key: StreamKey(request.get_key()),
                 service: request.get_service(),
+                claimed_tokens: request.get_claimed_tokens(),
             })
         }
         datagram::OriginReply(reply) => {
             let reply = reply.context(EncodingSnafu)?;
-            let origin = match reply.which().context(KindSnafu)? {
-                origin_reply::Unknown(()) => KnownOrigin::Unknown,
-                origin_reply::Version(version) => KnownOrigin::Version(VersionId(version)),
-                origin_reply::OnlyVersion(version) => KnownOrigin::OnlyVersion(VersionId(version)),
-            };
-            let id = reply.get_id();
-            Ok(Datagram::OriginReply { id, origin })
+            Ok(Datagram::OriginReply {
+                id: reply.get_id(),
+                origin: read_known_origin(reply)?,
+                is_claimed: reply.get_is_claimed(),
+            })
         }
         datagram::Leaving(id) => Ok(Datagram::Leaving { id }),
         datagram::RolloutReport(report) => {
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -442,19 +442,13 @@
                 let now = host.clock.now();
                 host.fleet().on_stream_told(now, &origin);
             }
-            Datagram::OriginRequest { id, key, service } => {
-                let now = host.clock.now();
-                let origin = host.fleet().stream_origin(now, Some(key), service);
-                let bytes = encode(&Datagram::OriginReply { id, origin });
-                self.send(from, &bytes).await;
+            Datagram::OriginRequest {
+                id, key, service, ..
+            } => {
+                self.on_origin_request(host, from, id, key, service).await;
             }
-            Datagram::OriginReply { id, origin } => {
-                let inner = self.inner();
-                // Sending fails if the request no longer waits for this reply.
-                let _ = inner
-                    .origin_requests
-                    .get(&id)
-                    .map(|tx| tx.send((from, origin)));
+            Datagram::OriginReply { id, origin, .. } => {
+                self.on_origin_reply(from, id, origin);
             }
             // No roll-out is followed here.
             Datagram::RolloutReport(_) | Datagram::RolloutPermit(_) => {}
--- a/lib/src/entry/peers/origin.rs
+++ b/lib/src/entry/peers/origin.rs
@@ -1,6 +1,8 @@
 //! Tells other hosts where streams began, and asks them where a stream began that a caller takes up.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use tokio::sync::mpsc;
 
@@ -10,6 +12,8 @@
 use super::link::REPLY_TIMEOUTS;
 use super::link::WaitGuard;
 use super::reply::wait_for;
+use crate::entry::host::EntryHost;
+use crate::entry::stream_origins::KnownOrigin;
 use crate::entry::stream_origins::OriginSearch;
 use crate::entry::stream_origins::StreamKey;
 use crate::entry::stream_origins::StreamOrigin;
@@ -49,7 +53,12 @@
         };
         let _waiting = WaitGuard { link: self, id };
         let mut silent: HashSet<_> = homes.into_iter().collect();
-        let bytes = encode(&Datagram::OriginRequest { id, key, service });
+        let bytes = encode(&Datagram::OriginRequest {
+            id,
+            key,
+            service,
+            claimed_tokens: 0,
+        });
         for timeout in REPLY_TIMEOUTS {
             for address in &silent {
                 self.send(*address, &bytes).await;
@@ -72,4 +81,32 @@
         }
         None
     }
+    /// Answers another host that asks where a stream began.
+    pub(super) async fn on_origin_request(
+        &self,
+        host: &Arc<EntryHost>,
+        from: SocketAddr,
+        id: u64,
+        key: StreamKey,
+        service: u64,
+    ) {
+        let now = host.clock.now();
+        let origin = host.fleet().stream_origin(now, Some(key), service);
+        let bytes = encode(&Datagram::OriginReply {
+            id,
+            origin,
+            is_claimed: false,
+        });
+        self.send(from, &bytes).await;
+    }
+
+    /// Hands the answer of another host to the request that waits for it.
+    pub(super) fn on_origin_reply(&self, from: SocketAddr, id: u64, origin: KnownOrigin) {
+        let inner = self.inner();
+        // Sending fails if the request no longer waits for this reply.
+        let _ = inner
+            .origin_requests
+            .get(&id)
+            .map(|tx| tx.send((from, origin)));
+    }
 }
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -3714,6 +3714,10 @@
         pub fn get_remaining(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> {
@@ -3722,7 +3726,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 3,
+                data: 4,
                 pointers: 0,
             };
     }
@@ -3829,6 +3833,14 @@
         pub fn set_remaining(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_tokens(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline {
@@ -3843,17 +3855,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(50, 56, 228, 40, 166, 107, 58, 150),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
@@ -3861,28 +3873,35 @@
             ::capnp::word(116, 114, 101, 97, 109, 79, 114, 105),
             ::capnp::word(103, 105, 110, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3908,12 +3927,21 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3932,9 +3960,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 3, 1];
         pub(crate) const TYPE_ID: u64 = 0x963a_6ba6_28e4_3832;
     }
 }
@@ -4054,6 +4082,10 @@
         pub fn get_service(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_claimed_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> {
@@ -4062,7 +4094,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 3,
+                data: 4,
                 pointers: 0,
             };
     }
@@ -4169,6 +4201,14 @@
         pub fn set_service(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_claimed_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_claimed_tokens(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline {
@@ -4183,17 +4223,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(176, 223, 100, 135, 59, 213, 33, 255),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
@@ -4201,28 +4241,35 @@
             ::capnp::word(114, 105, 103, 105, 110, 82, 101, 113),
             ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4247,12 +4294,22 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 97, 105, 109, 101, 100, 84),
+            ::capnp::word(111, 107, 101, 110, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4271,9 +4328,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 1, 2];
         pub(crate) const TYPE_ID: u64 = 0xff21_d53b_8764_dfb0;
     }
 }
@@ -4388,6 +4445,10 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
+        pub fn get_is_claimed(self) -> bool {
+            self.reader.get_bool_field(80)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Unknown(())),
@@ -4510,6 +4571,14 @@
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
+        pub fn get_is_claimed(self) -> bool {
+            self.builder.get_bool_field(80)
+        }
+        #[inline]
+        pub fn set_is_claimed(&mut self, value: bool) {
+            self.builder.set_bool_field(80, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(Unknown(())),
@@ -4532,7 +4601,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(100, 67, 108, 107, 28, 228, 46, 141),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
@@ -4542,7 +4611,7 @@
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
@@ -4550,35 +4619,42 @@
             ::capnp::word(114, 105, 103, 105, 110, 82, 101, 112),
             ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 80, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4612,6 +4688,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 67, 108, 97, 105, 109, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4619,6 +4704,7 @@
                 1 => <() as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4637,9 +4723,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 1, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 4, 3, 1, 2];
         pub(crate) const TYPE_ID: u64 = 0x8d2e_e41c_6b6c_4364;
     }
     pub enum Which {
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -288,7 +288,7 @@
     pub fn on_refused_locally(&mut self, admitted: &Admitted, prompt: &Prompt) {
         self.on_prompt_read(admitted, prompt);
         let key = (admitted.service.clone(), admitted.workspace.clone());
-        let tokens = u64::from(prompt.input_tokens) + u64::from(prompt.output_tokens());
+        let tokens = prompt.work_tokens();
         *self.refused_tokens.entry(key).or_default() += tokens;
         if let Some(workspace) = &admitted.workspace {
             *self.refused_counts.entry(workspace.clone()).or_default() += 1;
@@ -300,7 +300,7 @@
         let key = (admitted.service.clone(), admitted.workspace.clone());
         let read = self.read_prompts.entry(key).or_default();
         read.count += 1.0;
-        read.tokens += f64::from(prompt.input_tokens) + f64::from(prompt.output_tokens());
+        read.tokens += prompt.work_tokens() as f64;
     }
 
     /// Counts connections of callers that this host has refused unread. Their requests are assumed to
--- a/lib/src/entry/stream_origins.rs
+++ b/lib/src/entry/stream_origins.rs
@@ -72,6 +72,9 @@
     pub version: VersionId,
     /// How long the stream has to be remembered.
     pub remaining: Duration,
+    /// Tokens of the prompt and the estimated response with which the stream was admitted, 0 for a
+    /// service that runs no model.
+    pub tokens: u64,
 }
 
 /// What a host knows of the version at which a stream began.
@@ -99,19 +102,21 @@
 }
 
 impl StreamOrigins {
-    /// Records that a stream has begun here, whose caller gives it up at `give_up_at`. Returns what to
-    /// tell other hosts.
+    /// Records that a stream of `tokens` has begun here, whose caller gives it up at `give_up_at`. Returns
+    /// what to tell other hosts.
     pub fn on_started(
         &mut self,
         now: Timestamp,
         key: StreamKey,
         version: VersionId,
+        tokens: u64,
         give_up_at: Timestamp,
     ) -> StreamOrigin {
         let origin = StreamOrigin {
             key,
             version,
             remaining: give_up_at.remaining(now) + RETENTION_MARGIN,
+            tokens,
         };
         self.on_told(now, &origin);
         origin
--- a/lib/src/entry/take_up.rs
+++ b/lib/src/entry/take_up.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::config::RetryPolicy;
+use super::dialect::Prompt;
 use super::fleet::Fleet;
 use super::forward::Call;
 use super::forward::millis;
@@ -24,16 +25,17 @@
 use crate::time::Timestamp;
 
 impl Fleet {
-    /// Records that a stream has begun here. Returns what to tell other hosts.
+    /// Records that a stream of `tokens` has begun here. Returns what to tell other hosts.
     pub fn on_stream_started(
         &mut self,
         now: Timestamp,
         key: StreamKey,
         version: VersionId,
+        tokens: u64,
         give_up_at: Timestamp,
     ) -> StreamOrigin {
         self.stream_origins
-            .on_started(now, key, version, give_up_at)
+            .on_started(now, key, version, tokens, give_up_at)
     }
 
     /// Records what another host has told of a stream.
@@ -135,8 +137,9 @@
         .unwrap_or_else(|| StreamKey::new(workspace, attempt));
     let now = host.clock.now();
     let give_up_at = call.head.deadline.unwrap_or(call.admitted.give_up_at);
+    let tokens = call.head.prompt.as_ref().map_or(0, Prompt::work_tokens);
     let origin = host
         .fleet()
-        .on_stream_started(now, key, placed.version, give_up_at);
+        .on_stream_started(now, key, placed.version, tokens, give_up_at);
     host.link.tell_origin(&origin).await;
 }
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -171,19 +171,29 @@
                 Datagram::Shares { service, shards }
             }),
         proptest::collection::vec(suspect(), 0..24).prop_map(Datagram::SuspectRequests),
-        (any::<[u64; 2]>(), span()).prop_map(|([key, version], remaining)| {
+        (any::<[u64; 3]>(), span()).prop_map(|([key, version, tokens], remaining)| {
             Datagram::Origin(StreamOrigin {
                 key: StreamKey(key),
                 version: VersionId(version),
                 remaining,
+                tokens,
             })
         }),
-        any::<[u64; 3]>().prop_map(|[id, key, service]| {
-            let key = StreamKey(key);
-            Datagram::OriginRequest { id, key, service }
+        any::<[u64; 4]>().prop_map(|[id, key, service, claimed_tokens]| {
+            Datagram::OriginRequest {
+                id,
+                key: StreamKey(key),
+                service,
+                claimed_tokens,
+            }
+        }),
+        (any::<u64>(), known_origin(), any::<bool>()).prop_map(|(id, origin, is_claimed)| {
+            Datagram::OriginReply {
+                id,
+                origin,
+                is_claimed,
+            }
         }),
-        (any::<u64>(), known_origin())
-            .prop_map(|(id, origin)| Datagram::OriginReply { id, origin }),
         rollout_report().prop_map(Datagram::RolloutReport),
         rollout_permit().prop_map(Datagram::RolloutPermit),
     ]
--- a/lib/tests/test_entry_stream_versions.rs
+++ b/lib/tests/test_entry_stream_versions.rs
@@ -101,7 +101,7 @@
         let give_up_at = at(now + 6_000);
         let origin = self.0[host]
             .origins
-            .on_started(at(now), key, version, give_up_at);
+            .on_started(at(now), key, version, 1_000, give_up_at);
         for home in self.0[host].peers.homes(key.0, TOLD) {
             let home = (0..HOSTS).find(|host| address(*host) == home).unwrap();
             self.0[home].origins.on_told(at(now), &origin);
@@ -266,14 +266,20 @@
 fn streams_are_forgotten_after_the_deadline_of_their_callers() {
     let mut origins = StreamOrigins::default();
     let key = StreamKey::new(None, "a");
-    origins.on_started(at(1_000), key, version(1), at(5_000));
+    origins.on_started(at(1_000), key, version(1), 1_000, at(5_000));
     origins.sweep(at(5_000));
     assert_eq!(origins.version(key), Some(version(1)));
     origins.sweep(at(8_000));
     assert_eq!(origins.version(key), None);
     // They are bounded.
     for n in 0..100_000 {
-        origins.on_started(at(n / 100), StreamKey(n), version(1), at(n / 100 + 60_000));
+        origins.on_started(
+            at(n / 100),
+            StreamKey(n),
+            version(1),
+            1_000,
+            at(n / 100 + 60_000),
+        );
     }
     let kept = (0..100_000).filter(|n| origins.version(StreamKey(*n)).is_some());
     assert!(kept.count() <= 16_384);
