entry: schedule a stream that continues as work that was admitted

Cause: a stream that broke off and that its host or its caller continues was scheduled like a new request. While its workspace flooded it was refused as over-share, although it had been admitted and charged when it began.

Change: such a request is marked for the scheduler, which neither throttles it nor refuses it as over the share, lets it wait for half of the time that its caller has left, and charges it for the prompt tokens that the engine reads again and the rest of the response. A host marks the streams that it continues itself. For a stream that a caller takes up, it needs the claim of the stream from more than half of its homes. They grant it to one request of the same workspace, no larger than the one that began the stream and within its deadline, and again when the stream has begun again, three times at most: without that bound a caller could claim a stream as soon as it has begun, over and over, and run any number of continuations beyond its share. The scheduler keeps no state of claims, so it may be replaced at any time.

A claim of one host alone, without a majority, was ruled out: homes that are asked in a different order would each grant one.

--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -22,7 +22,7 @@
 use super::schedule::SearchStep;
 use super::schedule::ShardSearch;
 use super::servers::ServerKey;
-use super::stream_origins::VersionId;
+use super::take_up::ContinuedStream;
 
 /// Retry time given to callers when their request was not sent, because no server could be reached
 /// or found, or because this host has reached its limit of connections. It is about the first
@@ -37,8 +37,8 @@
     pub(crate) in_flight: InFlightRequest,
 }
 
-/// Chooses a server for a request, other than those in `tried`. `version` is set if the request continues
-/// a stream, which only servers of that software version may do. For a request to a model this waits for
+/// Chooses a server for a request, other than those in `tried`. A `stream` that the request continues may
+/// only go on at a server of the software version that began it. For a request to a model this waits for
 /// the scheduler's decision and then until the time at which the request may be sent.
 ///
 /// # Errors
@@ -48,9 +48,10 @@
 pub(crate) async fn assign_server(
     host: &Arc<EntryHost>,
     call: &Call,
-    version: Option<VersionId>,
+    stream: Option<&ContinuedStream>,
     tried: &[ServerKey],
 ) -> Result<Assignment, Refusal> {
+    let version = stream.map(|stream| stream.version);
     let Some(prompt) = &call.head.prompt else {
         let now = host.clock.now();
         if call.admitted.give_up_at.has_passed(now) {
@@ -79,7 +80,9 @@
             fleet.check_request(now, call.digest)?;
             fleet.schedule_request(now, &call.admitted, prompt, call.digest, tried)?
         };
-        request.version = version;
+        if let Some(stream) = stream {
+            stream.direct(&mut request);
+        }
         request.excluded.extend(&unusable);
         search.direct(&mut request);
         let (decision, scheduler) = host.link.decide(host, &request).await;
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -40,7 +40,7 @@
 use super::response::on_error;
 use super::servers::ServerKey;
 use super::stream_origins::StreamKey;
-use super::take_up::stream_version;
+use super::take_up::continued_stream;
 use crate::crashing::RequestDigest;
 use crate::gateway::end_to_end;
 
@@ -267,11 +267,11 @@
     let admitted = &call.admitted;
     // Adds to the retry budget of the service, once per request.
     host.fleet().on_request(host.clock.now(), &admitted.service);
-    let version = stream_version(host, call).await?;
+    let stream = continued_stream(host, call).await?;
     let mut attempts = Attempts::default();
     let mut last: Option<Failure> = None;
     loop {
-        let assignment = assign_server(host, call, version, &attempts.tried).await;
+        let assignment = assign_server(host, call, stream.as_ref(), &attempts.tried).await;
         let assignment = match (assignment, last) {
             (Ok(assignment), _) => assignment,
             (Err(refusal), None) => return Err(refusal),
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -150,6 +150,7 @@
 pub use source::Update;
 pub use source::WatchFuture;
 pub use stats::EntryStats;
+pub use stream_origins::Claimant;
 pub use stream_origins::KnownOrigin;
 pub use stream_origins::OriginSearch;
 pub use stream_origins::StreamKey;
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -34,6 +34,7 @@
 use super::codec::Datagram;
 use super::codec::decode;
 use super::codec::encode;
+use super::origin::OriginQuestion;
 use super::reply::wait_for_reply;
 use super::selection::Peer;
 use super::selection::Peers;
@@ -94,8 +95,10 @@
     pub(super) next_id: u64,
     /// Schedule requests sent that wait for a reply, by identifier.
     waiting: HashMap<u64, oneshot::Sender<Reply>>,
-    /// Questions sent to other hosts where a stream began, by identifier.
-    pub(super) origin_requests: HashMap<u64, mpsc::UnboundedSender<(SocketAddr, KnownOrigin)>>,
+    /// Questions sent to other hosts where a stream began, by identifier. An answer also has whether the
+    /// request has the claim to continue the stream.
+    pub(super) origin_requests:
+        HashMap<u64, mpsc::UnboundedSender<(SocketAddr, KnownOrigin, bool)>>,
     /// Decisions sent to other hosts, by asking host and identifier.
     decisions: HashMap<(SocketAddr, u64), RecentDecision>,
     /// Number of kept decisions at which expired ones are dropped next: twice the number that
@@ -429,27 +432,29 @@
                 let now = host.clock.now();
                 host.fleet().on_shares(now, from, service, shards);
             }
-            Datagram::SuspectRequests(list) => {
-                let now = host.clock.now();
-                let mut fleet = host.fleet();
-                for report in &list {
-                    fleet.request_quarantine().on_report(now, report);
-                }
-                drop(fleet);
-                self.on_suspect_news();
-            }
+            Datagram::SuspectRequests(list) => self.on_suspects_told(host, &list),
             Datagram::Origin(origin) => {
                 let now = host.clock.now();
                 host.fleet().on_stream_told(now, &origin);
             }
             Datagram::OriginRequest {
-                id, key, service, ..
+                id,
+                key,
+                service,
+                claimed_tokens,
             } => {
-                self.on_origin_request(host, from, id, key, service).await;
-            }
-            Datagram::OriginReply { id, origin, .. } => {
-                self.on_origin_reply(from, id, origin);
+                let question = OriginQuestion {
+                    key,
+                    service,
+                    claimed_tokens,
+                };
+                self.on_origin_request(host, from, id, question).await;
             }
+            Datagram::OriginReply {
+                id,
+                origin,
+                is_claimed,
+            } => self.on_origin_reply(from, id, origin, is_claimed),
             // No roll-out is followed here.
             Datagram::RolloutReport(_) | Datagram::RolloutPermit(_) => {}
             Datagram::Progress(list) => {
--- a/lib/src/entry/peers/mod.rs
+++ b/lib/src/entry/peers/mod.rs
@@ -41,6 +41,7 @@
 pub use codec::encode;
 pub(crate) use link::Link;
 pub(crate) use link::ScheduledRequest;
+pub(crate) use origin::OriginQuestion;
 pub use reply::wait_for_reply;
 pub use selection::Peer;
 pub use selection::Peers;
--- a/lib/src/entry/peers/suspects.rs
+++ b/lib/src/entry/peers/suspects.rs
@@ -49,6 +49,15 @@
         }
     }
 
+    /// Adds what another host has told.
+    pub(super) fn on_suspects_told(&self, host: &EntryHost, list: &[SuspectRequest]) {
+        let now = host.clock.now();
+        for report in list {
+            host.fleet().request_quarantine().on_report(now, report);
+        }
+        self.on_suspect_news();
+    }
+
     async fn send_suspects(&self, addresses: &[SocketAddr], lists: Vec<Vec<SuspectRequest>>) {
         for list in lists.into_iter().filter(|list| !list.is_empty()) {
             let bytes = encode(&Datagram::SuspectRequests(list));
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -38,6 +38,7 @@
 use super::response::log_failed;
 use super::response::on_answered;
 use super::servers::ServerKey;
+use super::take_up::ContinuedStream;
 use crate::gateway::Connection;
 use crate::platform::format_error_chain;
 
@@ -323,8 +324,13 @@
         if self.sent_count >= admitted.route.attempts_max {
             return false;
         }
-        let version = Some(self.placed.version);
-        let assignment = assign_server(&self.host, &self.call, version, &self.tried).await;
+        let stream = ContinuedStream {
+            version: self.placed.version,
+            // It was, since it has begun here.
+            is_admitted: true,
+            last_event: Some(last_id.clone()),
+        };
+        let assignment = assign_server(&self.host, &self.call, Some(&stream), &self.tried).await;
         let Ok(assignment) = assignment else {
             return false;
         };
--- a/lib/src/entry/schedule/request.rs
+++ b/lib/src/entry/schedule/request.rs
@@ -91,7 +91,7 @@
     pub domain: u64,
     /// Length of the prompt, tokens.
     pub input_tokens: u32,
-    /// Estimate of the tokens that will be generated.
+    /// Estimate of the tokens that will be generated; for a stream that continues, of those that are left.
     pub output_tokens: u32,
     /// Leading parts of the prompt that other requests share, in order.
     pub shared_parts: Vec<PromptPart>,
@@ -119,7 +119,8 @@
     pub except_version: Option<VersionId>,
     /// Time in which the response should start, counted from the caller's first attempt.
     pub objective: Duration,
-    /// Whether the request continues a stream that has begun. Its work was counted when it began.
+    /// Whether the request continues a stream that has begun. Its work was counted when it began. The asking
+    /// host sets it only for a stream of its own or a claim that the homes of the stream have granted.
     pub continues_stream: bool,
     /// Whether the scheduler of another shard has refused the request before.
     pub was_refused: bool,
@@ -137,6 +138,17 @@
         u64::from(self.input_tokens) + u64::from(self.output_tokens)
     }
 
+    /// Tokens that the workspace is charged if the request starts on an engine that has not cached
+    /// `uncached` tokens of the prompt. A stream that continues was charged when it began, so only what is
+    /// left of its work is charged: the prompt tokens that the engine reads again, and the rest of the
+    /// response.
+    pub fn charged_tokens(&self, uncached: u32) -> u64 {
+        match self.continues_stream {
+            true => u64::from(uncached) + u64::from(self.output_tokens),
+            false => self.work_tokens(),
+        }
+    }
+
     /// Identifiers of the shared parts.
     pub fn shared_ids(&self) -> impl Iterator<Item = u64> + '_ {
         self.shared_parts.iter().map(|part| part.id)
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -70,6 +70,9 @@
 /// far less than it requested and far less than another workspace. Callers wait at least 2 s for
 /// the first event of a stream; the bound is half of this.
 const UNDERSERVED_LIMIT_MIN: Duration = Duration::from_millis(1_000);
+/// Fraction of the time until its caller gives up that a stream which continues may wait for its next
+/// event. The rest of the response needs the other half. It is more than any new request may wait.
+const CONTINUED_LIMIT_FRACTION: f64 = 0.5;
 /// Cost of processing one token of a shared part that the engine has not cached, stated as a
 /// waiting time. It is added to the prefill time, because the part evicts others from the cache.
 const CACHE_MISS_COST: Duration = Duration::from_micros(100);
@@ -276,8 +279,10 @@
         state.shard_count = request.shard.count;
         state.asked_at = now;
         let tokens = request.work_tokens();
-        // A request that another shard has refused was counted there.
-        let newly_requested = if request.was_refused { 0 } else { tokens };
+        // A request that another shard has refused was counted there, and a stream that continues is no
+        // new demand.
+        let is_counted = request.was_refused || request.continues_stream;
+        let newly_requested = if is_counted { 0 } else { tokens };
         state.shares.on_requested(
             now,
             request.workspace,
@@ -292,7 +297,10 @@
         for engine in &usable {
             state.set_rate_limit(engine);
         }
-        let standing = state.shares.standing(now, request.workspace);
+        let standing = match request.continues_stream {
+            true => Standing::CONTINUED_STREAM,
+            false => state.shares.standing(now, request.workspace),
+        };
         let Standing {
             share_ratio,
             is_underserved,
@@ -316,6 +324,9 @@
         if is_underserved {
             limit = limit.max(UNDERSERVED_LIMIT_MIN.min(request.until_give_up));
         }
+        if request.continues_stream {
+            limit = limit.max(request.until_give_up.mul_f64(CONTINUED_LIMIT_FRACTION));
+        }
         let is_throttled = share_ratio > THROTTLE_SHARE_RATIO && !is_underserved;
         if is_throttled && contention >= SPREAD_CONTENTION_MAX {
             keep_most_cached(&mut candidates);
@@ -357,7 +368,10 @@
             self.quarantine.on_trial(now, &parts, give_up_at);
         }
         let state = self.services.entry(request.service).or_default();
-        let tokens = request.work_tokens();
+        let tokens = request.charged_tokens(uncached);
+        if request.continues_stream {
+            state.shares.on_requested(now, request.workspace, tokens);
+        }
         state.shares.on_granted(now, request.workspace, tokens);
         state.summary.granted += 1;
         let engine = state.engines.entry(server).or_default();
--- a/lib/src/entry/schedule/shares.rs
+++ b/lib/src/entry/schedule/shares.rs
@@ -223,6 +223,16 @@
     pub(crate) wants_more_than_share: bool,
 }
 
+impl Standing {
+    /// Standing of a request that continues a stream. The stream was admitted when it began, so it is
+    /// neither throttled nor refused as over the share of its workspace, and may start in other shards too.
+    pub(crate) const CONTINUED_STREAM: Self = Self {
+        share_ratio: 0.0,
+        is_underserved: true,
+        wants_more_than_share: false,
+    };
+}
+
 fn add(usages: &mut HashMap<u64, Usage>, now: Timestamp, workspace: u64, tokens: f64) {
     let usage = usages.entry(workspace).or_insert(Usage {
         tokens: 0.0,
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -57,6 +57,9 @@
     pub(crate) prompt_parts_held_back: IntCounter,
     /// Times that a request was found to make servers crash and is held back.
     pub(crate) requests_held_back: IntCounter,
+    /// Requests that take a stream up, by outcome: `admitted` if they have the claim to continue it, `as_new`
+    /// if they are treated as new requests, `unknown` if no host knows where the stream began.
+    pub(crate) streams_taken_up: IntCounterVec,
     /// Headers of servers' responses and of platform responses whose values could not be read, by
     /// name.
     pub(crate) headers_unreadable: IntCounterVec,
@@ -133,6 +136,11 @@
                 "requests_held_back_total",
                 "Times that a request was held back because it makes servers crash",
             )?,
+            streams_taken_up: counters(
+                "streams_taken_up_total",
+                "Streams that callers took up",
+                &["outcome"],
+            )?,
             headers_unreadable: counters(
                 "headers_unreadable_total",
                 "Headers of responses that could not be read",
--- a/lib/src/entry/stream_origins.rs
+++ b/lib/src/entry/stream_origins.rs
@@ -10,10 +10,18 @@
 //! other hosts, its *homes* by rendezvous hashing (see `Peers::homes`), before it forwards the first
 //! event; a host that is asked to continue a stream asks them.
 //!
+//! The homes also keep a claim for each stream. The stream was admitted and charged when it began, so the
+//! request that continues it is no new demand of its workspace and is not refused as such. A workspace that
+//! floods the service must not get more than its share by it: a claim is granted to one request, of the
+//! same workspace, no larger than the one that began the stream and within its deadline, and is available
+//! again only after the stream has begun again. A request has the claim if more than half of the homes
+//! grant it. Otherwise it is treated as a new request.
+//!
 //! If none of them knows the stream, it goes on only if its service has run a single version for longer
 //! than any stream lasts, at this host or one of those that were asked. Otherwise it is refused.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::Xxh3;
@@ -25,7 +33,10 @@
 const RETENTION_MARGIN: Duration = Duration::from_secs(2);
 /// Longest time for which a stream is remembered, whatever deadline its caller states.
 pub(crate) const RETENTION_MAX: Duration = Duration::from_secs(120);
-/// Most streams that are remembered. Each takes about 40 bytes.
+/// Most times that a stream can be claimed. Without a bound a caller could claim a stream again as soon as
+/// it has begun, and so have many continuations of it run at once that are not limited to its share.
+const CLAIMS_MAX: u32 = 3;
+/// Most streams that are remembered. Each takes about 120 bytes.
 const STREAMS_MAX: usize = 16_384;
 /// How much longer than any stream lasts a service has to have run a single version. It covers the time
 /// until a host knows a server, and the time between two records of the versions.
@@ -89,10 +100,33 @@
     Unknown,
 }
 
+/// A request that claims to continue a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claimant {
+    /// Address of the host that received the request, `None` for this host.
+    pub host: Option<SocketAddr>,
+    /// Identifier that the host has given to the request.
+    pub id: u64,
+}
+
+/// The right to continue a stream as work that was admitted when it began.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    /// Tokens with which the stream was admitted.
+    tokens: u64,
+    /// When the caller that began the stream gives it up.
+    until: Timestamp,
+    /// The request that the claim was granted to, `None` while it is available.
+    claimant: Option<Claimant>,
+    granted_count: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct KnownStream {
     version: VersionId,
     keep_until: Timestamp,
+    /// `None` unless this host is one of the homes of the stream.
+    claim: Option<Claim>,
 }
 
 /// The versions at which streams began.
@@ -118,17 +152,64 @@
             remaining: give_up_at.remaining(now) + RETENTION_MARGIN,
             tokens,
         };
-        self.on_told(now, &origin);
+        self.remember(now, &origin);
         origin
     }
 
-    /// Records what another host has told of a stream. Its first version stays: later attempts of its
-    /// caller run at the same one.
+    /// Records at a home of a stream that it has begun, for the first time or again. Its first version
+    /// stays: later attempts of its caller run at the same one.
     pub fn on_told(&mut self, now: Timestamp, origin: &StreamOrigin) {
+        self.remember(now, origin);
+        let Some(known) = self.streams.get_mut(&origin.key) else {
+            return;
+        };
+        match &mut known.claim {
+            // The deadline and the size of the stream are those with which it was admitted.
+            Some(claim) if claim.granted_count < CLAIMS_MAX => claim.claimant = None,
+            Some(_) => {}
+            None => {
+                let remaining = origin.remaining.min(RETENTION_MAX);
+                known.claim = Some(Claim {
+                    tokens: origin.tokens,
+                    until: now + remaining.saturating_sub(RETENTION_MARGIN),
+                    claimant: None,
+                    granted_count: 0,
+                });
+            }
+        }
+    }
+
+    /// Whether a request of `tokens` has the claim to continue a stream, as far as this home decides. A
+    /// claim that is available is granted and used up; a repeated question of the same request gets the
+    /// same answer.
+    pub fn claim(
+        &mut self,
+        now: Timestamp,
+        key: StreamKey,
+        claimant: Claimant,
+        tokens: u64,
+    ) -> bool {
+        let known = self.streams.get_mut(&key);
+        let Some(claim) = known.and_then(|known| known.claim.as_mut()) else {
+            return false;
+        };
+        if claim.until.has_passed(now) || tokens > claim.tokens {
+            return false;
+        }
+        if claim.claimant.is_none() {
+            claim.claimant = Some(claimant);
+            claim.granted_count += 1;
+        }
+        claim.claimant == Some(claimant)
+    }
+
+    /// Remembers a stream, with the version that is known first.
+    fn remember(&mut self, now: Timestamp, origin: &StreamOrigin) {
         let keep_until = now + origin.remaining.min(RETENTION_MAX);
         let known = self.streams.entry(origin.key).or_insert(KnownStream {
             version: origin.version,
             keep_until,
+            claim: None,
         });
         known.keep_until = known.keep_until.max(keep_until);
         if self.streams.len() > STREAMS_MAX {
@@ -221,6 +302,8 @@
     only: Option<VersionId>,
     /// Whether hosts have named different single versions.
     is_contradictory: bool,
+    /// Homes that have granted the claim to continue the stream.
+    grants: usize,
 }
 
 impl OriginSearch {
@@ -237,6 +320,22 @@
         None
     }
 
+    /// Adds the answer of a home that was asked for the claim to continue the stream.
+    pub fn on_claim_answer(&mut self, is_claimed: bool) {
+        self.grants += usize::from(is_claimed);
+    }
+
+    /// Whether the request has the claim to continue the stream: more than half of its homes have granted
+    /// it, so that no other request can have got it.
+    pub fn has_claim(&self, homes: usize) -> bool {
+        self.grants > homes / 2
+    }
+
+    /// Whether the request can still get the claim if all homes that have not answered grant it.
+    pub fn may_get_claim(&self, homes: usize, unanswered: usize) -> bool {
+        self.grants + unanswered > homes / 2
+    }
+
     /// The version if no host knows the stream: the only one that its service has run.
     pub fn only_version(&self) -> Option<VersionId> {
         self.only.filter(|_| !self.is_contradictory)
