crashing: test that a request or part that relapses is sent as a trial only

Cause: RELAPSE_RETENTION of both quarantines could be removed without a failing test. A request that makes servers crash would then be sent freely once its hold is over, and crash three servers before each further hold.

--- a/lib/tests/test_entry_quarantine.rs
+++ b/lib/tests/test_entry_quarantine.rs
@@ -370,6 +370,26 @@
     assert_eq!(left(&quarantine, end + 1_000), None);
 }
 
+/// Guards against a part whose requests are sent freely again after its hold, as if it had never crashed
+/// engines: they would crash three of them before it is held back again, every time.
+#[test]
+fn part_that_relapses_after_its_hold_crashes_one_engine_only() {
+    let mut quarantine = held_quarantine();
+    let clearance = |quarantine: &PartQuarantine, now| {
+        quarantine.clearance(at(now), [HARMFUL_PART].into_iter())
+    };
+    // Some minutes after the end of the hold, which is two minutes, and an hour after it.
+    let (relapse, forgotten) = (10 * 60_000, 70 * 60_000);
+    quarantine.sweep(at(relapse));
+    assert_eq!(clearance(&quarantine, relapse), Clearance::Trial);
+    let mut sound = quarantine.clone();
+    quarantine.on_crash(at(relapse), 4, 4, &[FIRST_PART, HARMFUL_PART], true);
+    let held = quarantine.held_back(at(relapse), [HARMFUL_PART].into_iter());
+    assert!(held.is_some());
+    sound.sweep(at(forgotten));
+    assert_eq!(clearance(&sound, forgotten), Clearance::Free);
+}
+
 /// Each host passes on what it was told, with delays of the network.
 #[test]
 fn crashes_that_hosts_tell_each_other_expire() {
--- a/lib/tests/test_entry_request_quarantine.rs
+++ b/lib/tests/test_entry_request_quarantine.rs
@@ -388,6 +388,27 @@
     assert!(second > first, "{second:?} after {first:?}");
 }
 
+/// Guards against a request that is sent freely again after its hold, as if it had never crashed servers: it
+/// would crash three of them before it is held back again, every time.
+#[test]
+fn request_that_relapses_after_its_hold_crashes_one_server_only() {
+    let mut quarantine = RequestQuarantine::default();
+    for run in 0..3 {
+        crash(&mut quarantine, 1_000 + run * 100, HARMFUL, run);
+    }
+    // Ten minutes after the end of the hold, which is ten minutes too, and an hour after it.
+    let (relapse, forgotten) = (20 * 60_000, 70 * 60_000);
+    quarantine.sweep(at(relapse));
+    let clearance = quarantine.clearance(at(relapse), HARMFUL);
+    assert_eq!(clearance, RequestClearance::Trial);
+    let mut sound = quarantine.clone();
+    crash(&mut quarantine, relapse, HARMFUL, 4);
+    assert!(is_held(&quarantine, relapse + 20, HARMFUL));
+    sound.sweep(at(forgotten));
+    let clearance = sound.clearance(at(forgotten), HARMFUL);
+    assert_eq!(clearance, RequestClearance::Free);
+}
+
 /// Each host passes on what it was told, with delays of the network.
 #[test]
 fn what_hosts_tell_each_other_expires() {
