crashing: test that other hosts are told of a trial

Cause: a trial that is not marked as untold failed no test. Every host would then start a trial of its own of the same request, and each crashes a server.

Change: a test of two hosts expects that the second holds the request back as soon as it has been told of the trial of the first.

Result: it passes, and fails if `send` does not mark the trial.

--- a/lib/tests/test_entry_request_quarantine.rs
+++ b/lib/tests/test_entry_request_quarantine.rs
@@ -409,6 +409,27 @@
     assert_eq!(clearance, RequestClearance::Free);
 }
 
+/// Guards against trials that each host starts for itself, of which each crashes a server.
+#[test]
+fn trial_of_one_host_is_told_to_the_others() {
+    let mut hosts = [RequestQuarantine::default(), RequestQuarantine::default()];
+    for run in 0..2 {
+        crash(&mut hosts[0], 1_000 + run * 100, HARMFUL, run);
+    }
+    let tell = |hosts: &mut [RequestQuarantine; 2], now| {
+        for list in hosts[0].take_news(at(now)) {
+            list.iter()
+                .for_each(|report| hosts[1].on_report(at(now), report));
+        }
+    };
+    tell(&mut hosts, 1_200);
+    let clearance = hosts[1].clearance(at(1_300), HARMFUL);
+    assert_eq!(clearance, RequestClearance::Trial);
+    hosts[0].send(at(1_300), HARMFUL, 3, at(5_300));
+    tell(&mut hosts, 1_300);
+    assert!(is_held(&hosts[1], 1_301, HARMFUL));
+}
+
 /// Each host passes on what it was told, with delays of the network.
 #[test]
 fn what_hosts_tell_each_other_expires() {
