entry: test that a later report keeps the version of a stream

Cause: a report that overwrites the version at which a stream began failed no test. The stream would go on at a version that did not write its beginning.

Change: a test tells of a stream twice, with different versions, and expects the first one.

Result: it passes, and fails if on_told overwrites the version.

--- a/lib/tests/test_entry_stream_versions.rs
+++ b/lib/tests/test_entry_stream_versions.rs
@@ -13,6 +13,7 @@
 use cardamomshift_lib::entry::Peer;
 use cardamomshift_lib::entry::Peers;
 use cardamomshift_lib::entry::StreamKey;
+use cardamomshift_lib::entry::StreamOrigin;
 use cardamomshift_lib::entry::StreamOrigins;
 use cardamomshift_lib::entry::VersionHistory;
 use cardamomshift_lib::entry::VersionId;
@@ -262,6 +263,25 @@
     }
 }
 
+/// Guards against a stream that goes on at a version other than the one that began it, because a later
+/// report names another: an attempt with the same name that began anew, or a host that was mistaken.
+#[test]
+fn later_report_does_not_change_the_version_at_which_a_stream_began() {
+    let mut origins = StreamOrigins::default();
+    let key = StreamKey::new(None, "a");
+    let told = |version| StreamOrigin {
+        key,
+        version,
+        remaining: Duration::from_secs(5),
+        tokens: 1_000,
+    };
+    origins.on_told(at(1_000), &told(version(1)));
+    origins.on_told(at(1_100), &told(version(2)));
+    assert_eq!(origins.version(key), Some(version(1)));
+    origins.on_started(at(1_200), key, version(2), 1_000, at(5_000));
+    assert_eq!(origins.version(key), Some(version(1)));
+}
+
 #[test]
 fn streams_are_forgotten_after_the_deadline_of_their_callers() {
     let mut origins = StreamOrigins::default();
