entry: test the lowest rate to which an engine is limited

Cause: RATE_MIN could be removed without a failing test. An engine that names a limit of zero requests would then get none, so that no response could lift the limit.

Change: a test plays an engine that names zero, and one that later names no limit.

Without RATE_MIN the pacer divides by zero and the test panics, as the host would.

--- a/lib/tests/test_entry_rate_limit.rs
+++ b/lib/tests/test_entry_rate_limit.rs
@@ -169,6 +169,19 @@
     assert!(most > allowed(3.0), "{most}");
 }
 
+/// Guards against a limit of zero that is taken literally: the engine would never get a request again whose
+/// response could lift the limit.
+#[test]
+fn engine_that_names_a_limit_of_zero_is_still_asked_and_gets_more_once_it_names_none() {
+    let (sent, refused) = play_model(0.0, u64::MAX, |_| 0, |_| None);
+    let most = most_counted(&sent);
+    assert!((1..=allowed(0.0)).contains(&most), "{most}");
+    assert_eq!(refused, 0);
+    let (sent, _) = play_model(0.0, START_MS + 5_000, |_| 0, |_| None);
+    let most = most_counted(&sent);
+    assert!(most > allowed(3.0), "{most}");
+}
+
 /// Requests of plain services are placed by each host itself.
 #[test]
 fn plain_server_gets_at_most_the_rate_that_it_names() {
