entry: messages with numbers out of range do no harm

Cause: a schedule request states the number of shards of its service, and the scheduler ranks each engine for each of them, with the state of the host locked. A number near the end of its range keeps the whole host busy: a test of such messages was stopped after 120 s. In builds that check for overflow, lengths of prompt parts and refused tokens near the ends of their ranges also panic, in the task that receives all datagrams.

Change: no engine is selected for more than 1,024 shards (24,000 engines), and these sums saturate. The lengths of prompt parts also come from callers.

--- a/lib/src/entry/dialect.rs
+++ b/lib/src/entry/dialect.rs
@@ -71,7 +71,8 @@
 
     /// Tokens that no other request shares.
     pub fn own_tokens(&self) -> u32 {
-        let shared = self.shared_parts().iter().map(|part| part.tokens).sum();
+        let shared = self.shared_parts().iter().map(|part| part.tokens);
+        let shared = shared.fold(0, u32::saturating_add);
         self.input_tokens.saturating_sub(shared)
     }
 
--- a/lib/src/entry/prefix_cache.rs
+++ b/lib/src/entry/prefix_cache.rs
@@ -40,7 +40,7 @@
         let cached = parts
             .iter()
             .take_while(|part| self.parts.contains_key(&part.id));
-        cached.map(|part| part.tokens).sum()
+        cached.fold(0, |sum: u32, part| sum.saturating_add(part.tokens))
     }
 
     /// Records that the server processes a prompt with these `parts`. `capacity` is the server's
--- a/lib/src/entry/schedule/request.rs
+++ b/lib/src/entry/schedule/request.rs
@@ -59,8 +59,11 @@
         }
     }
 
-    /// Selects the engines of this shard.
+    /// Selects the engines of this shard, none if the number of shards is out of range.
     pub fn select<T>(&self, mut engines: Vec<T>, hash: impl Fn(&T) -> u64) -> Vec<T> {
+        if self.count > SHARDS_MAX {
+            return Vec::new();
+        }
         if self.count > 1 {
             engines.retain(|engine| Self::index_of_engine(hash(engine), self.count) == self.index);
         }
@@ -77,6 +80,9 @@
 /// Mean number of engines in a full shard. With 14 requests/s for each engine, the rate of current services, the
 /// scheduler of a full shard makes about 340 decisions/s, which take a hundredth of a core.
 const SHARD_ENGINES_MAX: usize = 24;
+/// Most shards of a service. The time to select engines grows with the number of shards, so that a message
+/// with a number out of range would keep a host busy for minutes. It covers 24,000 engines.
+const SHARDS_MAX: u32 = 1_024;
 
 /// A host's question to the scheduler: when and on which engine may a request to a model start?
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -156,7 +162,8 @@
 
     /// Total length of the shared parts, tokens.
     pub fn shared_tokens(&self) -> u32 {
-        self.shared_parts.iter().map(|part| part.tokens).sum()
+        let tokens = self.shared_parts.iter().map(|part| part.tokens);
+        tokens.fold(0, u32::saturating_add)
     }
 
     /// Tokens of engine memory that the request occupies. Shared parts are not counted, since the
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -286,7 +286,7 @@
         state.shares.on_requested(
             now,
             request.workspace,
-            newly_requested + request.refused_tokens,
+            newly_requested.saturating_add(request.refused_tokens),
         );
         let mut usable = engines.to_vec();
         usable.retain(|engine| !request.excluded.contains(&engine.hash));
