entry: a stopping host closes callers' connections with its responses

Cause: a host that stops keeps the connections of callers open for 2.5 s, while the load balancer still sends new ones, and then closes those that are idle at that moment. A connection in constant use is idle between two requests; a request that is on its way just then gets a reset and no response.

Change: from the start of the stop on, responses say that the connection is closed, as they already do while the host is overloaded. What is idle after 2.5 s has not been used since the stop began.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -116,14 +116,17 @@
     }
 }
 
-/// Handles a request of a caller. While the host withdraws its readiness because it is overloaded,
-/// responses also close the caller's connection, so that the caller reconnects to another host.
+/// Handles a request of a caller. While the host withdraws its readiness because it is overloaded or
+/// stopping, responses also close the caller's connection, so that the caller reconnects to another host.
+/// Otherwise a stopping host would have to close connections that are in use, and a request that is on its
+/// way just then would get no response.
 pub(crate) async fn serve(State(host): State<Arc<EntryHost>>, req: Request) -> Response<Body> {
     // `host.lag` measures the lag, that is how late this host's timers fire. Measuring pauses while
     // there are no requests; this resumes it.
     host.lag.on_request();
     let mut response = serve_caller(&host, req).await;
-    if host.lag.lag().closes_connections(host.clock.now()) {
+    let is_stopping = host.fleet().is_stopping();
+    if is_stopping || host.lag.lag().closes_connections(host.clock.now()) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
