gateway: end responses that make no progress

Cause: each part of a response starts the idle timeout anew, however small. A server that is stuck, but sends a comment or a space now and then, keeps its caller and its capacity for ever.

Change: a stream has to complete an event in each answer timeout (60 s by default), and a body that is read completely before it is forwarded has to be complete within it. The idle timeout applies as before. A limit on whole streams was ruled out, since it would cut slow ones that go on; bodies that are forwarded as they arrive and are no streams keep the idle timeout only.

Result (test_gateway_faults): a stream with comments only and a JSON body of single spaces are ended as server_timeout; before, the first went on to its end, and without the second rule the second did. A stream that takes twice the answer timeout and sends events is complete before and now.

--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -106,7 +106,7 @@
     }
 
     /// Longest time from sending a request to the head of its response.
-    fn answer_timeout(&self) -> Duration {
+    pub(crate) fn answer_timeout(&self) -> Duration {
         Duration::from_millis(self.limits.answer_timeout_ms)
     }
 }
--- a/lib/src/gateway/response.rs
+++ b/lib/src/gateway/response.rs
@@ -188,8 +188,8 @@
     }
 }
 
-/// Reads a body up to [`BUFFERED_BYTES_MAX`]. Returns the bytes read and whether the body is
-/// complete.
+/// Reads a body up to [`BUFFERED_BYTES_MAX`] within the answer timeout, since the caller receives nothing
+/// until then. Returns the bytes read and whether the body is complete.
 async fn read_start(
     shared: &Shared,
     running: &mut RunningRequest,
@@ -197,7 +197,13 @@
 ) -> Result<(Bytes, bool), RelayError> {
     let mut first = Bytes::new();
     let mut rest = BytesMut::new();
-    while let Some(frame) = next_frame(incoming, shared.idle_timeout()).await? {
+    let deadline = shared.clock.now() + shared.answer_timeout();
+    loop {
+        let remaining = deadline.remaining(shared.clock.now());
+        let timeout = shared.idle_timeout().min(remaining);
+        let Some(frame) = next_frame(incoming, timeout).await? else {
+            break;
+        };
         let Ok(data) = frame.into_data() else {
             continue;
         };
--- a/lib/src/gateway/response_body.rs
+++ b/lib/src/gateway/response_body.rs
@@ -31,7 +31,7 @@
     /// The backend server's response ended early or was malformed.
     #[snafu(display("response truncated or malformed"))]
     Truncated,
-    /// The backend server sent nothing within the idle timeout.
+    /// The backend server sent nothing within the idle timeout, or nothing of use within the answer timeout.
     #[snafu(display("response stalled beyond the idle timeout"))]
     TimedOut,
 }
@@ -85,8 +85,12 @@
     is_event_written: bool,
     /// Timer for `idle_deadline`. It may fire too early, see [`ResponseBody::poll_idle`].
     idle: Pin<Box<Sleep>>,
-    /// Time at which the response counts as stalled if nothing more arrives, moved by every frame.
+    /// Time at which the response counts as stalled if nothing more arrives, moved by every frame, but not
+    /// beyond `progress_deadline`.
     idle_deadline: Timestamp,
+    /// Time at which the response counts as stalled if only bytes arrive that complete no event. Servers
+    /// send such bytes to keep a connection open, also if they are stuck.
+    progress_deadline: Timestamp,
 }
 
 impl ResponseBody {
@@ -98,7 +102,9 @@
         incoming: Incoming,
         running: RunningRequest,
     ) -> Self {
-        let idle_deadline = shared.clock.now() + shared.idle_timeout();
+        let now = shared.clock.now();
+        let progress_deadline = now + shared.answer_timeout();
+        let idle_deadline = progress_deadline.min(now + shared.idle_timeout());
         let idle = tokio::time::sleep_until(shared.clock.instant(idle_deadline).into());
         Self {
             shared,
@@ -111,14 +117,19 @@
             is_event_written: false,
             idle: Box::pin(idle),
             idle_deadline,
+            progress_deadline,
         }
     }
 
     fn on_frame(&mut self, frame: Frame<Bytes>) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        self.idle_deadline = self.shared.clock.now() + self.shared.idle_timeout();
-        if let (Some(data), Some(running)) = (frame.data_ref(), &mut self.running) {
-            running.tracker.on_bytes(data, self.framing.is_stream());
+        let now = self.shared.clock.now();
+        if let (Some(data), Some(running)) = (frame.data_ref(), &mut self.running)
+            && running.tracker.on_bytes(data, self.framing.is_stream())
+        {
+            self.progress_deadline = now + self.shared.answer_timeout();
         }
+        let idle_deadline = now + self.shared.idle_timeout();
+        self.idle_deadline = idle_deadline.min(self.progress_deadline);
         // hyper's server does not poll the body again once the announced length has been sent, so
         // the end must be reported with the last frame.
         if self.framing == Framing::Opaque && self.incoming.is_end_stream() {
--- a/lib/src/gateway/running.rs
+++ b/lib/src/gateway/running.rs
@@ -196,14 +196,20 @@
         self.scan.done
     }
 
-    /// Processes a part of the response body.
-    pub(crate) fn on_bytes(&mut self, frame: &[u8], is_stream: bool) {
+    /// Processes a part of the response body. Returns whether the response makes progress: an event of a
+    /// stream is complete, or the response is no stream.
+    pub(crate) fn on_bytes(&mut self, frame: &[u8], is_stream: bool) -> bool {
         if self.first_byte.is_none() {
             self.on_first_byte();
         }
-        if is_stream && self.scan.feed(frame) > 0 {
+        if !is_stream {
+            return true;
+        }
+        let has_events = self.scan.feed(frame) > 0;
+        if has_events {
             self.on_events();
         }
+        has_events
     }
 
     fn on_first_byte(&mut self) {
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -109,7 +109,8 @@
     pub body_timeout_ms: u64,
     /// Maximum number of requests of one workspace that wait on this host for a backend server.
     pub waiting_per_workspace: usize,
-    /// Time within which the head of a backend server's response must arrive, in milliseconds.
+    /// Time within which the head of a backend server's response must arrive, then its body if it is read
+    /// completely first, and each event of a stream, in milliseconds.
     pub answer_timeout_ms: u64,
     /// Maximum time between two chunks of a backend server's response, and maximum time in which a
     /// caller accepts no byte of a response, in milliseconds.
--- a/lib/tests/test_gateway_faults.rs
+++ b/lib/tests/test_gateway_faults.rs
@@ -266,6 +266,60 @@
     assert_eq!(rig.end().await.outcome, EndOutcome::Failed);
 }
 
+const STREAM: &str = "text/event-stream";
+
+/// Sends `part` every 20 ms, `count` times, then the end of a stream.
+async fn trickling(content_type: &'static str, part: &'static str, count: usize) -> Backend {
+    Backend::start(move |req, mut stream| {
+        Box::pin(async move {
+            let mut text = req.stream_head().replace("text/event-stream", content_type);
+            for _ in 0..count {
+                text.push_str(&chunk(part));
+                stream.write_all(text.as_bytes()).await.ok()?;
+                text.clear();
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            let end = format!("{}0\r\n\r\n", chunk("data: [DONE]\n\n"));
+            stream.write_all(end.as_bytes()).await.ok()?;
+            Some(stream)
+        })
+    })
+    .await
+}
+
+/// Calls a model whose server trickles its response. Heads, bodies and events have one second each.
+async fn call_trickling(backend: &Backend, is_stream: bool) -> String {
+    let limits = LimitSettings {
+        answer_timeout_ms: 1_000,
+        idle_timeout_ms: 10_000,
+        ..common::limits()
+    };
+    let rig = Rig::with(vec![order(backend.address)], limits, common::view()).await;
+    rig.call(&chat(is_stream)).await
+}
+
+/// Guards against responses that never end: a server that is stuck sends a comment or a space now and then.
+#[tokio::test]
+async fn stalled_response_with_a_byte_now_and_then_ends_with_an_error() {
+    for (content_type, part) in [(STREAM, ": still here\n\n"), ("application/json", " ")] {
+        let backend = trickling(content_type, part, 200).await;
+        let response = call_trickling(&backend, content_type == STREAM).await;
+        assert!(
+            response.contains("\"code\":\"server_timeout\""),
+            "{response}"
+        );
+    }
+}
+
+/// Guards against sound streams that are cut because they take long as a whole.
+#[tokio::test]
+async fn slow_stream_whose_events_go_on_is_complete() {
+    let backend = trickling(STREAM, "data: {\"choices\":[]}\n\n", 100).await;
+    let response = call_trickling(&backend, true).await;
+    assert_eq!(response.matches("choices").count(), 100, "{response}");
+    assert!(response.ends_with("0\r\n\r\n"), "{response}");
+}
+
 #[tokio::test]
 async fn request_is_retried_elsewhere_if_a_connection_is_refused() {
     let backend = Backend::responding(|req| req.response("200 OK", "", "booked")).await;
