--- a/lib/src/entry/dialect.rs
+++ b/lib/src/entry/dialect.rs
@@ -50,6 +50,11 @@
         hint.min(self.output_tokens_max)
     }
 
+    /// Tokens of the prompt and the estimated response.
+    pub fn work_tokens(&self) -> u64 {
+        u64::from(self.input_tokens) + u64::from(self.output_tokens())
+    }
+
     /// The parts that other requests share: all but the last.
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
@@ -66,7 +71,8 @@
 
     /// Tokens that no other request shares.
     pub fn own_tokens(&self) -> u32 {
-        let shared = self.shared_parts().iter().map(|part| part.tokens).sum();
+        let shared = self.shared_parts().iter().map(|part| part.tokens);
+        let shared = shared.fold(0, u32::saturating_add);
         self.input_tokens.saturating_sub(shared)
     }
 
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -40,7 +40,7 @@
 use super::response::on_error;
 use super::servers::ServerKey;
 use super::stream_origins::StreamKey;
-use super::take_up::stream_version;
+use super::take_up::continued_stream;
 use crate::crashing::RequestDigest;
 use crate::gateway::end_to_end;
 use crate::time::Timestamp;
@@ -117,14 +117,17 @@
     }
 }
 
-/// Handles a request of a caller. While the host withdraws its readiness because it is overloaded,
-/// responses also close the caller's connection, so that the caller reconnects to another host.
+/// Handles a request of a caller. While the host withdraws its readiness because it is overloaded or
+/// stopping, responses also close the caller's connection, so that the caller reconnects to another host.
+/// Otherwise a stopping host would have to close connections that are in use, and a request that is on its
+/// way just then would get no response.
 pub(crate) async fn serve(State(host): State<Arc<EntryHost>>, req: Request) -> Response<Body> {
     // `host.lag` measures the lag, that is how late this host's timers fire. Measuring pauses while
     // there are no requests; this resumes it.
     host.lag.on_request();
     let mut response = serve_caller(&host, req).await;
-    if host.lag.lag().closes_connections(host.clock.now()) {
+    let is_stopping = host.fleet().is_stopping();
+    if is_stopping || host.lag.lag().closes_connections(host.clock.now()) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -166,7 +169,9 @@
     };
     let route = admitted.route.clone();
     let id = head.id.clone();
+    // A stream that continues was admitted when it began.
     if let Some(prompt) = &head.prompt
+        && head.resumes_after.is_none()
         && let Some(refusal) = refusal_behind_work(host, arrived, &admitted)
     {
         host.fleet().on_refused_locally(&admitted, prompt);
@@ -282,11 +287,11 @@
     let admitted = &call.admitted;
     // Adds to the retry budget of the service, once per request.
     host.fleet().on_request(host.clock.now(), &admitted.service);
-    let version = stream_version(host, call).await?;
+    let stream = continued_stream(host, call).await?;
     let mut attempts = Attempts::default();
     let mut last: Option<Failure> = None;
     loop {
-        let assignment = assign_server(host, call, version, &attempts.tried).await;
+        let assignment = assign_server(host, call, stream.as_ref(), &attempts.tried).await;
         let assignment = match (assignment, last) {
             (Ok(assignment), _) => assignment,
             (Err(refusal), None) => return Err(refusal),
--- a/lib/src/entry/schedule/request.rs
+++ b/lib/src/entry/schedule/request.rs
@@ -59,8 +59,11 @@
         }
     }
 
-    /// Selects the engines of this shard.
+    /// Selects the engines of this shard, none if the number of shards is out of range.
     pub fn select<T>(&self, mut engines: Vec<T>, hash: impl Fn(&T) -> u64) -> Vec<T> {
+        if self.count > SHARDS_MAX {
+            return Vec::new();
+        }
         if self.count > 1 {
             engines.retain(|engine| Self::index_of_engine(hash(engine), self.count) == self.index);
         }
@@ -77,6 +80,9 @@
 /// Mean number of engines in a full shard. With 14 requests/s for each engine, the rate of current services, the
 /// scheduler of a full shard makes about 340 decisions/s, which take a hundredth of a core.
 const SHARD_ENGINES_MAX: usize = 24;
+/// Most shards of a service. The time to select engines grows with the number of shards, so that a message
+/// with a number out of range would keep a host busy for minutes. It covers 24,000 engines.
+const SHARDS_MAX: u32 = 1_024;
 
 /// A host's question to the scheduler: when and on which engine may a request to a model start?
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,7 +97,7 @@
     pub domain: u64,
     /// Length of the prompt, tokens.
     pub input_tokens: u32,
-    /// Estimate of the tokens that will be generated.
+    /// Estimate of the tokens that will be generated; for a stream that continues, of those that are left.
     pub output_tokens: u32,
     /// Leading parts of the prompt that other requests share, in order.
     pub shared_parts: Vec<PromptPart>,
@@ -119,7 +125,8 @@
     pub except_version: Option<VersionId>,
     /// Time in which the response should start, counted from the caller's first attempt.
     pub objective: Duration,
-    /// Whether the request continues a stream that has begun. Its work was counted when it began.
+    /// Whether the request continues a stream that has begun. Its work was counted when it began. The asking
+    /// host sets it only for a stream of its own or a claim that the homes of the stream have granted.
     pub continues_stream: bool,
     /// Whether the scheduler of another shard has refused the request before.
     pub was_refused: bool,
@@ -137,6 +144,17 @@
         u64::from(self.input_tokens) + u64::from(self.output_tokens)
     }
 
+    /// Tokens that the workspace is charged if the request starts on an engine that has not cached
+    /// `uncached` tokens of the prompt. A stream that continues was charged when it began, so only what is
+    /// left of its work is charged: the prompt tokens that the engine reads again, and the rest of the
+    /// response.
+    pub fn charged_tokens(&self, uncached: u32) -> u64 {
+        match self.continues_stream {
+            true => u64::from(uncached) + u64::from(self.output_tokens),
+            false => self.work_tokens(),
+        }
+    }
+
     /// Identifiers of the shared parts.
     pub fn shared_ids(&self) -> impl Iterator<Item = u64> + '_ {
         self.shared_parts.iter().map(|part| part.id)
@@ -144,7 +162,8 @@
 
     /// Total length of the shared parts, tokens.
     pub fn shared_tokens(&self) -> u32 {
-        self.shared_parts.iter().map(|part| part.tokens).sum()
+        let tokens = self.shared_parts.iter().map(|part| part.tokens);
+        tokens.fold(0, u32::saturating_add)
     }
 
     /// Tokens of engine memory that the request occupies. Shared parts are not counted, since the
--- a/lib/tests/test_entry_request_quarantine.rs
+++ b/lib/tests/test_entry_request_quarantine.rs
@@ -388,6 +388,48 @@
     assert!(second > first, "{second:?} after {first:?}");
 }
 
+/// Guards against a request that is sent freely again after its hold, as if it had never crashed servers: it
+/// would crash three of them before it is held back again, every time.
+#[test]
+fn request_that_relapses_after_its_hold_crashes_one_server_only() {
+    let mut quarantine = RequestQuarantine::default();
+    for run in 0..3 {
+        crash(&mut quarantine, 1_000 + run * 100, HARMFUL, run);
+    }
+    // Ten minutes after the end of the hold, which is ten minutes too, and an hour after it.
+    let (relapse, forgotten) = (20 * 60_000, 70 * 60_000);
+    quarantine.sweep(at(relapse));
+    let clearance = quarantine.clearance(at(relapse), HARMFUL);
+    assert_eq!(clearance, RequestClearance::Trial);
+    let mut sound = quarantine.clone();
+    crash(&mut quarantine, relapse, HARMFUL, 4);
+    assert!(is_held(&quarantine, relapse + 20, HARMFUL));
+    sound.sweep(at(forgotten));
+    let clearance = sound.clearance(at(forgotten), HARMFUL);
+    assert_eq!(clearance, RequestClearance::Free);
+}
+
+/// Guards against trials that each host starts for itself, of which each crashes a server.
+#[test]
+fn trial_of_one_host_is_told_to_the_others() {
+    let mut hosts = [RequestQuarantine::default(), RequestQuarantine::default()];
+    for run in 0..2 {
+        crash(&mut hosts[0], 1_000 + run * 100, HARMFUL, run);
+    }
+    let tell = |hosts: &mut [RequestQuarantine; 2], now| {
+        for list in hosts[0].take_news(at(now)) {
+            list.iter()
+                .for_each(|report| hosts[1].on_report(at(now), report));
+        }
+    };
+    tell(&mut hosts, 1_200);
+    let clearance = hosts[1].clearance(at(1_300), HARMFUL);
+    assert_eq!(clearance, RequestClearance::Trial);
+    hosts[0].send(at(1_300), HARMFUL, 3, at(5_300));
+    tell(&mut hosts, 1_300);
+    assert!(is_held(&hosts[1], 1_301, HARMFUL));
+}
+
 /// Each host passes on what it was told, with delays of the network.
 #[test]
 fn what_hosts_tell_each_other_expires() {
--- a/lib/tests/test_entry_stream_versions.rs
+++ b/lib/tests/test_entry_stream_versions.rs
@@ -13,6 +13,7 @@
 use cardamomshift_lib::entry::Peer;
 use cardamomshift_lib::entry::Peers;
 use cardamomshift_lib::entry::StreamKey;
+use cardamomshift_lib::entry::StreamOrigin;
 use cardamomshift_lib::entry::StreamOrigins;
 use cardamomshift_lib::entry::VersionHistory;
 use cardamomshift_lib::entry::VersionId;
@@ -101,7 +102,7 @@
         let give_up_at = at(now + 6_000);
         let origin = self.0[host]
             .origins
-            .on_started(at(now), key, version, give_up_at);
+            .on_started(at(now), key, version, 1_000, give_up_at);
         for home in self.0[host].peers.homes(key.0, TOLD) {
             let home = (0..HOSTS).find(|host| address(*host) == home).unwrap();
             self.0[home].origins.on_told(at(now), &origin);
@@ -262,18 +263,43 @@
     }
 }
 
+/// Guards against a stream that goes on at a version other than the one that began it, because a later
+/// report names another: an attempt with the same name that began anew, or a host that was mistaken.
+#[test]
+fn later_report_does_not_change_the_version_at_which_a_stream_began() {
+    let mut origins = StreamOrigins::default();
+    let key = StreamKey::new(None, "a");
+    let told = |version| StreamOrigin {
+        key,
+        version,
+        remaining: Duration::from_secs(5),
+        tokens: 1_000,
+    };
+    origins.on_told(at(1_000), &told(version(1)));
+    origins.on_told(at(1_100), &told(version(2)));
+    assert_eq!(origins.version(key), Some(version(1)));
+    origins.on_started(at(1_200), key, version(2), 1_000, at(5_000));
+    assert_eq!(origins.version(key), Some(version(1)));
+}
+
 #[test]
 fn streams_are_forgotten_after_the_deadline_of_their_callers() {
     let mut origins = StreamOrigins::default();
     let key = StreamKey::new(None, "a");
-    origins.on_started(at(1_000), key, version(1), at(5_000));
+    origins.on_started(at(1_000), key, version(1), 1_000, at(5_000));
     origins.sweep(at(5_000));
     assert_eq!(origins.version(key), Some(version(1)));
     origins.sweep(at(8_000));
     assert_eq!(origins.version(key), None);
     // They are bounded.
     for n in 0..100_000 {
-        origins.on_started(at(n / 100), StreamKey(n), version(1), at(n / 100 + 60_000));
+        origins.on_started(
+            at(n / 100),
+            StreamKey(n),
+            version(1),
+            1_000,
+            at(n / 100 + 60_000),
+        );
     }
     let kept = (0..100_000).filter(|n| origins.version(StreamKey(*n)).is_some());
     assert!(kept.count() <= 16_384);
