schedule: keep a reserve only from workspaces above their share, and notice stopped engines

Cause: a workspace counted as throttled from half of its share on and might fill four fifths of each engine's slots only. While all workspaces ask for more than their share, a fifth of the slots stayed empty: in test_entry_slots they were occupied for 0.84 of the time at one and a half times the load. And a request that runs longer than expected was assumed to end in 50 ms for ever, also on an engine that had stopped.

Change: the reserve is kept from workspaces that were granted more than their share.

Measured: slots occupied for more than 0.9 of the time in the test.

--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -96,8 +96,11 @@
 /// workspaces are granted exactly their fair shares (ratio 1), all of them are throttled alike:
 /// each has half of the unthrottled start limit.
 const THROTTLE_SHARE_RATIO: f64 = 0.5;
-/// Fraction of each engine's slots and request memory that a throttled workspace may fill. The rest
-/// is left to other workspaces.
+/// Ratio of a workspace's granted work to its fair share above which it may not fill the engines. It has
+/// more than its share, so that others are short of theirs.
+const RESERVE_SHARE_RATIO: f64 = 1.0;
+/// Fraction of each engine's slots and request memory that such a workspace may fill. The rest is left to
+/// other workspaces.
 const THROTTLED_CAPACITY: f64 = 0.8;
 /// Fraction of an engine's memory that requests may fill. The rest caches parts of prompts.
 const REQUEST_MEMORY_FRACTION: f64 = 0.9;
@@ -319,7 +322,7 @@
             is_underserved,
             ..
         } = standing;
-        let capacity_fraction = if share_ratio > THROTTLE_SHARE_RATIO {
+        let capacity_fraction = if share_ratio > RESERVE_SHARE_RATIO {
             THROTTLED_CAPACITY
         } else {
             1.0
--- a/lib/src/entry/schedule/slots.rs
+++ b/lib/src/entry/schedule/slots.rs
@@ -10,8 +10,12 @@
 use super::request::ReservationId;
 use crate::time::Timestamp;
 
-/// Time from now until a request that has run longer than expected is assumed to end.
+/// Time from now until a request that has run longer than expected is assumed to end. Callers' estimates
+/// of the lengths are often far off.
 const OVERDUE_END: Duration = Duration::from_millis(50);
+/// Time by which a request is overdue from which on its engine seems to have stopped. It is then assumed
+/// to take as long again as it is overdue.
+const OVERDUE_STOPPED: Duration = Duration::from_millis(500);
 /// Time to generate a token, assumed before any response has ended. It is that of an engine that runs
 /// other requests too.
 const TOKEN_TIME_INITIAL: Duration = Duration::from_millis(10);
@@ -41,9 +45,13 @@
             return Duration::ZERO;
         };
         let (end, _) = self.ends[last];
-        match end.has_passed(now) {
-            true => OVERDUE_END,
-            false => end.remaining(now),
+        if !end.has_passed(now) {
+            return end.remaining(now);
+        }
+        let overdue = now.since(end);
+        match overdue > OVERDUE_STOPPED {
+            true => overdue,
+            false => OVERDUE_END,
         }
     }
 
