entry: limit the memory for request and response bodies

Hosts have as little as 88 MB, and read request bodies and complete responses into memory without a common limit: 900 callers with bodies of 4 MiB exceed it many times over, and one workspace can take all of it.

A workspace may hold as much as is left free. Only bytes that have arrived are held; a body that is announced to be larger than there is room for is refused unread as `host-memory` (503, 1 s). Held bytes are released with the request or response, also if its task is dropped. A response that does not fit is not refused, because its request has run: it is forwarded as it arrives.

--- a/lib/src/entry/events.rs
+++ b/lib/src/entry/events.rs
@@ -102,6 +102,11 @@
         Some(events)
     }
 
+    /// Bytes of the event whose end has not arrived.
+    pub(crate) fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Drops an incomplete event.
     pub(crate) fn drop_partial(&mut self) {
         self.pending.clear();
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -20,6 +20,7 @@
 use axum::http::request::Parts;
 use axum::http::uri::PathAndQuery;
 use compact_str::CompactString;
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
@@ -33,6 +34,7 @@
 use super::dialect::CallHead;
 use super::dialect::Dispatch;
 use super::host::EntryHost;
+use super::memory_budget::HeldBytes;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::response::Failure;
@@ -47,6 +49,9 @@
 /// Maximum number of servers tried for one request, including those that could not be reached.
 /// Those are limited too because each may cost the connection timeout.
 const TRIES_MAX: usize = 4;
+/// Retry time given to callers if there is no memory for the body of their request. Requests to servers
+/// that run a model hold theirs for about this time.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// An admitted request with its body.
 pub(crate) struct Call {
@@ -58,12 +63,15 @@
     /// Route, workspace and deadline.
     pub(crate) admitted: Admitted,
     pub(crate) body: Bytes,
+    /// Counts the body against the memory of the host.
+    _held: HeldBytes,
     /// The same for every repeat of the request.
     pub(crate) digest: RequestDigest,
 }
 
 impl Call {
-    fn new(parts: Parts, head: CallHead, admitted: Admitted, body: Bytes) -> Self {
+    fn new(parts: Parts, head: CallHead, admitted: Admitted, read: ReadBody) -> Self {
+        let ReadBody { body, held } = read;
         let workspace = admitted.workspace.as_deref();
         Self {
             digest: RequestDigest::new(&parts.method, &head.host, &parts.uri, workspace, &body),
@@ -71,6 +79,7 @@
             head,
             admitted,
             body,
+            _held: held,
         }
     }
 
@@ -177,18 +186,13 @@
         return refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
     }
     let deadline = host.clock.instant(admitted.give_up_at);
-    let body = match tokio::time::timeout_at(deadline.into(), read_body(host, body)).await {
+    let held = host.body_memory.start(admitted.workspace.clone());
+    let read = read_body(host, body, held);
+    let body = match tokio::time::timeout_at(deadline.into(), read).await {
         Ok(Ok(body)) => body,
         Ok(Err(reason)) => {
-            info!(target: "request", id = id.as_str(), reason = reason.name();
-                "cannot read request body");
-            return refuse(
-                host,
-                Some(&id),
-                &route.name,
-                Refusal::new(reason),
-                Duration::ZERO,
-            );
+            let refusal = on_unread(host, &head, &admitted, reason);
+            return refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
         }
         Err(_) => {
             let refusal = Refusal::new(Reason::ExpiredUnsent);
@@ -215,15 +219,66 @@
     }
 }
 
-/// Reads a request body up to the configured size limit.
-async fn read_body(host: &EntryHost, body: Body) -> Result<Bytes, Reason> {
+/// A request body that was read completely.
+struct ReadBody {
+    body: Bytes,
+    held: HeldBytes,
+}
+
+/// Reads a request body up to the configured size limit. Only bytes that have arrived are held, so
+/// that a caller that announces a large body and sends it slowly takes no memory from others. A body
+/// that is announced to be larger than there is room for is not read.
+async fn read_body(host: &EntryHost, body: Body, mut held: HeldBytes) -> Result<ReadBody, Reason> {
     let limit = host.fleet().config().map_or(0, |c| c.limits.body_bytes);
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
-        Err(_) => Err(Reason::BodyIncomplete),
+    let announced = body.size_hint().exact();
+    let announced = announced.map(|len| usize::try_from(len).unwrap_or(usize::MAX));
+    let is_allowed = |len: &usize| *len <= limit;
+    if announced
+        .filter(is_allowed)
+        .is_some_and(|len| held.check(len).is_err())
+    {
+        return Err(Reason::HostMemory);
+    }
+    let mut body = Limited::new(body, limit);
+    let mut buf = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| match err.is::<LengthLimitError>() {
+            true => Reason::BodyTooLarge,
+            false => Reason::BodyIncomplete,
+        })?;
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        held.grow(bytes.len()).map_err(|_| Reason::HostMemory)?;
+        let needed = buf.len() + bytes.len();
+        if needed > buf.capacity() {
+            // The usual doubling, but not beyond the announced length.
+            let doubled = (2 * buf.len()).min(announced.unwrap_or(usize::MAX));
+            buf.reserve_exact(needed.max(doubled) - buf.len());
+        }
+        buf.extend_from_slice(&bytes);
+    }
+    buf.shrink_to_fit();
+    Ok(ReadBody {
+        body: buf.into(),
+        held,
+    })
+}
+
+/// Logs or counts a request whose body was not read. Returns what its caller gets.
+fn on_unread(host: &EntryHost, head: &CallHead, admitted: &Admitted, reason: Reason) -> Refusal {
+    if reason != Reason::HostMemory {
+        info!(target: "request", id = head.id.as_str(), reason = reason.name();
+            "cannot read request body");
+        return Refusal::new(reason);
+    }
+    // No line is logged for the request; the lack of memory is logged when it begins and ends.
+    host.stats.refused_memory.inc();
+    if let Some(prompt) = &head.prompt {
+        host.fleet().on_refused_locally(admitted, prompt);
     }
+    Refusal::with_retry_after(reason, MEMORY_RETRY_AFTER)
 }
 
 /// The attempts made so far to send a request to a server.
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -51,6 +51,9 @@
 use super::forward::serve;
 use super::lag;
 use super::lag::LagMeter;
+use super::memory_budget::BodyMemory;
+use super::memory_budget::MemoryBudget;
+use super::memory_budget::MemoryChange;
 use super::mirror;
 use super::mirror::Mirrors;
 use super::peers::Link;
@@ -91,6 +94,10 @@
 const CONNECTION_BYTES: usize = 28 << 10;
 /// Memory that the process uses without any connection, bytes.
 const BASE_BYTES: usize = 20 << 20;
+/// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies, if they are limited. On
+/// a host of 88 MB it gives 17 MB: four bodies of the largest size that configurations allow, or one of
+/// the usual 9 KB for each of 1,900 requests, which is more than its connections of callers.
+const BODY_SHARE_DIVISOR: usize = 4;
 /// Descriptors reserved for uses other than callers and backend servers: listeners, calls to the
 /// platform and to other hosts, and the async runtime.
 const BASE_DESCRIPTORS: usize = 64;
@@ -128,13 +135,23 @@
     pub descriptors: usize,
     /// Most memory in use, bytes.
     pub memory_bytes: usize,
+    /// Whether part of the memory is set aside for request and response bodies, and no more of them
+    /// is held at once.
+    pub limits_bodies: bool,
 }
 
 impl ProcessLimits {
     /// Most connections that fit in the memory and the descriptors.
     fn connections(&self) -> usize {
-        let memory = self.memory_bytes.saturating_sub(BASE_BYTES) / CONNECTION_BYTES;
-        memory.min(self.descriptors.saturating_sub(BASE_DESCRIPTORS))
+        let memory = self.memory_bytes.saturating_sub(BASE_BYTES);
+        let memory = memory - self.body_bytes().unwrap_or(0);
+        (memory / CONNECTION_BYTES).min(self.descriptors.saturating_sub(BASE_DESCRIPTORS))
+    }
+
+    /// Most bytes of bodies held at once, `None` if they are not limited.
+    pub fn body_bytes(&self) -> Option<usize> {
+        let memory = self.memory_bytes.saturating_sub(BASE_BYTES);
+        self.limits_bodies.then_some(memory / BODY_SHARE_DIVISOR)
     }
 
     fn caller_connections(&self) -> usize {
@@ -215,6 +232,8 @@
     /// Connections to backend servers.
     pub(crate) pool: BackendPool,
     pub(crate) stats: EntryStats,
+    /// Memory for request and response bodies.
+    pub(crate) body_memory: BodyMemory,
     /// Exchanges datagrams with other entry hosts about the scheduling of requests to models, and
     /// knows which hosts are schedulers and mirror hosts.
     pub(crate) link: Link,
@@ -322,6 +341,7 @@
             dialect: parts.dialect,
             pool: BackendPool::new(parts.clock, parts.process_limits.server_connections()),
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
+            body_memory: BodyMemory::new(MemoryBudget::new(parts.process_limits.body_bytes())),
             link: Link::new(socket, &parts.own, rand::random()),
             mirrors: Mirrors::default(),
             lag: LagMeter::default(),
@@ -491,6 +511,8 @@
 async fn show_metrics(State(host): State<Arc<EntryHost>>) -> Response {
     let open = i64::try_from(host.pool.open_count()).unwrap_or(i64::MAX);
     host.stats.server_connections.set(open);
+    let held = i64::try_from(host.body_memory.budget().held()).unwrap_or(i64::MAX);
+    host.stats.held_bytes.set(held);
     match host.stats.text() {
         Ok(text) => ([(header::CONTENT_TYPE, METRICS_CONTENT_TYPE)], text).into_response(),
         Err(err) => {
@@ -517,6 +539,7 @@
         if next_summary_at.has_passed(now) {
             next_summary_at = now + SUMMARY_PERIOD;
             log_schedule_summaries(&host);
+            log_memory_change(&host);
             host.fleet().request_quarantine().sweep(now);
             refused_logged = log_refused_connections(&host, refused_logged);
             if host.lag.lag().closes_connections(now) {
@@ -549,6 +572,24 @@
     }
 }
 
+/// Logs that the memory for bodies has run out, or no longer does.
+fn log_memory_change(host: &EntryHost) {
+    let change = host.body_memory.budget().take_change();
+    let refused = host.stats.refused_memory.get();
+    match change {
+        Some(MemoryChange::Short {
+            held_bytes,
+            workspace,
+            workspace_bytes,
+        }) => warn!(target: "host", held_bytes = held_bytes, workspace = workspace.as_deref(),
+            workspace_bytes = workspace_bytes, refused = refused; "no memory for bodies"),
+        Some(MemoryChange::Relieved) => {
+            info!(target: "host", refused = refused; "memory for bodies available again");
+        }
+        None => {}
+    }
+}
+
 /// Logs and counts what has changed about parts of prompts that make engines crash.
 fn log_quarantine_changes(host: &EntryHost, now: Timestamp) {
     let changes = host.fleet().take_quarantine_changes();
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -34,6 +34,9 @@
     OverShare,
     /// This host has no processor time left, or has reached its limit of connections to servers.
     HostBusy,
+    /// The bodies that this host holds leave no memory for the body of the request, or the workspace
+    /// holds more than is left free for it.
+    HostMemory,
     /// No server can take the request now, and at least one only because it is in its cold start
     /// and this host has sent it as many requests as its share of the cold start limit allows. The
     /// limit is a request rate for all hosts together.
@@ -79,6 +82,7 @@
             | Self::NoServer
             | Self::Overloaded
             | Self::HostBusy
+            | Self::HostMemory
             | Self::ServersCold
             | Self::ServersPaused
             | Self::ServersLimited
@@ -115,6 +119,7 @@
             Self::Overloaded => "overloaded",
             Self::OverShare => "over-share",
             Self::HostBusy => "host-busy",
+            Self::HostMemory => "host-memory",
             Self::ServersCold => "servers-cold",
             Self::ServersPaused => "servers-paused",
             Self::ServersLimited => "servers-limited",
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -33,6 +33,8 @@
 use super::forward::Call;
 use super::forward::millis;
 use super::host::EntryHost;
+use super::memory_budget::HeldBytes;
+use super::memory_budget::HeldParts;
 use super::refusal::Reason;
 use super::request_placement::Placement;
 use super::response::log_failed;
@@ -55,6 +57,9 @@
         /// Error of the stream.
         reason: String,
     },
+    /// The host has no memory for more of an event.
+    #[snafu(display("no memory for an event of the stream"))]
+    NoMemory,
     /// The deadline of the request passed.
     #[snafu(display("deadline passed before the end of the stream"))]
     TimedOut,
@@ -64,7 +69,7 @@
     /// The reason sent to a caller that has not received any part of the stream.
     pub(crate) fn reason(&self) -> Reason {
         match self {
-            Self::Broken { .. } => Reason::ServerFailed,
+            Self::Broken { .. } | Self::NoMemory => Reason::ServerFailed,
             Self::TimedOut => Reason::ExpiredSent,
         }
     }
@@ -162,7 +167,12 @@
     /// Set for resumable streams, which are forwarded in complete events.
     events: Option<EventBuffer>,
     /// Bytes received before the response to the caller was started.
-    first_chunk: Option<Bytes>,
+    first_parts: HeldParts,
+    /// Counts the incomplete event in `events` against the memory of the host.
+    held_event: HeldBytes,
+    /// Status under which the complete response is counted. For streams it is 200, whatever success
+    /// status the server sent.
+    status: StatusCode,
     /// Whether nothing more is forwarded: the stream is complete, or has failed for good.
     has_ended: bool,
     /// Servers that were tried, the one that sends the stream last.
@@ -181,6 +191,7 @@
         attempts: &Attempts,
     ) -> Self {
         let is_resumable = call.admitted.route.retry_policy == RetryPolicy::ResumableStream;
+        let workspace = &call.admitted.workspace;
         let upstream = Upstream::new(in_flight, response);
         let is_resumable = is_resumable && upstream.tracker.is_some();
         Self {
@@ -189,7 +200,9 @@
             placed: placed.clone(),
             upstream: Some(upstream),
             events: is_resumable.then(EventBuffer::default),
-            first_chunk: None,
+            first_parts: HeldParts::new(host.body_memory.start(workspace.clone())),
+            held_event: host.body_memory.start(workspace.clone()),
+            status: StatusCode::OK,
             has_ended: false,
             tried: attempts.tried.clone(),
             // The server of this stream is not counted in `attempts` yet.
@@ -197,10 +210,38 @@
         }
     }
 
+    /// A response that is not a stream, of which `read` has arrived, and that is forwarded as the rest
+    /// arrives.
+    pub(crate) fn of_response(
+        host: &Arc<EntryHost>,
+        call: &Arc<Call>,
+        placed: &Placement,
+        in_flight: InFlightRequest,
+        response: ServerResponse,
+        attempts: &Attempts,
+        read: HeldParts,
+    ) -> Self {
+        let status = response.parts.status;
+        let mut relay = Self::new(host, call, placed, in_flight, response, attempts);
+        if let Some(upstream) = &mut relay.upstream {
+            upstream.tracker = None;
+            upstream.has_data = true;
+        }
+        Self {
+            events: None,
+            first_parts: read,
+            status,
+            ..relay
+        }
+    }
+
     /// Waits for the first bytes and keeps them. If the stream breaks off before they arrive, the
     /// request can still be answered by another server or with an error.
     pub(crate) async fn receive_first_chunk(&mut self) -> Result<(), RelayError> {
-        self.first_chunk = self.next_chunk().await?;
+        if let Some(bytes) = self.next_chunk().await? {
+            // One part is bounded by the read buffer of the connection, so it is kept in any case.
+            let _ = self.first_parts.push(bytes);
+        }
         let elapsed = self.host.clock.now().since(self.call.admitted.arrived);
         let route = self.call.admitted.route.name.as_str();
         let times = self.host.stats.first_byte.with_label_values(&[route]);
@@ -223,7 +264,7 @@
     /// The next bytes for the caller, `None` at the end. A broken stream is resumed at another
     /// server if possible; otherwise the error ends the caller's response.
     async fn next(&mut self) -> Option<Result<Bytes, RelayError>> {
-        if let Some(first) = self.first_chunk.take() {
+        if let Some(first) = self.first_parts.pop() {
             return Some(Ok(first));
         }
         while !self.has_ended {
@@ -232,7 +273,7 @@
                 Ok(None) => self.has_ended = true,
                 Err(err) => {
                     log_failed(&self.host, &self.call, &self.placed, &err.to_string());
-                    if err == RelayError::TimedOut || !self.resume().await {
+                    if !matches!(err, RelayError::Broken { .. }) || !self.resume().await {
                         self.has_ended = true;
                         return Some(Err(err));
                     }
@@ -260,10 +301,14 @@
                     match (upstream.on_data(&bytes), &mut self.events) {
                         (Err(err), _) => err,
                         (Ok(_), None) => return Ok(Some(bytes)),
-                        (Ok(complete), Some(events)) => match events.push(&bytes, complete) {
-                            Some(bytes) => return Ok(Some(bytes)),
-                            None => continue,
-                        },
+                        (Ok(complete), Some(events)) => {
+                            let ready = events.push(&bytes, complete);
+                            match (self.held_event.set(events.partial_bytes()), ready) {
+                                (Err(_), _) => RelayError::NoMemory,
+                                (Ok(()), Some(bytes)) => return Ok(Some(bytes)),
+                                (Ok(()), None) => continue,
+                            }
+                        }
                     }
                 }
                 Ok(None) => match upstream.on_end() {
@@ -288,8 +333,7 @@
         if let Some(upstream) = self.upstream.take() {
             reuse_connection(&self.host, upstream.connection, &upstream.head);
             upstream.in_flight.end(RequestOutcome::Answered);
-            // Streams are counted under status 200, whatever success status the server sent.
-            on_answered(&self.host, &self.call, &self.placed, StatusCode::OK);
+            on_answered(&self.host, &self.call, &self.placed, self.status);
         }
     }
 
@@ -299,7 +343,7 @@
         if let Some(upstream) = self.upstream.take() {
             let outcome = match error {
                 RelayError::Broken { .. } => upstream.in_flight.broken_outcome(),
-                RelayError::TimedOut => RequestOutcome::Abandoned,
+                RelayError::NoMemory | RelayError::TimedOut => RequestOutcome::Abandoned,
             };
             upstream.in_flight.end(outcome);
         }
@@ -316,6 +360,8 @@
             return false;
         };
         events.drop_partial();
+        // Releasing cannot fail.
+        let _ = self.held_event.set(0);
         let Some(last_id) = events.last_id().cloned() else {
             return false;
         };
--- a/lib/src/entry/response.rs
+++ b/lib/src/entry/response.rs
@@ -19,16 +19,25 @@
 //!
 //! [`ResponseHead::is_sealed`]: super::dialect::ResponseHead::is_sealed
 
+use std::convert::Infallible;
+use std::error::Error;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use axum::body::Body;
+use axum::body::Bytes;
 use axum::http::Response;
 use axum::http::StatusCode;
 use axum::http::response;
+use http_body::Frame;
+use http_body::SizeHint;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Incoming;
 use log::info;
 
 use super::assign::UNSENT_RETRY_AFTER;
@@ -42,6 +51,7 @@
 use super::forward::Call;
 use super::forward::millis;
 use super::host::EntryHost;
+use super::memory_budget::HeldParts;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::relay::RelayError;
@@ -171,7 +181,7 @@
     if is_success && call.admitted.route.retry_policy.is_stream() {
         return relay_stream(host, call, placed, in_flight, response, attempts).await;
     }
-    relay_complete(host, call, placed, in_flight, response).await
+    relay_complete(host, call, placed, in_flight, response, attempts).await
 }
 
 /// Reads a response that is not a stream to its end, then forwards it. A server error (status 5xx)
@@ -181,16 +191,34 @@
     call: &Arc<Call>,
     placed: &Placement,
     mut in_flight: InFlightRequest,
-    response: ServerResponse,
+    mut response: ServerResponse,
+    attempts: &Attempts,
 ) -> Result<Response<Body>, Failure> {
     in_flight.on_response_part();
     let deadline = host.clock.instant(call.admitted.give_up_at);
-    let complete = Limited::new(response.body, BUFFERED_RESPONSE_MAX_BYTES).collect();
-    let (outcome, reason, error) = match tokio::time::timeout_at(deadline.into(), complete).await {
-        Ok(Ok(body)) => {
-            let status = response.parts.status;
-            let to_caller =
-                Response::from_parts(strip_hop_by_hop(response.parts), body.to_bytes().into());
+    let status = response.parts.status;
+    let held = host.body_memory.start(call.admitted.workspace.clone());
+    let mut read = HeldParts::new(held);
+    let reading = read_parts(&mut response.body, &mut read);
+    let (outcome, reason, error) = match tokio::time::timeout_at(deadline.into(), reading).await {
+        // The server has run the request, so its response is not refused for lack of memory.
+        Ok(Ok(Reading::NoMemory)) if !status.is_server_error() => {
+            info!(target: "request", id = call.head.id.as_str(),
+                server = placed.entry.instance.as_str(), read_bytes = read.len();
+                "no memory for response: forwarded as it arrives");
+            let parts = strip_hop_by_hop(response.parts.clone());
+            let relay =
+                StreamRelay::of_response(host, call, placed, in_flight, response, attempts, read);
+            return Ok(Response::from_parts(parts, relay.into_body()));
+        }
+        Ok(Ok(Reading::NoMemory)) => (
+            RequestOutcome::Failed,
+            Reason::ServerFailed,
+            format!("status {status}, and no memory for the response"),
+        ),
+        Ok(Ok(Reading::Complete)) => {
+            let body = Body::new(CompleteBody(read));
+            let to_caller = Response::from_parts(strip_hop_by_hop(response.parts), body);
             reuse_connection(host, response.connection, &response.head);
             in_flight.on_survived(host.clock.now());
             if !status.is_server_error() {
@@ -230,6 +258,59 @@
     })
 }
 
+/// How the reading of a response ended.
+enum Reading {
+    /// The response is complete.
+    Complete,
+    /// The host has no memory for more of it.
+    NoMemory,
+}
+
+/// Reads a response that is not a stream, to its end or until there is no memory for more of it.
+///
+/// # Errors
+///
+/// Fails if the response breaks off or is too long.
+async fn read_parts(
+    body: &mut Incoming,
+    read: &mut HeldParts,
+) -> Result<Reading, Box<dyn Error + Send + Sync>> {
+    let mut body = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES);
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame?.into_data() else {
+            continue;
+        };
+        if read.push(bytes).is_err() {
+            return Ok(Reading::NoMemory);
+        }
+    }
+    Ok(Reading::Complete)
+}
+
+/// A complete response as a body. It is passed on in the parts in which it was read, because the
+/// connection of a caller asks for the next part only once it has little left to write.
+struct CompleteBody(HeldParts);
+
+impl http_body::Body for CompleteBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(self.0.pop().map(|part| Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.len() as u64)
+    }
+}
+
 /// Waits for the first bytes of a stream and forwards the rest as it arrives. Until the first bytes
 /// arrive nothing has been sent to the caller, so the request can still be answered by another
 /// server or with an error. [`StreamRelay`] ends the request in flight, and logs the outcome of a
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -43,6 +43,10 @@
     pub(crate) attempts: IntCounterVec,
     /// Requests refused because this host had too little processor time.
     pub(crate) refused_overloaded: IntCounter,
+    /// Requests refused because this host had no memory for their bodies.
+    pub(crate) refused_memory: IntCounter,
+    /// Bytes of bodies that this host holds, set when the metrics are read.
+    pub(crate) held_bytes: IntGauge,
     /// Connections opened to servers since the start.
     pub(crate) connections_opened: IntCounter,
     /// Connections to servers that are open now.
@@ -111,6 +115,11 @@
                 "refused_behind_total",
                 "Requests refused since the host was behind its work",
             )?,
+            refused_memory: counter(
+                "refused_memory_total",
+                "Requests refused for lack of memory for their bodies",
+            )?,
+            held_bytes: gauge("held_bytes", "Bytes of request and response bodies held")?,
             connections_opened: counter(
                 "server_connections_total",
                 "Connections opened to servers",
