entry: bound the socket buffers of slow callers

The kernel lets the send buffer of a caller's connection grow to megabytes and asks for more only once a third of it is free. The same buffers hold megabytes of a stream for each slow caller.

Where bodies are limited, sockets towards callers and from servers get buffers of 64 KB, and so do the streams of HTTP/2 callers.

--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -84,6 +84,7 @@
     head_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
     write_timeout: Duration::from_secs(15),
+    buffer_bytes: None,
     drain_timeout: Duration::ZERO,
 };
 /// Divisor of the connection limit that gives the share for callers: half for callers, half for
@@ -98,6 +99,11 @@
 /// a host of 88 MB it gives 17 MB: four bodies of the largest size that configurations allow, or one of
 /// the usual 9 KB for each of 1,900 requests, which is more than its connections of callers.
 const BODY_SHARE_DIVISOR: usize = 4;
+/// Size of the socket buffers towards callers and from servers if bodies are limited, bytes. The kernel
+/// lets buffers of its own choice grow to megabytes, which a slow caller fills. It also asks for more
+/// only once a third of a buffer is free, so a caller that reads slowly but steadily would seem to
+/// read nothing for longer than the write timeout.
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
 /// Descriptors reserved for uses other than callers and backend servers: listeners, calls to the
 /// platform and to other hosts, and the async runtime.
 const BASE_DESCRIPTORS: usize = 64;
@@ -154,6 +160,11 @@
         self.limits_bodies.then_some(memory / BODY_SHARE_DIVISOR)
     }
 
+    /// Size of the socket buffers that hold bytes of responses, `None` if the kernel chooses it.
+    fn socket_buffer_bytes(&self) -> Option<usize> {
+        self.limits_bodies.then_some(SOCKET_BUFFER_BYTES)
+    }
+
     fn caller_connections(&self) -> usize {
         self.connections() / CALLER_SHARE_DIVISOR
     }
@@ -305,6 +316,7 @@
         });
         ConnectionLimits {
             connections: process_limits.caller_connections(),
+            buffer_bytes: process_limits.socket_buffer_bytes(),
             drain_timeout: fleet.bounds().stop_grace,
             ..base
         }
@@ -339,7 +351,11 @@
         let host = Arc::new(EntryHost {
             clock: parts.clock,
             dialect: parts.dialect,
-            pool: BackendPool::new(parts.clock, parts.process_limits.server_connections()),
+            pool: BackendPool::new(
+                parts.clock,
+                parts.process_limits.server_connections(),
+                parts.process_limits.socket_buffer_bytes(),
+            ),
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
             body_memory: BodyMemory::new(MemoryBudget::new(parts.process_limits.body_bytes())),
             link: Link::new(socket, &parts.own, rand::random()),
--- a/lib/src/gateway/backend/pool.rs
+++ b/lib/src/gateway/backend/pool.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use snafu::ResultExt;
 use snafu::Snafu;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
@@ -87,6 +88,8 @@
 pub(crate) struct BackendPool {
     clock: Clock,
     open_max: usize,
+    /// Size of the receive buffer of each socket, bytes; `None` if the kernel chooses it.
+    receive_buffer_bytes: Option<usize>,
     /// One permit per connection that may still be opened.
     permits: Arc<Semaphore>,
     /// Idle connections by server, in the order in which they became idle.
@@ -95,11 +98,12 @@
 
 impl BackendPool {
     /// Creates a pool of at most `open_max` open connections, including those in use.
-    pub(crate) fn new(clock: Clock, open_max: usize) -> Self {
+    pub(crate) fn new(clock: Clock, open_max: usize, receive_buffer_bytes: Option<usize>) -> Self {
         let open_max = open_max.min(Semaphore::MAX_PERMITS);
         Self {
             clock,
             open_max,
+            receive_buffer_bytes,
             permits: Arc::new(Semaphore::new(open_max)),
             idle: Mutex::default(),
         }
@@ -135,6 +139,10 @@
             .await
             .context(RefusedSnafu { address })?;
         stream.set_nodelay(true).context(RefusedSnafu { address })?;
+        if let Some(bytes) = self.receive_buffer_bytes {
+            // Without it the connection only buffers more.
+            let _ = SockRef::from(&stream).set_recv_buffer_size(bytes);
+        }
         let gate = Arc::new(WriteGate::new(self.clock));
         let io = TokioIo::new(GatedIo::new(stream, gate.clone()));
         let mut builder = http1::Builder::new();
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -100,7 +100,7 @@
             clock: parts.clock,
             metrics: parts.metrics.clone(),
             // No limit on the open connections to backend servers.
-            pool: BackendPool::new(parts.clock, usize::MAX),
+            pool: BackendPool::new(parts.clock, usize::MAX, None),
             estimates: Arc::default(),
             waiting: WaitingLimit::new(parts.limits.waiting_per_workspace),
             quarantine: Arc::default(),
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -17,6 +17,7 @@
 use hyper_util::service::TowerToHyperService;
 use prometheus::IntCounter;
 use prometheus::IntGauge;
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -65,6 +66,9 @@
     pub(crate) idle_timeout: Duration,
     /// Time within which the socket must accept at least one byte of a response.
     pub(crate) write_timeout: Duration,
+    /// Size of the socket's send buffer, and of the buffers of an HTTP/2 stream, bytes. `None` leaves
+    /// them to the kernel and the HTTP library.
+    pub(crate) buffer_bytes: Option<usize>,
     /// Time that requests in flight have to finish at a planned stop.
     pub(crate) drain_timeout: Duration,
 }
@@ -78,6 +82,7 @@
             idle_timeout: KEEP_ALIVE_TIMEOUT,
             // The setting limits pauses in a response on both sides of the gateway.
             write_timeout: Duration::from_millis(limits.idle_timeout_ms),
+            buffer_bytes: None,
             drain_timeout: Duration::from_millis(limits.drain_timeout_ms),
         }
     }
@@ -245,6 +250,10 @@
 impl CallerConnection {
     async fn serve(self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        if let Some(bytes) = self.limits.buffer_bytes {
+            // Without it the connection only buffers more.
+            let _ = SockRef::from(&stream).set_send_buffer_size(bytes);
+        }
         let preface = read_preface(&mut stream);
         match tokio::time::timeout(self.limits.head_timeout, preface).await {
             Ok(Ok((protocol, start))) => {
@@ -313,13 +322,19 @@
     async fn serve_http2(mut self, io: CallerStream) {
         let service = TowerToHyperService::new(self.router.clone());
         let header_bytes = u32::try_from(self.head_bytes()).unwrap_or(u32::MAX);
-        let mut connection = pin!(
-            http2::Builder::new(TokioExecutor::new())
-                .timer(TokioTimer::new())
-                .max_header_list_size(header_bytes)
-                .keep_alive_interval(HTTP2_PING_INTERVAL)
-                .serve_connection(TokioIo::new(io), service)
-        );
+        let mut builder = http2::Builder::new(TokioExecutor::new());
+        builder
+            .timer(TokioTimer::new())
+            .max_header_list_size(header_bytes)
+            .keep_alive_interval(HTTP2_PING_INTERVAL);
+        if let Some(bytes) = self.limits.buffer_bytes {
+            let window = u32::try_from(bytes).unwrap_or(u32::MAX);
+            builder
+                .max_send_buf_size(bytes)
+                .initial_stream_window_size(window)
+                .initial_connection_window_size(window);
+        }
+        let mut connection = pin!(builder.serve_connection(TokioIo::new(io), service));
         let mut draining = false;
         loop {
             tokio::select! {
