entry: choose servers of plain services by what their responses show

A host of 62 that share 352 requests/s of 30 ms has no request in flight most of the time. Its own requests then say nothing of the load of a server, and ties went to the server of the own failure domain or else to the one with the lowest hash: all hosts of a domain used the same server, which rejected while others had free slots.

Where the contract `pressure` is named, a server is now chosen at random among those with the fewest requests of this host, weighted by free slots, usual time of responses and the fraction of accepted requests. The own failure domain is preferred, but less so the more requests its servers reject. Without the contract the choice is as before.

--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -127,7 +127,11 @@
     /// Retry budgets by service.
     pub(super) retries: HashMap<CompactString, RetryBudget>,
     /// Requests in flight and their servers.
-    pub(super) in_flight: SlotMap<InFlightKey, ServerKey>,
+    pub(super) in_flight: SlotMap<InFlightKey, InFlight>,
+    /// Whether servers of plain services are selected by what their responses have shown.
+    pub(super) weighs_plain_servers: bool,
+    /// Random numbers drawn so far, to choose servers of plain services.
+    pub(super) points_drawn: u64,
     /// Scheduler of the engines (backend servers that run a model) that are assigned to this host.
     /// Every host computes the assignment by hashes. Before a host sends a request to a model, it
     /// sends a schedule request to the host to which the model's engines are assigned, and the
@@ -166,6 +170,15 @@
     pub(super) is_stopping: bool,
 }
 
+/// A request in flight.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct InFlight {
+    /// Its server.
+    pub(super) server: ServerKey,
+    /// When the server was chosen.
+    pub(super) placed_at: Timestamp,
+}
+
 impl Fleet {
     /// State of a host that has not read anything from the platform yet.
     ///
@@ -187,6 +200,8 @@
             hosts: Vec::new(),
             retries: HashMap::new(),
             in_flight: SlotMap::with_key(),
+            weighs_plain_servers: false,
+            points_drawn: 0,
             scheduler: Scheduler::new(epoch),
             refused_tokens: HashMap::new(),
             refused_counts: HashMap::new(),
@@ -213,6 +228,12 @@
         self.bounds = bounds;
     }
 
+    /// Selects servers of plain services by what their responses have shown, instead of by this host's
+    /// own requests alone.
+    pub fn weigh_plain_servers(&mut self, is_on: bool) {
+        self.weighs_plain_servers = is_on;
+    }
+
     /// The active configuration, `None` until the first one was read.
     pub fn config(&self) -> Option<&Arc<FleetConfig>> {
         self.config.as_ref()
@@ -360,8 +381,8 @@
 
     /// Records that the response to a request in flight has started: its server is reachable.
     pub fn on_response_started(&mut self, request: InFlightKey) {
-        let key = self.in_flight.get(request);
-        if let Some(server) = key.and_then(|key| self.servers.get_mut(*key)) {
+        let flight = self.in_flight.get(request);
+        if let Some(server) = flight.and_then(|flight| self.servers.get_mut(flight.server)) {
             server.reachability.on_response();
         }
     }
@@ -369,10 +390,18 @@
     /// Ends a request in flight and updates load and health of its server. Does nothing if the
     /// request has already ended or the server was removed.
     pub fn end(&mut self, now: Timestamp, request: InFlightKey, outcome: RequestOutcome) {
-        let key = self.in_flight.remove(request);
-        let Some(server) = key.and_then(|key| self.servers.get_mut(key)) else {
+        let Some(flight) = self.in_flight.remove(request) else {
             return;
         };
+        let Some(server) = self.servers.get_mut(flight.server) else {
+            return;
+        };
+        let evidence = &mut server.slot_evidence;
+        match outcome {
+            RequestOutcome::Answered => evidence.on_answered(now, now.since(flight.placed_at)),
+            RequestOutcome::Refused => evidence.on_rejected(now),
+            _ => {}
+        }
         server.load.requests -= 1;
         record_outcome(now, server, outcome);
     }
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -201,6 +201,8 @@
     pub listen: ListenAddresses,
     /// Resource limits of the process.
     pub process_limits: ProcessLimits,
+    /// Whether servers of plain services are selected by what their responses have shown.
+    pub weighs_plain_servers: bool,
     /// Translation of HTTP heads.
     pub dialect: Dialect,
     /// Platform objects to follow.
@@ -366,6 +368,7 @@
             latest_era: AtomicU64::new(0),
             reported_headers: Mutex::default(),
         });
+        host.fleet().weigh_plain_servers(parts.weighs_plain_servers);
         let (stop, stopped) = watch::channel(false);
         let limits_host = host.clone();
         let address = parts.listen.callers;
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -13,12 +13,14 @@
 
 use compact_str::CompactString;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::admission::Admitted;
 use super::budget::cold_share;
 use super::dialect::Prompt;
 use super::dialect::ServerAnnouncement;
 use super::fleet::Fleet;
+use super::fleet::InFlight;
 use super::fleet::InFlightKey;
 use super::health::is_failing;
 use super::health::median;
@@ -40,6 +42,7 @@
 use super::schedule::ShardWork;
 use super::selection::Candidate;
 use super::selection::healthy_candidates;
+use super::selection::select_by_evidence;
 use super::selection::select_server;
 use super::servers::ServerKey;
 use super::stream_origins::VersionId;
@@ -157,7 +160,14 @@
         usable
             .candidates
             .retain(|candidate| self.is_version(candidate.key, version));
-        match select_server(&usable.candidates) {
+        let selected = match self.weighs_plain_servers {
+            true => {
+                let points = [self.next_point(), self.next_point()];
+                select_by_evidence(&usable.candidates, points)
+            }
+            false => select_server(&usable.candidates),
+        };
+        match selected {
             Some(key) => self.add_in_flight(now, key, 0),
             None => Err(usable.refusal(now)),
         }
@@ -521,11 +531,22 @@
                 requests: server.load.requests,
                 is_local: server.entry.domain == self.own.domain,
                 is_failing: is_failing(server.failures.rate(now), service_rate),
+                rejected_fraction: server.slot_evidence.rejected_fraction(now),
+                usual_time: server.slot_evidence.usual_time(),
             });
         }
         usable
     }
 
+    /// The next number of a sequence that is spread evenly over 0 to 1, without 1, and differs between
+    /// hosts.
+    fn next_point(&mut self) -> f64 {
+        self.points_drawn += 1;
+        let hash = xxh3_64_with_seed(&self.points_drawn.to_le_bytes(), self.own_hash);
+        // As many bits as the number holds exactly.
+        (hash >> 11) as f64 / (1u64 << 53) as f64
+    }
+
     /// Counts a request at a server and records it as in flight.
     fn add_in_flight(
         &mut self,
@@ -546,7 +567,10 @@
         }
         let (entry, run, version) = (server.entry.clone(), server.run_hash(), server.version);
         Ok(Placement {
-            flight: self.in_flight.insert(key),
+            flight: self.in_flight.insert(InFlight {
+                server: key,
+                placed_at: now,
+            }),
             server: key,
             run,
             version,
--- a/lib/src/entry/servers.rs
+++ b/lib/src/entry/servers.rs
@@ -25,6 +25,7 @@
 use super::rate_limit::NamedLimit;
 use super::rate_limit::SHARE_WINDOW;
 use super::rate_limit::ServerLimit;
+use super::selection::SlotEvidence;
 use super::stream_origins::VersionId;
 use crate::time::Timestamp;
 
@@ -169,6 +170,8 @@
     pub sent_while_limited: SlidingCount,
     /// Outcomes of this host's requests to the server.
     pub failures: FailureRate,
+    /// What this host's requests show of the server's free slots.
+    pub slot_evidence: SlotEvidence,
     /// Whether the server can be reached.
     pub reachability: Reachability,
 }
@@ -191,6 +194,7 @@
             cold_start_limiter: ColdStartLimiter::default(),
             sent_while_limited: SlidingCount::new(SHARE_WINDOW),
             failures: FailureRate::default(),
+            slot_evidence: SlotEvidence::default(),
             reachability: Reachability::default(),
             entry,
         }
