--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -51,6 +51,9 @@
 use super::forward::serve;
 use super::lag;
 use super::lag::LagMeter;
+use super::memory_budget::BodyMemory;
+use super::memory_budget::MemoryBudget;
+use super::memory_budget::MemoryChange;
 use super::mirror;
 use super::mirror::Mirrors;
 use super::peers::Link;
@@ -81,6 +84,7 @@
     head_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
     write_timeout: Duration::from_secs(15),
+    buffer_bytes: None,
     drain_timeout: Duration::ZERO,
 };
 /// Divisor of the connection limit that gives the share for callers: half for callers, half for
@@ -91,6 +95,15 @@
 const CONNECTION_BYTES: usize = 28 << 10;
 /// Memory that the process uses without any connection, bytes.
 const BASE_BYTES: usize = 20 << 20;
+/// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies, if they are limited. On
+/// a host of 88 MB it gives 17 MB: four bodies of the largest size that configurations allow, or one of
+/// the usual 9 KB for each of 1,900 requests, which is more than its connections of callers.
+const BODY_SHARE_DIVISOR: usize = 4;
+/// Size of the socket buffers towards callers and from servers if bodies are limited, bytes. The kernel
+/// lets buffers of its own choice grow to megabytes, which a slow caller fills. It also asks for more
+/// only once a third of a buffer is free, so a caller that reads slowly but steadily would seem to
+/// read nothing for longer than the write timeout.
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
 /// Descriptors reserved for uses other than callers and backend servers: listeners, calls to the
 /// platform and to other hosts, and the async runtime.
 const BASE_DESCRIPTORS: usize = 64;
@@ -128,13 +141,28 @@
     pub descriptors: usize,
     /// Most memory in use, bytes.
     pub memory_bytes: usize,
+    /// Whether part of the memory is set aside for request and response bodies, and no more of them
+    /// is held at once.
+    pub limits_bodies: bool,
 }
 
 impl ProcessLimits {
     /// Most connections that fit in the memory and the descriptors.
     fn connections(&self) -> usize {
-        let memory = self.memory_bytes.saturating_sub(BASE_BYTES) / CONNECTION_BYTES;
-        memory.min(self.descriptors.saturating_sub(BASE_DESCRIPTORS))
+        let memory = self.memory_bytes.saturating_sub(BASE_BYTES);
+        let memory = memory - self.body_bytes().unwrap_or(0);
+        (memory / CONNECTION_BYTES).min(self.descriptors.saturating_sub(BASE_DESCRIPTORS))
+    }
+
+    /// Most bytes of bodies held at once, `None` if they are not limited.
+    pub fn body_bytes(&self) -> Option<usize> {
+        let memory = self.memory_bytes.saturating_sub(BASE_BYTES);
+        self.limits_bodies.then_some(memory / BODY_SHARE_DIVISOR)
+    }
+
+    /// Size of the socket buffers that hold bytes of responses, `None` if the kernel chooses it.
+    fn socket_buffer_bytes(&self) -> Option<usize> {
+        self.limits_bodies.then_some(SOCKET_BUFFER_BYTES)
     }
 
     fn caller_connections(&self) -> usize {
@@ -173,6 +201,8 @@
     pub listen: ListenAddresses,
     /// Resource limits of the process.
     pub process_limits: ProcessLimits,
+    /// Whether servers of plain services are selected by what their responses have shown.
+    pub weighs_plain_servers: bool,
     /// Translation of HTTP heads.
     pub dialect: Dialect,
     /// Platform objects to follow.
@@ -215,6 +245,8 @@
     /// Connections to backend servers.
     pub(crate) pool: BackendPool,
     pub(crate) stats: EntryStats,
+    /// Memory for request and response bodies.
+    pub(crate) body_memory: BodyMemory,
     /// Exchanges datagrams with other entry hosts about the scheduling of requests to models, and
     /// knows which hosts are schedulers and mirror hosts.
     pub(crate) link: Link,
@@ -286,6 +318,7 @@
         });
         ConnectionLimits {
             connections: process_limits.caller_connections(),
+            buffer_bytes: process_limits.socket_buffer_bytes(),
             drain_timeout: fleet.bounds().stop_grace,
             ..base
         }
@@ -320,8 +353,13 @@
         let host = Arc::new(EntryHost {
             clock: parts.clock,
             dialect: parts.dialect,
-            pool: BackendPool::new(parts.clock, parts.process_limits.server_connections()),
+            pool: BackendPool::new(
+                parts.clock,
+                parts.process_limits.server_connections(),
+                parts.process_limits.socket_buffer_bytes(),
+            ),
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
+            body_memory: BodyMemory::new(MemoryBudget::new(parts.process_limits.body_bytes())),
             link: Link::new(socket, &parts.own, rand::random()),
             mirrors: Mirrors::default(),
             lag: LagMeter::default(),
@@ -330,6 +368,7 @@
             latest_era: AtomicU64::new(0),
             reported_headers: Mutex::default(),
         });
+        host.fleet().weigh_plain_servers(parts.weighs_plain_servers);
         let (stop, stopped) = watch::channel(false);
         let limits_host = host.clone();
         let address = parts.listen.callers;
@@ -491,6 +530,8 @@
 async fn show_metrics(State(host): State<Arc<EntryHost>>) -> Response {
     let open = i64::try_from(host.pool.open_count()).unwrap_or(i64::MAX);
     host.stats.server_connections.set(open);
+    let held = i64::try_from(host.body_memory.budget().held()).unwrap_or(i64::MAX);
+    host.stats.held_bytes.set(held);
     match host.stats.text() {
         Ok(text) => ([(header::CONTENT_TYPE, METRICS_CONTENT_TYPE)], text).into_response(),
         Err(err) => {
@@ -517,6 +558,7 @@
         if next_summary_at.has_passed(now) {
             next_summary_at = now + SUMMARY_PERIOD;
             log_schedule_summaries(&host);
+            log_memory_change(&host);
             host.fleet().request_quarantine().sweep(now);
             refused_logged = log_refused_connections(&host, refused_logged);
             if host.lag.lag().closes_connections(now) {
@@ -549,6 +591,24 @@
     }
 }
 
+/// Logs that the memory for bodies has run out, or no longer does.
+fn log_memory_change(host: &EntryHost) {
+    let change = host.body_memory.budget().take_change();
+    let refused = host.stats.refused_memory.get();
+    match change {
+        Some(MemoryChange::Short {
+            held_bytes,
+            workspace,
+            workspace_bytes,
+        }) => warn!(target: "host", held_bytes = held_bytes, workspace = workspace.as_deref(),
+            workspace_bytes = workspace_bytes, refused = refused; "no memory for bodies"),
+        Some(MemoryChange::Relieved) => {
+            info!(target: "host", refused = refused; "memory for bodies available again");
+        }
+        None => {}
+    }
+}
+
 /// Logs and counts what has changed about parts of prompts that make engines crash.
 fn log_quarantine_changes(host: &EntryHost, now: Timestamp) {
     let changes = host.fleet().take_quarantine_changes();
