platform: read orders to roll out versions, and write their status

Operators store an order as an object of the kind `rollouts`. The adapter reads its spec, its status and its revision, and writes the status on condition of the revision. The status names the revision of the order that it belongs to, since writing a status changes the revision of the object: a host that starts can tell an order from a later one for the same version. Nothing follows the orders yet.

Bounds in tests get the new field, `None`.

--- a/lib/src/entry/budget.rs
+++ b/lib/src/entry/budget.rs
@@ -14,6 +14,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::rollout::RolloutBounds;
 use crate::time::Timestamp;
 
 /// Fraction of the allowed retry ratio that hosts use. The rest is left for hosts that restart
@@ -49,6 +50,9 @@
     /// How long after an outage of the platform a host still uses servers whose announcements
     /// expired in it, so that these servers can announce themselves again.
     pub announce_grace: Duration,
+    /// Limits on roll-outs; `None` if this deployment has none. Orders to roll out a version are only
+    /// followed if these limits are set.
+    pub rollout: Option<RolloutBounds>,
 }
 
 /// Counter of the events within a sliding window.
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -55,6 +55,7 @@
 use super::mirror::Mirrors;
 use super::peers::Link;
 use super::peers::Peer;
+use super::rollout::RolloutStore;
 use super::schedule::QuarantineChange;
 use super::source::Source;
 use super::source::SourceError;
@@ -156,6 +157,8 @@
     pub evacuations: Source<()>,
     /// Entry hosts registered in the fleet.
     pub hosts: Source<Peer>,
+    /// Orders to roll out software versions; `None` if this deployment has none.
+    pub rollouts: Option<RolloutStore>,
 }
 
 /// Result of one attempt to register this host on the platform.
--- a/lib/src/entry/rollout/mod.rs
+++ b/lib/src/entry/rollout/mod.rs
@@ -10,6 +10,7 @@
 mod exposure;
 mod message;
 mod order;
+mod stored;
 
 pub use conductor::Conductor;
 pub use conductor::ConductorAction;
@@ -28,3 +29,8 @@
 pub use order::Order;
 pub use order::RolloutBounds;
 pub use order::RolloutState;
+pub use stored::RolloutStore;
+pub use stored::StatusFuture;
+pub use stored::StoredRollout;
+pub use stored::StoredStatus;
+pub use stored::WriteStatus;
--- a/lib/tests/entry/mod.rs
+++ b/lib/tests/entry/mod.rs
@@ -47,6 +47,7 @@
         config_lag: Duration::from_secs(2),
         stop_grace: Duration::from_secs(8),
         announce_grace: Duration::from_secs(2),
+        rollout: None,
     }
 }
 
