entry: follow the orders to roll out versions, and place requests as they allow

A host whose settings have the bounds of roll-outs reads the orders, from a mirror host of its failure domain like other objects. Each request asks Exposure which versions its server may have. A request that may not go to the target version gets a shard of the engines of other versions only; while the target version is tried, its requests go to few of its servers, so that these see the load of the others. Servers whose version is not known yet get nothing until the orders are confirmed, and a host is not ready before. Outcomes and start times are counted per attempt, and reported every 250 ms to the first three hosts of the service by rendezvous order. The first of these conducts the order; each further one does so after a second without permits from those before it. A status is written on condition of the revision; a refused write, or one without an answer, is resolved by reading the object back.

An order is identified by the revision at which its spec was written, which the status names; a write of the spec that leaves the status as it is counts as a new order. Without the bounds nothing is followed, counted or sent, and no existing test was changed.

--- a/lib/src/entry/admission.rs
+++ b/lib/src/entry/admission.rs
@@ -61,14 +61,19 @@
 }
 
 impl Fleet {
-    /// Whether the host can serve requests: it has a configuration, a list of servers, and current
-    /// keys if the configuration has workspaces, and it is not stopping.
+    /// Whether the host can serve requests: it has a configuration, a list of servers, the orders to
+    /// roll out versions if it follows them, and current keys if the configuration has workspaces, and
+    /// it is not stopping.
     pub fn is_ready(&self, now: Timestamp) -> bool {
         let Some(config) = &self.config else {
             return false;
         };
         let is_confirmed = config.workspaces.is_empty() || self.is_key_lease_valid(now);
-        self.has_server_list && is_confirmed && !self.is_stopping
+        // Servers are not used before the orders are known that may concern their version.
+        let are_orders_known = self
+            .servers_listed_at
+            .is_some_and(|at| self.rollouts.is_confirmed_after(at));
+        self.has_server_list && are_orders_known && is_confirmed && !self.is_stopping
     }
 
     /// Whether the configuration was confirmed recently enough to accept keys.
--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -12,6 +12,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::attempt::InFlightRequest;
 use super::forward::Call;
 use super::host::EntryHost;
@@ -19,6 +21,8 @@
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::request_placement::Placement;
+use super::rollout::RolloutState;
+use super::rollout::VersionChoice;
 use super::schedule::SearchStep;
 use super::schedule::ShardSearch;
 use super::servers::ServerKey;
@@ -37,6 +41,23 @@
     pub(crate) in_flight: InFlightRequest,
 }
 
+/// A choice of the version that is rolled out for a request. If the request is not sent to a server of
+/// that version, the choice is taken back when this is dropped.
+struct TargetChoice<'a> {
+    host: &'a EntryHost,
+    service: u64,
+    is_used: bool,
+}
+
+impl Drop for TargetChoice<'_> {
+    fn drop(&mut self) {
+        if !self.is_used {
+            let mut fleet = self.host.fleet();
+            fleet.rollouts().exposure().on_unused(self.service);
+        }
+    }
+}
+
 /// Chooses a server for a request, other than those in `tried`. `version` is set if the request continues
 /// a stream, which only servers of that software version may do. For a request to a model this waits for
 /// the scheduler's decision and then until the time at which the request may be sent.
@@ -50,20 +71,53 @@
     call: &Call,
     version: Option<VersionId>,
     tried: &[ServerKey],
+) -> Result<Assignment, Refusal> {
+    let now = host.clock.now();
+    let admitted = &call.admitted;
+    let versions = host.fleet().choose_versions(now, admitted, version);
+    let (None, VersionChoice::Only(target)) = (version, versions) else {
+        return assign_of(host, call, versions, tried).await;
+    };
+    let service = xxh3_64(admitted.service.as_bytes());
+    let mut choice = TargetChoice {
+        host: host.as_ref(),
+        service,
+        is_used: false,
+    };
+    let assignment = assign_of(host, call, versions, tried).await;
+    choice.is_used = assignment.is_ok();
+    drop(choice);
+    let state = host.fleet().rollouts().exposure().state(service);
+    match assignment {
+        // No server of the target version can take the request; those of others still do.
+        Err(_) if state != Some(RolloutState::Completed) => {
+            assign_of(host, call, VersionChoice::Except(target), tried).await
+        }
+        assignment => assignment,
+    }
+}
+
+/// Like [`assign_server`], for servers of the given versions.
+async fn assign_of(
+    host: &Arc<EntryHost>,
+    call: &Call,
+    versions: VersionChoice,
+    tried: &[ServerKey],
 ) -> Result<Assignment, Refusal> {
     let Some(prompt) = &call.head.prompt else {
         let now = host.clock.now();
         if call.admitted.give_up_at.has_passed(now) {
             return Err(Refusal::new(Reason::ExpiredUnsent));
         }
-        let (placed, sent) = {
+        let (placed, sent, traffic) = {
             let mut fleet = host.fleet();
             fleet.check_request(now, call.digest)?;
-            let placed = fleet.place(now, &call.admitted.service, version, tried)?;
+            let placed = fleet.place_among(now, &call.admitted.service, versions, tried)?;
             let sent = fleet.on_sent(now, call.digest, &placed, call.admitted.give_up_at);
-            (placed, sent)
+            let traffic = fleet.on_version_sent(now, &call.admitted, &placed);
+            (placed, sent, traffic)
         };
-        let in_flight = InFlightRequest::new(host.clone(), placed.flight, sent, None);
+        let in_flight = InFlightRequest::new(host.clone(), placed.flight, sent, None, traffic);
         return Ok(Assignment { placed, in_flight });
     };
     // Hashes of the servers that the scheduler chose and this host could not use.
@@ -77,9 +131,15 @@
         let mut request = {
             let mut fleet = host.fleet();
             fleet.check_request(now, call.digest)?;
-            fleet.schedule_request(now, &call.admitted, prompt, call.digest, tried)?
+            fleet.schedule_request_among(
+                now,
+                &call.admitted,
+                prompt,
+                call.digest,
+                versions,
+                tried,
+            )?
         };
-        request.version = version;
         request.excluded.extend(&unusable);
         search.direct(&mut request);
         let (decision, scheduler) = host.link.decide(host, &request).await;
@@ -105,15 +165,18 @@
             // A repeat may have ended its server meanwhile.
             fleet.check_request(now, call.digest)?;
             let admitted = &call.admitted;
-            let placed = fleet.place_scheduled(now, admitted, prompt, version, server, uncached);
+            let placed =
+                fleet.place_scheduled_among(now, admitted, prompt, versions, server, uncached);
             placed.map(|placed| {
                 let sent = fleet.on_sent(now, call.digest, &placed, admitted.give_up_at);
-                (placed, sent)
+                let traffic = fleet.on_version_sent(now, admitted, &placed);
+                (placed, sent, traffic)
             })
         };
-        if let Some((placed, sent)) = placed {
+        if let Some((placed, sent, traffic)) = placed {
             let flight = placed.flight;
-            let in_flight = InFlightRequest::new(host.clone(), flight, sent, Some(scheduled));
+            let in_flight =
+                InFlightRequest::new(host.clone(), flight, sent, Some(scheduled), traffic);
             return Ok(Assignment { placed, in_flight });
         }
         // The scheduler chose a server that this host cannot use. Dropping `scheduled` releases the
--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -28,6 +28,7 @@
 use super::host::EntryHost;
 use super::peers::ScheduledRequest;
 use super::request_placement::Placement;
+use super::version_traffic::VersionTraffic;
 use crate::crashing::SentRequest;
 use crate::gateway::ConnectError;
 use crate::gateway::Connection;
@@ -106,6 +107,8 @@
     outcome: RequestOutcome,
     /// Reports the progress of a request to a model to its scheduler; `None` for plain services.
     scheduled: Option<ScheduledRequest>,
+    /// What is counted for roll-outs; `None` if no orders are followed.
+    traffic: Option<VersionTraffic>,
     /// When the first part of the response arrived.
     response_started_at: Option<Timestamp>,
     /// Whether the server has survived the request.
@@ -118,6 +121,7 @@
         key: InFlightKey,
         sent: SentRequest,
         scheduled: Option<ScheduledRequest>,
+        traffic: Option<VersionTraffic>,
     ) -> Self {
         if sent.is_trial {
             host.link.on_suspect_news();
@@ -128,6 +132,7 @@
             sent,
             outcome: RequestOutcome::Abandoned,
             scheduled,
+            traffic,
             response_started_at: None,
             has_survived: false,
         }
@@ -147,7 +152,13 @@
             return;
         }
         self.response_started_at = Some(now);
-        self.host.fleet().on_response_started(self.key);
+        {
+            let mut fleet = self.host.fleet();
+            fleet.on_response_started(self.key);
+            if let Some(traffic) = &mut self.traffic {
+                fleet.on_version_response(now, traffic);
+            }
+        }
         if let Some(scheduled) = &self.scheduled {
             scheduled.on_response_started(now);
         }
@@ -224,6 +235,17 @@
         {
             let mut fleet = self.host.fleet();
             fleet.end(now, self.key, self.outcome);
+            if let Some(traffic) = &self.traffic
+                && let Some(name) = fleet.on_version_ended(now, traffic, self.outcome)
+            {
+                let labels = [
+                    traffic.service.as_str(),
+                    traffic.version_name.as_str(),
+                    name,
+                ];
+                let counter = &self.host.stats.rollout.requests;
+                counter.with_label_values(&labels).inc();
+            }
             let quarantine = fleet.request_quarantine();
             if has_crashed && !self.has_survived {
                 quarantine.on_crash(now, &self.sent);
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -27,6 +27,7 @@
 use super::dialect::ResponseHead;
 use super::dialect::ServerAnnouncement;
 use super::rate_limit::ToldLimit;
+use super::rollout::RolloutControl;
 use super::schedule::Scheduler;
 use super::servers::RunUpdate;
 use super::servers::Server;
@@ -162,6 +163,10 @@
     /// probably a caller's retry. The time in which its response should start is then counted from
     /// the caller's first attempt (see `admission`).
     pub(super) longest_deadlines: HashMap<CompactString, Duration>,
+    /// Orders to roll out software versions, and which requests may go to these versions.
+    pub(super) rollouts: RolloutControl,
+    /// When the platform first listed the servers.
+    pub(super) servers_listed_at: Option<Timestamp>,
     /// Whether this host is shutting down, and so is not ready.
     pub(super) is_stopping: bool,
 }
@@ -199,6 +204,8 @@
             told_limits: HashMap::new(),
             session_affinity: SessionAffinity::default(),
             longest_deadlines: HashMap::new(),
+            rollouts: RolloutControl::new(epoch.into(), bounds.rollout),
+            servers_listed_at: None,
             is_stopping: false,
         }
     }
@@ -289,6 +296,7 @@
         }
         self.servers.on_list_end();
         self.has_server_list = true;
+        self.servers_listed_at.get_or_insert(now);
         missing
     }
 
@@ -328,6 +336,11 @@
         &mut self.request_quarantine
     }
 
+    /// Orders to roll out software versions, and which requests may go to these versions.
+    pub fn rollouts(&mut self) -> &mut RolloutControl {
+        &mut self.rollouts
+    }
+
     /// Marks this host as stopping: it is no longer ready.
     pub fn stop(&mut self) {
         self.is_stopping = true;
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -56,6 +56,8 @@
 use super::peers::Link;
 use super::peers::Peer;
 use super::rollout::RolloutStore;
+use super::rollout_task;
+use super::rollout_task::StatusWriter;
 use super::schedule::QuarantineChange;
 use super::source::Source;
 use super::source::SourceError;
@@ -360,14 +362,18 @@
                 .with_state(host.clone());
             tasks.spawn(serve_router(metrics, router));
         }
+        let mut sources = parts.sources;
+        let rollouts = sources.rollouts.take();
+        if let Some(store) = rollouts {
+            let writer = StatusWriter {
+                read: store.read,
+                write: store.write_status,
+            };
+            updates::spawn_rollouts(&mut tasks, &host, store.source);
+            tasks.spawn(rollout_task::run(host.clone(), writer));
+        }
         let registration = Arc::new(Notify::new());
-        updates::spawn_all(
-            &mut tasks,
-            &host,
-            parts.sources,
-            &parts.own,
-            registration.clone(),
-        );
+        updates::spawn_all(&mut tasks, &host, sources, &parts.own, registration.clone());
         tasks.spawn(updates::register(parts.register, registration));
         tasks.spawn(sweep(host.clone()));
         tasks.spawn(Link::receive(host.clone()));
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -250,6 +250,11 @@
         self.inner().peers.set(peers);
     }
 
+    /// Address of this host.
+    pub(super) fn own_address(&self) -> SocketAddr {
+        self.inner().peers.own_address()
+    }
+
     /// Records that the list of hosts was read, also if it is empty.
     pub(crate) fn on_peers_listed(&self) {
         self.has_peers.send_replace(true);
@@ -456,8 +461,8 @@
                     .get(&id)
                     .map(|tx| tx.send((from, origin)));
             }
-            // No roll-out is followed here.
-            Datagram::RolloutReport(_) | Datagram::RolloutPermit(_) => {}
+            Datagram::RolloutReport(report) => self.on_report(host, from, report),
+            Datagram::RolloutPermit(permit) => self.on_permit(host, from, permit),
             Datagram::Progress(list) => {
                 let now = host.clock.now();
                 let mut fleet = host.fleet();
--- a/lib/src/entry/peers/mod.rs
+++ b/lib/src/entry/peers/mod.rs
@@ -17,6 +17,7 @@
 mod link;
 mod origin;
 mod reply;
+mod rollout;
 mod rollout_codec;
 mod selection;
 mod suspects;
--- a/lib/src/entry/peers/selection.rs
+++ b/lib/src/entry/peers/selection.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Address of this host.
+    pub fn own_address(&self) -> SocketAddr {
+        self.own.address
+    }
+
     /// Addresses of all other hosts, in order.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         let mut addresses: Vec<_> = self.known.keys().copied().collect();
@@ -103,10 +108,16 @@
         addresses
     }
 
-    /// The first hosts for `subject`, at most `count` including this one, which is left out. All hosts
-    /// that know the same hosts select the same ones. Failure domains take turns, so that few are lost
-    /// with a domain.
+    /// The first hosts for `subject`, at most `count` including this one, which is left out.
     pub fn homes(&self, subject: u64, count: usize) -> Vec<SocketAddr> {
+        let order = self.home_order(subject, count).into_iter();
+        order.flatten().collect()
+    }
+
+    /// The first hosts for `subject`, at most `count`, `None` for this one. All hosts that know the same
+    /// hosts select the same ones in the same order. Failure domains take turns, so that few are lost
+    /// with a domain.
+    pub fn home_order(&self, subject: u64, count: usize) -> Vec<Option<SocketAddr>> {
         let own_domain = xxh3_64(self.own.domain.as_bytes());
         let own = (rank(self.own_hash, subject), own_domain, None);
         let others = self
@@ -126,10 +137,7 @@
             .collect();
         by_turn.sort_unstable();
         by_turn.truncate(count);
-        by_turn
-            .into_iter()
-            .filter_map(|(.., address)| address)
-            .collect()
+        by_turn.into_iter().map(|(.., address)| address).collect()
     }
 
     /// Replaces the list of hosts. For an address that was known before, the earlier entry stays as
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -28,6 +28,7 @@
 use super::rate_limit::rate_limit_share;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::rollout::VersionChoice;
 use super::schedule::EngineView;
 use super::schedule::PartCrash;
 use super::schedule::Progress;
@@ -140,8 +141,7 @@
             .send(now, digest, placed.run, give_up_at)
     }
 
-    /// Chooses a server for a request to a plain service, other than those in `tried`, and counts
-    /// the request there. With `version` only servers of that software version are chosen.
+    /// Chooses a server as [`Self::place_among`] does, of one software version or of any.
     ///
     /// # Errors
     ///
@@ -153,29 +153,63 @@
         version: Option<VersionId>,
         tried: &[ServerKey],
     ) -> Result<Placement, Refusal> {
-        let mut usable = self.usable(now, service, tried);
-        usable
-            .candidates
-            .retain(|candidate| self.is_version(candidate.key, version));
+        let versions = version.map_or(VersionChoice::Any, VersionChoice::Only);
+        self.place_among(now, service, versions, tried)
+    }
+
+    /// Chooses a server for a request to a plain service, other than those in `tried`, and counts
+    /// the request there. `versions` states which software versions the server may have.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if no server can take the request now.
+    pub fn place_among(
+        &mut self,
+        now: Timestamp,
+        service: &CompactString,
+        versions: VersionChoice,
+        tried: &[ServerKey],
+    ) -> Result<Placement, Refusal> {
+        let usable = self.usable_of(now, service, versions, tried);
         match select_server(&usable.candidates) {
             Some(key) => self.add_in_flight(now, key, 0),
             None => Err(usable.refusal(now)),
         }
     }
 
+    /// Builds a question as [`Self::schedule_request_among`] does, for engines of any software version.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if no server can take the request now.
+    pub fn schedule_request(
+        &mut self,
+        now: Timestamp,
+        admitted: &Admitted,
+        prompt: &Prompt,
+        digest: RequestDigest,
+        tried: &[ServerKey],
+    ) -> Result<ScheduleRequest, Refusal> {
+        self.schedule_request_among(now, admitted, prompt, digest, VersionChoice::Any, tried)
+    }
+
     /// Builds the question to the scheduler for a request to a model. The request excludes the
     /// servers in `tried` and those that this host cannot use. It also excludes servers
     /// that fail far more requests than is usual for their service, unless all usable ones do.
+    /// `versions` states which software versions the server may have. While a version is rolled out, the
+    /// shard is one of the engines of these versions only, so that sessions stay at their engines when
+    /// others arrive.
     ///
     /// # Errors
     ///
     /// A refusal if no server can take the request now.
-    pub fn schedule_request(
+    pub fn schedule_request_among(
         &mut self,
         now: Timestamp,
         admitted: &Admitted,
         prompt: &Prompt,
         digest: RequestDigest,
+        versions: VersionChoice,
         tried: &[ServerKey],
     ) -> Result<ScheduleRequest, Refusal> {
         let parts = prompt.shared_parts().iter().map(|part| part.id);
@@ -184,7 +218,7 @@
             return Err(Refusal::with_retry_after(reason, left));
         }
         self.on_prompt_read(admitted, prompt);
-        let usable = self.usable(now, &admitted.service, tried);
+        let usable = self.usable_of(now, &admitted.service, versions, tried);
         if usable.candidates.is_empty() {
             return Err(usable.refusal(now));
         }
@@ -196,12 +230,14 @@
         // A session is a series of requests with the same beginning of the prompt. A request
         // without a session gets a shard by its time of arrival.
         let session = prompt.session().unwrap_or(admitted.arrived.as_micros());
-        let hashes: Vec<_> = keys
-            .iter()
-            .filter_map(|key| Some(self.servers.get(*key)?.hash))
+        let servers = || keys.iter().filter_map(|key| self.servers.get(*key));
+        let is_followed = self.rollouts.is_enabled();
+        let of_shards: Vec<_> = servers()
+            .filter(|server| !is_followed || versions.accepts(server.version))
+            .map(|server| server.hash)
             .collect();
-        let shard = Shard::of_session(session, hashes.iter().copied());
-        let mut excluded = hashes;
+        let shard = Shard::of_session(session, of_shards.into_iter());
+        let mut excluded: Vec<_> = servers().map(|server| server.hash).collect();
         excluded.retain(|hash| !healthy.contains(hash));
         let workspace = admitted.workspace.as_deref();
         let last_server = prompt
@@ -225,8 +261,14 @@
             last_server: last_server.unwrap_or(0),
             kind: xxh3_64(admitted.route.name.as_bytes()),
             content: digest.content,
-            version: None,
-            except_version: None,
+            version: match versions {
+                VersionChoice::Only(version) => Some(version),
+                VersionChoice::Any | VersionChoice::Except(_) => None,
+            },
+            except_version: match versions {
+                VersionChoice::Except(version) => Some(version),
+                VersionChoice::Any | VersionChoice::Only(_) => None,
+            },
             objective: admitted.route.objective,
             continues_stream: false,
             was_refused: false,
@@ -417,42 +459,78 @@
         self.scheduler.shares_to_send(now)
     }
 
-    /// Whether a server runs a software version, if one is asked for.
-    fn is_version(&self, key: ServerKey, version: Option<VersionId>) -> bool {
-        version.is_none_or(|version| {
-            let server = self.servers.get(key);
-            server.is_some_and(|server| server.version == version)
-        })
+    /// Counts a request as [`Self::place_scheduled_among`] does, at a server of one software version or
+    /// of any.
+    pub fn place_scheduled(
+        &mut self,
+        now: Timestamp,
+        admitted: &Admitted,
+        prompt: &Prompt,
+        version: Option<VersionId>,
+        server: u64,
+        uncached_tokens: u32,
+    ) -> Option<Placement> {
+        let versions = version.map_or(VersionChoice::Any, VersionChoice::Only);
+        self.place_scheduled_among(now, admitted, prompt, versions, server, uncached_tokens)
     }
 
     /// Counts a request at the server that a scheduler chose, and remembers the server for the
-    /// session. `None` if this host may not use the server, or if it does not run `version`.
-    pub fn place_scheduled(
+    /// session. `None` if this host may not use the server, or not for `versions`.
+    pub fn place_scheduled_among(
         &mut self,
         now: Timestamp,
         admitted: &Admitted,
         prompt: &Prompt,
-        version: Option<VersionId>,
+        versions: VersionChoice,
         server: u64,
         uncached_tokens: u32,
     ) -> Option<Placement> {
-        let usable = self.usable(now, &admitted.service, &[]);
+        let usable = self.usable(now, &admitted.service, versions, &[]);
         let chosen = usable.candidates.iter().find(|c| c.hash == server)?;
         let key = chosen.key;
-        if !self.is_version(key, version) {
-            return None;
-        }
         if let Some(session) = prompt.session() {
             self.session_affinity.set(now, session, server);
         }
         self.add_in_flight(now, key, uncached_tokens).ok()
     }
 
-    /// Servers of a service, other than those in `tried`, that may get a request now: they are
+    /// The servers of [`Self::usable`], or a few of them while a version is tried with few requests.
+    fn usable_of(
+        &mut self,
+        now: Timestamp,
+        service: &CompactString,
+        versions: VersionChoice,
+        tried: &[ServerKey],
+    ) -> Usable {
+        let mut usable = self.usable(now, service, versions, tried);
+        let VersionChoice::Only(version) = versions else {
+            return usable;
+        };
+        let servers = self.servers.of_service(service).iter();
+        let servers = servers.filter_map(|key| self.servers.get(*key));
+        let others = servers.filter(|server| server.version != version).count();
+        let hash = xxh3_64(service.as_bytes());
+        if let Some(count) = self.rollouts.trial_servers(hash, version, others) {
+            // All hosts choose the same ones.
+            usable.candidates.sort_unstable_by_key(|c| c.hash);
+            usable.candidates.truncate(count);
+        }
+        usable
+    }
+
+    /// Servers of a service, other than those in `tried`, that may get a request now: their software
+    /// version is one of `versions` and may be used, they are
     /// available and reachable, they have not asked this host for a pause, their failure domain
     /// (zone) is in service, and this host has not used up its share of their connections or of their cold start limit. Each request in flight
     /// counts as one connection.
-    fn usable(&mut self, now: Timestamp, service: &CompactString, tried: &[ServerKey]) -> Usable {
+    fn usable(
+        &mut self,
+        now: Timestamp,
+        service: &CompactString,
+        versions: VersionChoice,
+        tried: &[ServerKey],
+    ) -> Usable {
+        let service_hash = xxh3_64(service.as_bytes());
         let keys = self.servers.of_service(service).to_vec();
         let rates: Vec<f64> = keys
             .iter()
@@ -480,7 +558,11 @@
             let Some(server) = self.servers.get_mut(key) else {
                 continue;
             };
-            let is_usable = server.is_available(now)
+            let (version, seen_at) = (server.version, server.version_seen_at);
+            let exposure = self.rollouts.exposure();
+            let is_usable = versions.accepts(version)
+                && exposure.allows(now, service_hash, version, seen_at)
+                && server.is_available(now)
                 && server.reachability.allows_requests(now)
                 && server.load.requests < connections_per_host
                 && !tried.contains(&key)
--- a/lib/src/entry/rollout/mod.rs
+++ b/lib/src/entry/rollout/mod.rs
@@ -6,16 +6,20 @@
 //! over all hosts.
 
 mod conductor;
+mod control;
 mod evidence;
 mod exposure;
 mod message;
 mod order;
+mod order_tracker;
 mod stored;
 
 pub use conductor::Conductor;
 pub use conductor::ConductorAction;
 pub use conductor::RolloutStep;
 pub use conductor::WriteError;
+pub(crate) use control::CONDUCTOR_HOSTS;
+pub use control::RolloutControl;
 pub use evidence::Evidence;
 pub use evidence::Verdict;
 pub use exposure::AttemptOutcome;
@@ -29,6 +33,11 @@
 pub use order::Order;
 pub use order::RolloutBounds;
 pub use order::RolloutState;
+pub use order_tracker::OrderChanges;
+pub use order_tracker::OrderTracker;
+pub use order_tracker::TrackedOrder;
+pub use stored::ReadFuture;
+pub use stored::ReadRollout;
 pub use stored::RolloutStore;
 pub use stored::StatusFuture;
 pub use stored::StoredRollout;
--- a/lib/src/entry/rollout/stored.rs
+++ b/lib/src/entry/rollout/stored.rs
@@ -41,10 +41,17 @@
 /// Writes the status of the object of a name, on condition that it still has a revision.
 pub type WriteStatus = Box<dyn Fn(&str, u64, &StoredStatus) -> StatusFuture + Send + Sync>;
 
+/// Result of reading the object of a name; `None` if there is none.
+pub type ReadFuture = BoxFuture<'static, Result<Option<StoredRollout>, SourceError>>;
+/// Reads the object of a name from the platform itself.
+pub type ReadRollout = Box<dyn Fn(&str) -> ReadFuture + Send + Sync>;
+
 /// Reads orders from the platform, and writes their status.
 pub struct RolloutStore {
     /// The orders. The name of an object is that of its service.
     pub source: Source<StoredRollout>,
+    /// Reads the present state of an object, to find out what has become of a write.
+    pub read: ReadRollout,
     /// Writes the status of an order.
     pub write_status: WriteStatus,
 }
--- a/lib/src/entry/servers.rs
+++ b/lib/src/entry/servers.rs
@@ -161,6 +161,9 @@
     /// When the cold start ends. This is later than announced if a failed connection has suggested
     /// a restart, until the next announcement arrives.
     pub cold_until: Timestamp,
+    /// When this host first saw a server of the same version, among those that it knew when this one
+    /// arrived.
+    pub version_seen_at: Timestamp,
     /// Load of this host on the server.
     pub load: Load,
     /// Limits this host's requests during a cold start.
@@ -174,7 +177,7 @@
 }
 
 impl Server {
-    fn new(entry: ServerAnnouncement) -> Self {
+    fn new(entry: ServerAnnouncement, version_seen_at: Timestamp) -> Self {
         Self {
             hash: xxh3_64(entry.instance.as_bytes()),
             domain_hash: xxh3_64(entry.domain.as_bytes()),
@@ -187,6 +190,7 @@
                 ..RunStatus::default()
             },
             cold_until: entry.cold_until,
+            version_seen_at,
             load: Load::default(),
             cold_start_limiter: ColdStartLimiter::default(),
             sent_while_limited: SlidingCount::new(SHARE_WINDOW),
@@ -321,13 +325,14 @@
                 && server.entry.service == entry.service
                 && server.entry.address == entry.address;
             if is_same_run && !server.is_removed {
-                return renew(server, entry);
+                return renew(now, server, entry);
             }
             self.remove(now, &entry.instance);
         }
         let instance = entry.instance.clone();
         let service = entry.service.clone();
-        let mut server = Server::new(entry);
+        let seen_at = self.version_seen_at(&entry).unwrap_or(now);
+        let mut server = Server::new(entry, seen_at);
         if let Some(kept) = self.past_runs.remove(&instance)
             && kept.started_at_ms == server.entry.started_at_ms
             && server.entry.has_start_time()
@@ -341,6 +346,17 @@
         ServerChange::Arrived
     }
 
+    /// When the version of an announced server was first seen, `None` if no server has it now.
+    fn version_seen_at(&self, entry: &ServerAnnouncement) -> Option<Timestamp> {
+        let version = VersionId::new(&entry.service, &entry.version);
+        let known = self.of_service(&entry.service).iter();
+        known
+            .filter_map(|key| self.arena.get(*key))
+            .filter(|server| server.version == version)
+            .map(|server| server.version_seen_at)
+            .min()
+    }
+
     /// Records that another host has read in a response that a run is leaving.
     pub fn on_leaving(&mut self, hash: u64, started_at_ms: u64) {
         let server = self.arena.values_mut().find(|server| {
@@ -463,7 +479,7 @@
 }
 
 /// Updates a known server from a newer announcement of the same run.
-fn renew(server: &mut Server, entry: ServerAnnouncement) -> ServerChange {
+fn renew(now: Timestamp, server: &mut Server, entry: ServerAnnouncement) -> ServerChange {
     server.expires_at = None;
     // A run never takes requests again once it has said that it is leaving. If an announcement says
     // so, the platform has gone back to an older state, or the run has only said so in responses.
@@ -476,7 +492,11 @@
         || server.entry.is_leaving != entry.is_leaving;
     server.cold_until = entry.cold_until;
     server.domain_hash = xxh3_64(entry.domain.as_bytes());
-    server.version = VersionId::new(&entry.service, &entry.version);
+    let version = VersionId::new(&entry.service, &entry.version);
+    if server.version != version {
+        server.version = version;
+        server.version_seen_at = now;
+    }
     server.entry = entry;
     if server.run.is_leaving && !was_leaving {
         ServerChange::Leaving
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -16,6 +16,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -67,6 +68,8 @@
     pub(crate) unreadable: IntCounterVec,
     /// Times that reading from the platform started to fail, by kind of object.
     pub(crate) platform_lost: IntCounterVec,
+    /// Metrics of roll-outs.
+    pub(crate) rollout: RolloutStats,
     /// Version of the active configuration.
     pub(crate) config_version: IntGauge,
     /// Backend servers known to this host.
@@ -153,6 +156,7 @@
                 "Times that the platform stopped answering",
                 &["kind"],
             )?,
+            rollout: RolloutStats::new(&registry)?,
             config_version: gauge("config_version", "Version of the configuration")?,
             servers: gauge("servers", "Backend servers known")?,
             log_dropped: gauge("log_lines_dropped", "Log lines dropped")?,
@@ -183,6 +187,42 @@
     }
 }
 
+/// Metrics of the orders to roll out software versions.
+#[derive(Debug)]
+pub(crate) struct RolloutStats {
+    /// Requests sent to servers of services with an order, by service, version and outcome.
+    pub(crate) requests: IntCounterVec,
+    /// State of the order of a service: 1 if it is in progress, 2 completed, 3 reverted.
+    pub(crate) state: IntGaugeVec,
+    /// Whether this host conducts the order of a service.
+    pub(crate) conducting: IntGaugeVec,
+}
+
+impl RolloutStats {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let gauges = |name: &str, help: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &["service"])?;
+            register(registry, gauges)
+        };
+        let opts = Opts::new(
+            "rollout_requests_total",
+            "Requests sent to servers while a version is rolled out",
+        );
+        let requests = IntCounterVec::new(opts, &["service", "version", "outcome"])?;
+        Ok(Self {
+            requests: register(registry, requests)?,
+            state: gauges(
+                "rollout_state",
+                "State of a roll-out: 1 in progress, 2 completed, 3 reverted",
+            )?,
+            conducting: gauges(
+                "rollout_conducting",
+                "Whether this host conducts a roll-out",
+            )?,
+        })
+    }
+}
+
 /// Adds a metric to a registry and returns it.
 fn register<T: Collector + Clone + 'static>(
     registry: &Registry,
--- a/lib/src/entry/updates.rs
+++ b/lib/src/entry/updates.rs
@@ -22,13 +22,16 @@
 
 use super::config::FleetConfig;
 use super::dialect::ServerAnnouncement;
+use super::forward::millis;
 use super::host::EntryHost;
 use super::host::RegisterFuture;
 use super::host::Sources;
 use super::peers::Peer;
+use super::rollout::StoredRollout;
 use super::servers::ServerChange;
 use super::source::Item;
 use super::source::KeptObjects;
+use super::source::Source;
 use super::source::Update;
 use super::source::follow;
 use crate::platform::Backoff;
@@ -70,10 +73,7 @@
     let after_peers = move || {
         let host = start.clone();
         async move {
-            let waited = tokio::time::timeout(PEERS_WAIT, host.link.wait_for_peers()).await;
-            if waited.is_err() {
-                info!(target: "platform", "list of hosts is not known yet; reading other objects");
-            }
+            wait_for_peers(&host).await;
         }
     };
     let state = host.clone();
@@ -145,6 +145,48 @@
     ));
 }
 
+/// Spawns a task that follows the orders to roll out versions.
+pub(crate) fn spawn_rollouts(
+    tasks: &mut JoinSet<()>,
+    host: &Arc<EntryHost>,
+    source: Source<StoredRollout>,
+) {
+    let state = host.clone();
+    let mut stored = KeptObjects::default();
+    let following = follow(source, Duration::ZERO, host.clone(), move |update| {
+        let confirmed_at = match &update {
+            Update::Confirmed(at) => Some(*at),
+            _ => None,
+        };
+        if apply_update(&state, "rollout", &mut stored, update) {
+            let now = state.clock.now();
+            let changes = state.fleet().rollouts().on_orders(now, stored.iter());
+            for order in &changes.set {
+                info!(target: "rollout", service = order.service.as_str(),
+                    version = order.target_name.as_str(), order = format!("{:x}", order.identity),
+                    state = order.state.name(), duration_ms = millis(order.duration);
+                    "order read");
+            }
+        }
+        if let Some(at) = confirmed_at {
+            state.fleet().rollouts().on_confirmed(at);
+        }
+    });
+    let start = host.clone();
+    tasks.spawn(async move {
+        wait_for_peers(&start).await;
+        following.await;
+    });
+}
+
+/// Waits some time for the list of hosts, so that objects can be read from mirror hosts.
+async fn wait_for_peers(host: &EntryHost) {
+    let waited = tokio::time::timeout(PEERS_WAIT, host.link.wait_for_peers()).await;
+    if waited.is_err() {
+        info!(target: "platform", "list of hosts is not known yet; reading other objects");
+    }
+}
+
 /// Registers this host on the platform each time that `registration` is notified; retries until a
 /// call succeeds. A host is missing in the list when it starts for the first time, and when the
 /// platform has gone back to a state from before that.
