--- a/lib/src/entry/rollout/message.rs
+++ b/lib/src/entry/rollout/message.rs
@@ -53,6 +53,24 @@
         None
     }
 
+    /// The responses that have been counted since `earlier`.
+    pub(crate) fn since(&self, earlier: &Self) -> Self {
+        let mut times = *self;
+        for (count, before) in times.counts.iter_mut().zip(earlier.counts) {
+            *count = count.saturating_sub(before);
+        }
+        times
+    }
+
+    /// Number of responses that started later than `bound`, as far as the classes tell.
+    pub(crate) fn later_than(&self, bound: Duration) -> u64 {
+        let mut at_bound = Self::default();
+        at_bound.add(bound);
+        let class = at_bound.counts.iter().position(|count| *count > 0);
+        let later = self.counts.iter().skip(class.unwrap_or(0) + 1);
+        later.map(|count| u64::from(*count)).sum()
+    }
+
     /// Numbers by class, in order.
     pub(crate) fn counts(&self) -> &[u32] {
         &self.counts
