--- a/lib/src/entry/rollout/control.rs
+++ b/lib/src/entry/rollout/control.rs
@@ -6,7 +6,6 @@
 //! rendezvous order of the service conducts the order too. Two conductors do no harm.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -65,8 +64,9 @@
     heard: HashMap<(u64, usize), Heard>,
     /// Phase of the last permit, by hash of the service.
     phases: HashMap<u64, RolloutPhase>,
-    /// Identities of the orders that this host conducts.
-    conducted: HashSet<u64>,
+    /// Orders that this host conducts, by identity, with the revision of their objects that the
+    /// conductor was last told of.
+    conducted: HashMap<u64, u64>,
     /// Time at which the known orders were current.
     confirmed_at: Option<Timestamp>,
 }
@@ -81,7 +81,7 @@
             orders: OrderTracker::default(),
             heard: HashMap::new(),
             phases: HashMap::new(),
-            conducted: HashSet::new(),
+            conducted: HashMap::new(),
             confirmed_at: None,
         }
     }
@@ -179,22 +179,24 @@
         let Some(conductor) = &mut self.conductor else {
             return Vec::new();
         };
-        let mut conducted = HashSet::new();
+        let mut conducted = HashMap::new();
         for tracked in self.orders.iter() {
             let order = &tracked.order;
             let rank = rank_of(order.service_hash);
             if rank.is_some_and(|rank| is_first_alive(now, order, rank, &self.heard)) {
-                conductor.on_order(now, order.clone());
-                // The platform may have gone back to a state from before a final one was written.
-                let state = tracked.stored_state();
-                conductor.on_order(
-                    now,
-                    Order {
-                        state,
-                        ..order.clone()
-                    },
-                );
-                conducted.insert(order.identity);
+                let revision = tracked.stored.revision;
+                let known = self.conducted.get(&order.identity);
+                if known.is_none() {
+                    conductor.on_order(now, order.clone());
+                }
+                // What was written since is known before it is read. The platform may also have gone
+                // back to a state from before a final one was written.
+                if known != Some(&revision) {
+                    let mut stored = order.clone();
+                    stored.state = tracked.stored_state();
+                    conductor.on_order(now, stored);
+                }
+                conducted.insert(order.identity, revision);
             } else {
                 conductor.on_order_removed(order.service_hash);
             }
@@ -205,7 +207,7 @@
 
     /// Whether this host conducts an order.
     pub fn is_conducting(&self, order: u64) -> bool {
-        self.conducted.contains(&order)
+        self.conducted.contains_key(&order)
     }
 
     /// Number of servers that the requests to the target version are sent to while few of them are, so
--- a/lib/src/entry/rollout_task.rs
+++ b/lib/src/entry/rollout_task.rs
@@ -6,6 +6,7 @@
 
 use log::info;
 use log::warn;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
 use super::host::EntryHost;
@@ -40,9 +41,11 @@
 pub(crate) async fn run(host: Arc<EntryHost>, writer: StatusWriter) {
     let writer = Arc::new(writer);
     let mut writes = JoinSet::new();
+    let written = Arc::new(Notify::new());
     let mut next_report_at = Timestamp::ZERO;
     loop {
-        tokio::time::sleep(TICK_PERIOD).await;
+        // Hosts are told at once that an order is completed: the old servers stop then.
+        let _ = tokio::time::timeout(TICK_PERIOD, written.notified()).await;
         while writes.try_join_next().is_some() {}
         let now = host.clock.now();
         if next_report_at.has_passed(now) {
@@ -62,7 +65,12 @@
             match action {
                 ConductorAction::Send(permit) => host.link.send_permit(&host, permit).await,
                 ConductorAction::Write { order, state } => {
-                    writes.spawn(write_state(host.clone(), writer.clone(), order, state));
+                    let written = written.clone();
+                    let writing = write_state(host.clone(), writer.clone(), order, state);
+                    writes.spawn(async move {
+                        writing.await;
+                        written.notify_one();
+                    });
                 }
                 ConductorAction::Step(step) => log_step(&step),
             }
