--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -74,7 +74,10 @@
 ) -> Result<Assignment, Refusal> {
     let now = host.clock.now();
     let admitted = &call.admitted;
-    let versions = host.fleet().choose_versions(now, admitted, version);
+    let is_retry = !tried.is_empty();
+    let versions = host
+        .fleet()
+        .choose_versions(now, admitted, version, is_retry);
     let (None, VersionChoice::Only(target)) = (version, versions) else {
         return assign_of(host, call, versions, tried).await;
     };
--- a/lib/src/entry/rollout/control.rs
+++ b/lib/src/entry/rollout/control.rs
@@ -101,6 +101,14 @@
         &self.orders
     }
 
+    /// The version that is being rolled out for a service, `None` unless an order is in progress.
+    pub fn target_in_progress(&self, service: u64) -> Option<VersionId> {
+        let mut orders = self.orders.orders();
+        let order = orders.find(|order| order.service_hash == service)?;
+        let is_final = self.exposure.state(service)?.is_final();
+        (!is_final).then_some(order.target)
+    }
+
     /// Takes the orders that are stored now. Returns what has changed.
     pub fn on_orders<'a>(
         &mut self,
@@ -216,11 +224,8 @@
     /// concentrated.
     pub fn trial_servers(&self, service: u64, version: VersionId, others: usize) -> Option<usize> {
         let bounds = self.bounds?;
-        let order = self.orders.orders().find(|order| {
-            let is_of_service = order.service_hash == service && order.target == version;
-            is_of_service && !order.state.is_final()
-        });
-        order?;
+        self.target_in_progress(service)
+            .filter(|target| *target == version)?;
         let is_canary = matches!(self.phases.get(&service), Some(RolloutPhase::Canary { .. }));
         let servers = bounds.exposure_share / 2.0 * others as f64;
         is_canary.then_some((servers as usize).max(1))
--- a/lib/src/entry/rollout/order_tracker.rs
+++ b/lib/src/entry/rollout/order_tracker.rs
@@ -73,8 +73,11 @@
             && before.target == stored.target
             && before.duration == stored.duration;
         let is_newer = stored.revision > before.revision;
-        // Only a write of the order leaves the status as it is.
-        let is_rewritten = is_newer && before.status == stored.status;
+        // Only a write of the order leaves the status as it is. The order of a version that already serves
+        // all requests changes nothing.
+        let is_rewritten = is_newer
+            && before.status == stored.status
+            && self.order.state != RolloutState::Completed;
         let later = stored
             .status
             .as_ref()
--- a/lib/src/entry/version_traffic.rs
+++ b/lib/src/entry/version_traffic.rs
@@ -31,17 +31,22 @@
 
 impl Fleet {
     /// Decides which software versions the server of a request may have. `bound_to` is set if the
-    /// request continues a stream, which only servers of that version may do.
+    /// request continues a stream, which only servers of that version may do. A request that has failed
+    /// at a server is not used to try a version: its caller would lose it to a bad one.
     pub(super) fn choose_versions(
         &mut self,
         now: Timestamp,
         admitted: &Admitted,
         bound_to: Option<VersionId>,
+        is_retry: bool,
     ) -> VersionChoice {
         if let Some(version) = bound_to {
             return VersionChoice::Only(version);
         }
         let service = xxh3_64(admitted.service.as_bytes());
+        if is_retry && let Some(target) = self.rollouts.target_in_progress(service) {
+            return VersionChoice::Except(target);
+        }
         let route = xxh3_64(admitted.route.name.as_bytes());
         self.rollouts.exposure().choose(now, service, route)
     }
--- a/lib/tests/test_entry_rollout_control.rs
+++ b/lib/tests/test_entry_rollout_control.rs
@@ -81,6 +81,16 @@
     assert_eq!(going.state, RolloutState::InProgress);
 }
 
+/// An operator who stores the same order again must not take a version out of use that serves all
+/// requests.
+#[test]
+fn order_for_a_completed_version_changes_nothing() {
+    let completed = Some((RolloutState::Completed, Some(5)));
+    let first = [stored(5, None), stored(9, completed)];
+    let again = [&first[..], &[stored(12, completed)]].concat();
+    assert_eq!(order_after(&again), order_after(&first));
+}
+
 /// The platform may go back to a state from before the final one was written.
 #[test]
 fn final_state_is_kept_when_the_platform_goes_back() {
