--- a/lib/src/entry/rollout/conductor.rs
+++ b/lib/src/entry/rollout/conductor.rs
@@ -43,8 +43,10 @@
 
 /// Share of requests that a roll-out starts with.
 const SHARE_FIRST: f64 = 0.02;
-/// Responses of the target version without a sign of a fault after which it gets the whole share.
+/// Responses of the target version without a sign of a fault after which it gets the whole share, and the
+/// time in which a service with few requests is to have them.
 const FIRST_RESPONSES: u64 = 20;
+const FIRST_RESPONSES_TIME: Duration = Duration::from_secs(3);
 /// Interval between changes of the share that hosts are told.
 const SHARE_INTERVAL: Duration = Duration::from_millis(500);
 /// Factor by which that share grows while hosts together send less than they should: each of them keeps a
@@ -375,11 +377,12 @@
     /// the slack is spread over the requests until the deadline.
     fn intended_share(&self, now: Timestamp, bounds: &RolloutBounds) -> f64 {
         let share = CANARY_SHARE * bounds.exposure_share;
-        if self.evidence.target_responses() < FIRST_RESPONSES {
-            return SHARE_FIRST.min(share);
-        }
         let age = now.since(self.began_at).as_secs_f64().max(0.1);
         let requests = self.evidence.requests().max(1) as f64;
+        if self.evidence.target_responses() < FIRST_RESPONSES {
+            let soon = requests / age * FIRST_RESPONSES_TIME.as_secs_f64();
+            return (FIRST_RESPONSES as f64 / soon).max(SHARE_FIRST).min(share);
+        }
         let expected = requests * (self.order.duration.as_secs_f64() / age).max(1.0);
         let with_slack = share + CANARY_SLACK * bounds.exposure_slack / expected;
         with_slack.min(CANARY_SHARE_MAX * bounds.exposure_share)
--- a/lib/src/entry/rollout/evidence.rs
+++ b/lib/src/entry/rollout/evidence.rs
@@ -39,8 +39,11 @@
 const BAD_DEVIATIONS: f64 = 3.0;
 /// Standard deviations that are added to the rate of the other version.
 const BASE_DEVIATIONS: f64 = 1.0;
-/// Factor over the rate of the other version.
+/// Factor over the rate of the other version, and the one from `BAD_MANY` bad responses on: the bounds
+/// count 50 of them.
 const BAD_EXCESS: f64 = 2.0;
+const BAD_EXCESS_MANY: f64 = 1.5;
+const BAD_MANY: u64 = 30;
 /// Least number of failures, or of late responses, that decide.
 const BAD_MIN: u64 = 5;
 /// Least failure rate that decides.
@@ -61,12 +64,19 @@
 /// there is enough evidence of quiet times. Servers of the other version may have faults of their own.
 const EXCUSED_RATE_MAX: f64 = 0.03;
 
+/// Number of latest intervals in which late starts have to go on: the first requests find cold servers.
+const LATE_INTERVALS: usize = 3;
+/// Least number of responses that show whether they do; more intervals are taken until there are so many.
+const LATE_KNOWN: u64 = 5;
+/// Bad responses of a single interval that are left out where slight signs of a fault are looked for.
+const CLUSTER_MIN: u64 = 3;
+
 /// Responses that prove a version without failures, and the number for each failure more than expected.
 const PROOF_MIN: f64 = 40.0;
 const PROOF_PER_FAILURE: f64 = 20.0;
 /// Responses that prove a route, unless it has few requests; then one of this number of requests.
 const PROOF_ROUTE: u64 = 30;
-const PROOF_ROUTE_PART: u64 = 16;
+const PROOF_ROUTE_PART: u64 = 10;
 
 /// What the evidence says of the version that is rolled out.
 #[derive(Clone, Debug, PartialEq)]
@@ -281,11 +291,30 @@
     expected_max: f64,
 }
 
+/// Which time is compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SpanKind {
+    /// All since the order.
+    Whole,
+    /// The latest intervals.
+    Lately,
+    /// The intervals in which the other version hardly failed.
+    Quiet,
+}
+
+impl SpanKind {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "since the order",
+            Self::Lately => "lately",
+            Self::Quiet => "while the other version did not fail",
+        }
+    }
+}
+
 /// A span of time: outcomes before it began to be split, and single intervals.
 struct Span<'a> {
-    name: &'static str,
-    /// Whether only intervals count in which the other version hardly failed.
-    is_quiet: bool,
+    kind: SpanKind,
     before: Option<&'a Sums>,
     intervals: Vec<&'a Sums>,
     /// Sums of all of them.
@@ -293,18 +322,12 @@
 }
 
 impl<'a> Span<'a> {
-    fn new(
-        name: &'static str,
-        is_quiet: bool,
-        before: Option<&'a Sums>,
-        intervals: Vec<&'a Sums>,
-    ) -> Self {
+    fn new(kind: SpanKind, before: Option<&'a Sums>, intervals: Vec<&'a Sums>) -> Self {
         let mut whole = Sums::default();
         let parts = before.into_iter().chain(intervals.iter().copied());
         parts.for_each(|part| whole.add(part));
         Self {
-            name,
-            is_quiet,
+            kind,
             before,
             intervals,
             whole,
@@ -337,27 +360,84 @@
         if with_bad < 3 && bad_before < BAD_MIN {
             return None;
         }
-        let mut rest = Sums::default();
-        self.before.into_iter().for_each(|part| rest.add(part));
-        let others = self.intervals.iter().enumerate();
-        let others = others.filter(|(part, _)| Some(*part) != worst);
-        others.for_each(|(_, part)| rest.add(part));
+        let rest = self.without(worst);
         let compared = compare(measure, &rest, whole, route);
         let Tally { bad, all } = compared.target;
         if bad < BAD_MIN || all < measure.responses_min() {
             return None;
         }
-        let limit = BAD_EXCESS * compared.expected_max / all as f64;
+        if measure != Measure::Failed && !self.goes_on(measure, route) {
+            return None;
+        }
+        let excess = if bad >= BAD_MANY {
+            BAD_EXCESS_MANY
+        } else {
+            BAD_EXCESS
+        };
+        let limit = excess * compared.expected_max / all as f64;
         let lower = compared.target.bound(-BAD_DEVIATIONS);
         (lower > limit.max(measure.rate_min(bad))).then(|| {
             format!(
                 "{}: {bad} of {all} responses {}, expected {:.1}",
                 measure.name(),
-                self.name,
+                self.kind.name(),
                 compared.expected
             )
         })
     }
+
+    /// Sums of all parts but one interval.
+    fn without(&self, interval: Option<usize>) -> Sums {
+        let mut rest = Sums::default();
+        self.before.into_iter().for_each(|part| rest.add(part));
+        let parts = self.intervals.iter().enumerate();
+        let parts = parts.filter(|(part, _)| Some(*part) != interval);
+        parts.for_each(|(_, part)| rest.add(part));
+        rest
+    }
+
+    /// Whether the latest starts are late too.
+    fn goes_on(&self, measure: Measure, route: Option<u64>) -> bool {
+        let mut latest = Sums::default();
+        for (n, part) in self.intervals.iter().rev().enumerate() {
+            latest.add(part);
+            let Tally { bad, all } = compare(measure, &latest, &self.whole, route).target;
+            if n + 1 >= LATE_INTERVALS && all >= LATE_KNOWN {
+                return bad as f64 >= measure.rate_min(0) / 2.0 * all as f64;
+            }
+        }
+        true
+    }
+
+    /// Number of failures of the target version on a route, or on all, and the number that is expected of
+    /// it: at least that of the other version in the same intervals, of which at most `excused_max`
+    /// counts. An interval with many failures is left out.
+    fn failures(&self, route: Option<u64>, excused_max: f64) -> (f64, f64) {
+        let pooled = compare(Measure::Failed, &self.whole, &self.whole, route);
+        let rate = pooled.expected / pooled.target.all.max(1) as f64;
+        let parts = self
+            .before
+            .into_iter()
+            .chain(self.intervals.iter().copied());
+        let parts = parts.map(|part| compare(Measure::Failed, part, part, route));
+        let mut parts: Vec<_> = parts.collect();
+        let worst = parts[self.before.iter().len()..]
+            .iter()
+            .map(|part| part.target.bad)
+            .max()
+            .filter(|bad| *bad >= CLUSTER_MIN);
+        if let Some(worst) = worst
+            && let Some(index) = parts.iter().rposition(|part| part.target.bad == worst)
+        {
+            parts.remove(index);
+        }
+        let bad = parts.iter().map(|part| part.target.bad).sum::<u64>() as f64;
+        let expected = parts.iter().map(|part| {
+            let all = part.target.all as f64;
+            part.expected.max(rate * all).min(excused_max * all)
+        });
+        (bad, expected.sum())
+    }
 }
 
 /// Compares the versions on one route, or on all together. The mix of routes may differ between the
@@ -389,8 +469,12 @@
 }
 
 /// Number of bad responses up to which a version that is expected to have `expected` shows no fault.
-fn unsuspicious(expected: f64) -> f64 {
-    expected + 2.0 * expected.sqrt() + 1.0
+/// `is_whole` states whether they are those of the whole order; short spans are many.
+fn unsuspicious(expected: f64, is_whole: bool) -> f64 {
+    match is_whole {
+        true => expected + 2.0 * expected.sqrt() + 1.0,
+        false => expected + 3.0 * expected.sqrt() + 2.0,
+    }
 }
 
 /// The last report of a run of a host.
@@ -558,21 +642,11 @@
     /// The spans of time that are compared; `current` is the interval that has not been finished.
     fn spans<'a>(&'a self, current: Option<&'a Sums>) -> Vec<Span<'a>> {
         let intervals: Vec<_> = self.intervals.iter().chain(current).collect();
-        let since_order = Span::new(
-            "since the order",
-            false,
-            Some(&self.before),
-            intervals.clone(),
-        );
+        let since_order = Span::new(SpanKind::Whole, Some(&self.before), intervals.clone());
         let latest = |count: usize| intervals[intervals.len().saturating_sub(count)..].to_vec();
-        let lately = SPANS.map(|count| Span::new("lately", false, None, latest(count)));
+        let lately = SPANS.map(|count| Span::new(SpanKind::Lately, None, latest(count)));
         let quiet = intervals.iter().copied().filter(|sums| sums.is_quiet());
-        let quiet = Span::new(
-            "while the other version did not fail",
-            true,
-            None,
-            quiet.collect(),
-        );
+        let quiet = Span::new(SpanKind::Quiet, None, quiet.collect());
         [since_order]
             .into_iter()
             .chain(lately)
@@ -608,7 +682,7 @@
 
 /// Whether the target version does worse than expected over one of the spans of time.
 fn is_any_suspicious(spans: &[Span<'_>]) -> bool {
-    let quiet = spans.iter().filter(|span| span.is_quiet);
+    let quiet = spans.iter().filter(|span| span.kind == SpanKind::Quiet);
     let known: u64 = quiet
         .map(|span| span.whole.total().target.responses())
         .sum();
@@ -625,16 +699,17 @@
     let sums = &span.whole;
     let routes = sums.0.keys().copied().map(Some);
     for route in [None].into_iter().chain(routes) {
-        let failed = compare(Measure::Failed, sums, sums, route);
-        let excused = excused_max * failed.target.all as f64;
-        if failed.target.bad as f64 > unsuspicious(failed.expected.min(excused)) {
+        let is_whole = span.kind != SpanKind::Lately;
+        let (bad, expected) = span.failures(route, excused_max);
+        if bad > unsuspicious(expected, is_whole) {
             return true;
         }
         for measure in [Measure::LateMedian, Measure::LateDecile] {
             let late = compare(measure, sums, sums, route);
-            let usual = late.target.all as f64 * measure.rate_min(0);
+            let usual = late.target.all as f64 * measure.rate_min(0) / 2.0;
             let expected = usual.max(BAD_EXCESS * late.expected);
-            if late.target.bad as f64 > unsuspicious(expected) {
+            let bad = late.target.bad as f64;
+            if bad > unsuspicious(expected, is_whole) && span.goes_on(measure, route) {
                 return true;
             }
         }
--- a/lib/src/entry/rollout/exposure.rs
+++ b/lib/src/entry/rollout/exposure.rs
@@ -10,6 +10,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::super::stream_origins::VersionId;
 use super::message::RolloutPermit;
 use super::message::RolloutPhase;
@@ -81,6 +83,7 @@
 #[derive(Debug)]
 struct Rollout {
     order: Order,
+    incarnation: u64,
     /// Whether a conductor has said that the order is reverted. It may not have been written yet.
     is_withdrawn: bool,
     /// Until when the last permit holds.
@@ -102,9 +105,10 @@
 }
 
 impl Rollout {
-    fn new(order: Order) -> Self {
+    fn new(order: Order, incarnation: u64) -> Self {
         Self {
             order,
+            incarnation,
             is_withdrawn: false,
             permitted_until: Timestamp::ZERO,
             shift_at: None,
@@ -138,16 +142,18 @@
         (self.spent + 1) as f64 <= allowed
     }
 
-    /// Whether it is the turn of a route: no other route has had fewer requests at the target version,
-    /// or all of them have left the credit unused.
+    /// Whether it is the turn of a route: the one with fewest requests at the target version, or any if
+    /// that one has left the credit unused for long. Each host takes the routes in an order of its own:
+    /// with many hosts, each has only a few requests to give.
     fn is_turn(&self, route: u64) -> bool {
-        let at_target = |route: u64| {
+        let key = |route: u64| {
             let sums = self.outcomes.get(&(route, true));
-            sums.map_or(0, |sums| sums.sent)
+            let seed = self.order.identity ^ self.incarnation;
+            let rank = xxh3_64_with_seed(&route.to_le_bytes(), seed);
+            (sums.map_or(0, |sums| sums.sent), rank)
         };
-        let routes = self.outcomes.keys().map(|(route, _)| *route);
-        let least = routes.map(at_target).min().unwrap_or(0);
-        at_target(route) <= least || self.credit >= CREDIT_MAX
+        let mut routes = self.outcomes.keys().map(|(route, _)| *route);
+        self.credit >= CREDIT_MAX || routes.all(|other| key(route) <= key(other))
     }
 
     /// Whether a request is to go to the target version. `usual` is how long requests of its route
@@ -230,7 +236,7 @@
                     known.order.state = order.state;
                 }
             }
-            rollout => *rollout = Some(Rollout::new(order)),
+            rollout => *rollout = Some(Rollout::new(order, self.incarnation)),
         }
     }
 
