entry: separate modules for the sums and the comparison of roll-outs

evidence.rs held sums by route, the statistics of a comparison and the reports of hosts. Code is moved and otherwise unchanged.

--- a/lib/src/entry/rollout/mod.rs
+++ b/lib/src/entry/rollout/mod.rs
@@ -5,7 +5,9 @@
 //! replaces. Until it has proven itself, it gets a small share of the requests of the service, summed
 //! over all hosts.
 
+mod comparison;
 mod conductor;
+mod counts;
 mod evidence;
 mod exposure;
 mod message;
--- a/lib/tests/test_entry_rollout.rs
+++ b/lib/tests/test_entry_rollout.rs
@@ -50,6 +50,10 @@
     Timestamp::from_micros(millis * 1_000)
 }
 
+fn old_version() -> VersionId {
+    VersionId::new(SERVICE, "v1")
+}
+
 fn order(number: u64, learned_ms: u64) -> Order {
     let revision = StoreRevision { era: 0, number };
     let duration = Duration::from_millis(DEADLINE_MS - ORDERED_MS);
@@ -112,9 +116,18 @@
     }
 }
 
+/// A request that was sent to a server.
+#[derive(Clone, Copy)]
+struct Attempt {
+    host: usize,
+    incarnation: u64,
+    route: u64,
+    version: VersionId,
+}
+
 enum Event {
-    Outcome(usize, u64, usize, VersionId, AttemptOutcome),
-    Ended(usize, u64, usize, VersionId, Duration),
+    Outcome(Attempt, AttemptOutcome),
+    Ended(Attempt, Duration),
     Report(usize, u64, RolloutReport),
     Permit(usize, RolloutPermit),
     Written(usize, u64, Result<RolloutState, WriteError>),
@@ -197,19 +210,18 @@
         let (service, target) = (self.order.service_hash, self.order.target);
         let now = at(self.now);
         let (incarnation, exposure) = &mut self.hosts[host];
-        let incarnation = *incarnation;
-        let is_target = match exposure.choose(now, service, route as u64) {
-            VersionChoice::Any | VersionChoice::Except(_) => false,
-            VersionChoice::Only(version) => version == target,
-        };
-        let version = if is_target {
-            target
-        } else {
-            VersionId::new(SERVICE, "v1")
-        };
+        let choice = exposure.choose(now, service, route as u64);
+        let is_target = choice == VersionChoice::Only(target);
+        let version = if is_target { target } else { old_version() };
         // The new servers start after the order.
         assert!(!is_target || exposure.allows(now, service, target, at(ORDERED_MS)));
         exposure.on_sent(now, service, route as u64, version);
+        let attempt = Attempt {
+            host,
+            incarnation: *incarnation,
+            route: route as u64,
+            version,
+        };
         let call = Call {
             now: self.now,
             route,
@@ -218,31 +230,22 @@
         self.count(call);
         let factor = (self.load.behaviour)(call, &mut self.rng);
         let spread = self.rng.random_range(0.5..2.0);
-        let start = ROUTES[route].1 * spread * factor.unwrap_or(0.3);
+        let start = (ROUTES[route].1 * spread * factor.unwrap_or(0.3)) as u64;
+        let after = Some(Duration::from_millis(start));
         let (outcome, took) = match factor {
-            Some(_) => {
-                let after = Some(Duration::from_micros((start * 1_000.0) as u64));
-                (AttemptOutcome::Responded { after }, 2.0 * start)
-            }
+            Some(_) => (AttemptOutcome::Responded { after }, 2 * start),
             None => (AttemptOutcome::Failed, start),
         };
         if is_target && factor.is_none_or(|factor| factor > 2.0) {
-            self.outcome.bad_ms.push(self.now + start as u64);
+            self.outcome.bad_ms.push(self.now + start);
         }
-        self.after(
-            start as u64,
-            Event::Outcome(host, incarnation, route, version, outcome),
-        );
-        let took_for = Duration::from_millis(took as u64);
-        self.after(
-            took as u64,
-            Event::Ended(host, incarnation, route, version, took_for),
-        );
+        self.after(start, Event::Outcome(attempt, outcome));
+        self.after(took, Event::Ended(attempt, Duration::from_millis(took)));
     }
 
     fn count(&mut self, call: Call) {
-        let is_final = self.stored == RolloutState::Completed;
-        if !(ORDERED_MS..DEADLINE_MS).contains(&call.now) || is_final {
+        let is_counted = (ORDERED_MS..DEADLINE_MS).contains(&call.now);
+        if !is_counted || self.stored == RolloutState::Completed {
             return;
         }
         self.outcome.requests += 1;
@@ -253,19 +256,23 @@
         }
     }
 
+    /// The host that sent a request, unless it has restarted since.
+    fn sender(&mut self, attempt: Attempt) -> Option<&mut Exposure> {
+        let (incarnation, exposure) = &mut self.hosts[attempt.host];
+        (*incarnation == attempt.incarnation).then_some(exposure)
+    }
+
     fn apply(&mut self, event: Event) {
         let (now, service) = (at(self.now), self.order.service_hash);
         match event {
-            Event::Outcome(host, incarnation, route, version, outcome) => {
-                if self.hosts[host].0 == incarnation {
-                    let exposure = &mut self.hosts[host].1;
-                    exposure.on_outcome(service, route as u64, version, outcome);
+            Event::Outcome(attempt, outcome) => {
+                if let Some(exposure) = self.sender(attempt) {
+                    exposure.on_outcome(service, attempt.route, attempt.version, outcome);
                 }
             }
-            Event::Ended(host, incarnation, route, version, took) => {
-                if self.hosts[host].0 == incarnation {
-                    let exposure = &mut self.hosts[host].1;
-                    exposure.on_ended(service, route as u64, version, took);
+            Event::Ended(attempt, took) => {
+                if let Some(exposure) = self.sender(attempt) {
+                    exposure.on_ended(service, attempt.route, attempt.version, took);
                 }
             }
             Event::Report(to, from, report) => {
@@ -442,40 +449,40 @@
     check(good, RolloutState::Completed, |_| {});
 }
 
+/// Guards against a version that is bad from the start or late, on all routes or on one, and is completed.
 #[test]
-fn a_version_that_fails_a_tenth_is_reverted() {
-    check(fails_a_tenth, RolloutState::Reverted, |_| {});
+fn bad_versions_are_reverted() {
+    let fails_on_a_route = |call: Call, rng: &mut StdRng| {
+        (!call.is_target || call.route != 3 || !rng.random_bool(0.4)).then_some(1.0)
+    };
+    let fails_all = |call: Call, _: &mut StdRng| (!call.is_target).then_some(1.0);
+    let is_slow_on_a_route = |call: Call, _: &mut StdRng| {
+        Some(if call.is_target && call.route == 2 {
+            4.0
+        } else {
+            1.0
+        })
+    };
+    for behaviour in [
+        fails_a_tenth as Behaviour,
+        fails_late,
+        fails_on_a_route,
+        fails_all,
+        is_slow,
+        is_slow_on_a_route,
+    ] {
+        check(behaviour, RolloutState::Reverted, |_| {});
+    }
 }
 
-/// Failures in a tenth of the requests from the given time on.
 fn fails_late(call: Call, rng: &mut StdRng) -> Option<f64> {
     (!call.is_target || call.now < 9_500 || !rng.random_bool(0.3)).then_some(1.0)
 }
 
-fn fails_on_a_rare_route(call: Call, rng: &mut StdRng) -> Option<f64> {
-    let is_bad = call.is_target && call.route == 3;
-    (!is_bad || !rng.random_bool(0.4)).then_some(1.0)
-}
-
-fn fails_all(call: Call, _: &mut StdRng) -> Option<f64> {
-    (!call.is_target).then_some(1.0)
-}
-
 fn is_slow(call: Call, _: &mut StdRng) -> Option<f64> {
     Some(if call.is_target { 4.0 } else { 1.0 })
 }
 
-fn is_slow_on_a_route(call: Call, _: &mut StdRng) -> Option<f64> {
-    let is_bad = call.is_target && call.route == 2;
-    Some(if is_bad { 4.0 } else { 1.0 })
-}
-
-/// A bad version that shows it only in a burst.
-fn fails_under_load(call: Call, rng: &mut StdRng) -> Option<f64> {
-    let is_bad = call.is_target && in_burst(call.now);
-    (!is_bad || !rng.random_bool(0.2)).then_some(1.0)
-}
-
 fn in_burst(now: u64) -> bool {
     (6_000..10_000).contains(&now)
 }
@@ -503,23 +510,13 @@
     good_among_faults(call, rng).filter(|_| !call.is_target || !rng.random_bool(0.15))
 }
 
-#[test]
-fn bad_versions_are_reverted() {
-    for behaviour in [
-        fails_late as Behaviour,
-        fails_on_a_rare_route,
-        fails_all,
-        is_slow,
-        is_slow_on_a_route,
-    ] {
-        check(behaviour, RolloutState::Reverted, |_| {});
-    }
-}
-
 #[test]
 fn bursts_and_old_servers_with_faults_are_not_attributed_to_the_version() {
     check(good_among_faults, RolloutState::Completed, burst);
     check(bad_among_faults, RolloutState::Reverted, burst);
+    let fails_under_load = |call: Call, rng: &mut StdRng| {
+        (!call.is_target || !in_burst(call.now) || !rng.random_bool(0.2)).then_some(1.0)
+    };
     check(fails_under_load, RolloutState::Reverted, burst);
 }
 
@@ -605,8 +602,7 @@
     exposure.on_confirmed(at(3_100));
     exposure.on_state(at(3_100), order.clone());
     exposure.on_permit(at(3_100), permit(order, ALL));
-    let old = VersionId::new(SERVICE, "v1");
-    (0..100).for_each(|_| exposure.on_sent(at(3_100), order.service_hash, 0, old));
+    (0..100).for_each(|_| exposure.on_sent(at(3_100), order.service_hash, 0, old_version()));
     exposure
 }
 
@@ -670,8 +666,7 @@
         VersionChoice::Only(order.target)
     );
     assert!(exposure.reports(at(3_500)).is_empty());
-    let old = VersionId::new(SERVICE, "v1");
-    assert!(!exposure.allows(at(3_500), order.service_hash, old, at(0)));
+    assert!(!exposure.allows(at(3_500), order.service_hash, old_version(), at(0)));
 }
 
 /// Guards against a host that sees the servers of a new version before it sees the order.
@@ -747,7 +742,7 @@
                 exposure.on_unused(order.service_hash);
                 continue;
             }
-            let version = if is_target { order.target } else { VersionId::new(SERVICE, "v1") };
+            let version = if is_target { order.target } else { old_version() };
             exposure.on_sent(now, order.service_hash, route, version);
             sent += 1;
             at_target += u64::from(is_target);
