--- a/lib/src/entry/rollout/mod.rs
+++ b/lib/src/entry/rollout/mod.rs
@@ -5,8 +5,10 @@
 //! replaces. Until it has proven itself, it gets a small share of the requests of the service, summed
 //! over all hosts.
 
+mod comparison;
 mod conductor;
 mod control;
+mod counts;
 mod evidence;
 mod exposure;
 mod message;
