entry: tests of the protections of the evidence of roll-outs

Each now has a test that fails without it: leaving out the worst interval, comparing recent time, collecting reports after a takeover, the order of reports, and recent responses before a version counts as sound.

--- a/lib/tests/test_entry_rollout.rs
+++ b/lib/tests/test_entry_rollout.rs
@@ -13,6 +13,7 @@
 use cardamomshift_lib::entry::AttemptOutcome;
 use cardamomshift_lib::entry::Conductor;
 use cardamomshift_lib::entry::ConductorAction;
+use cardamomshift_lib::entry::Evidence;
 use cardamomshift_lib::entry::Exposure;
 use cardamomshift_lib::entry::Order;
 use cardamomshift_lib::entry::RolloutBounds;
@@ -20,7 +21,10 @@
 use cardamomshift_lib::entry::RolloutPhase;
 use cardamomshift_lib::entry::RolloutReport;
 use cardamomshift_lib::entry::RolloutState;
+use cardamomshift_lib::entry::RouteOutcomes;
+use cardamomshift_lib::entry::StartTimes;
 use cardamomshift_lib::entry::StoreRevision;
+use cardamomshift_lib::entry::Verdict;
 use cardamomshift_lib::entry::VersionChoice;
 use cardamomshift_lib::entry::VersionId;
 use cardamomshift_lib::entry::WriteError;
@@ -712,6 +716,103 @@
     assert_eq!(writes, [RolloutState::InProgress, RolloutState::Reverted]);
 }
 
+/// Guards against a conductor that is cut off and completes by what its own host sees.
+#[test]
+fn a_conductor_that_is_cut_off_does_not_complete() {
+    check(good, RolloutState::Reverted, |load| {
+        load.hosts = load.hosts.max(7);
+        load.is_cut = |now, host| host == 0 && now >= 7_000;
+    });
+}
+
+/// Guards against a conductor that permits requests before it knows what the one before it had seen.
+#[test]
+fn a_conductor_that_takes_over_collects_reports_first() {
+    let mut order = order(1, 3_100);
+    order.state = RolloutState::InProgress;
+    let mut conductor = Conductor::new(BOUNDS);
+    conductor.on_order(at(3_100), order);
+    assert_eq!(conductor.tick(at(3_100)), []);
+    assert_eq!(conductor.tick(at(3_650)), []);
+    assert_eq!(conductor.tick(at(3_700)).len(), 1);
+}
+
+/// Good and failed responses of the target version and of the other one.
+type Responses = [u32; 4];
+
+/// What hosts report that get some responses every 250 ms, by the time since the order.
+fn judge(until: u64, responses: fn(u64) -> Responses) -> (Evidence, Verdict) {
+    let order = order(1, 0);
+    let mut report = Exposure::new(1, Some(BOUNDS));
+    report.on_state(at(0), order.clone());
+    let mut report = report.reports(at(0)).remove(0);
+    let outcomes = [true, false].map(|is_target| RouteOutcomes {
+        route: 1,
+        is_target,
+        sent: 0,
+        failed: 0,
+        start_times: StartTimes::default(),
+    });
+    report.outcomes = outcomes.to_vec();
+    let mut evidence = Evidence::default();
+    let mut verdict = Verdict::Unclear;
+    for now in (0..=until).step_by(250) {
+        let older = report.clone();
+        let numbers = responses(now);
+        for (outcome, [good, failed]) in report.outcomes.iter_mut().zip(numbers.as_chunks().0) {
+            outcome.sent += good + failed;
+            outcome.failed += failed;
+            (0..*good).for_each(|_| outcome.start_times.add(Duration::from_millis(80)));
+        }
+        report.age = Duration::from_millis(now + 1);
+        evidence.on_report(at(now), 1, report.clone());
+        // A report that was overtaken.
+        evidence.on_report(at(now), 1, older);
+        verdict = evidence.verdict(at(now));
+        if matches!(verdict, Verdict::Bad { .. }) {
+            break;
+        }
+    }
+    (evidence, verdict)
+}
+
+/// Guards against a crash of one server of the version that counts as a fault of all.
+#[test]
+fn failures_of_one_moment_do_not_decide() {
+    let (evidence, verdict) = judge(8_000, |now| match now {
+        7_000 => [10, 25, 200, 0],
+        2_000 | 5_000 => [10, 1, 200, 0],
+        _ => [10, 0, 200, 0],
+    });
+    assert!(!matches!(verdict, Verdict::Bad { .. }), "{verdict:?}");
+    // Reports that were overtaken have no effect.
+    assert_eq!(evidence.target_requests(), 33 * 10 + 27);
+}
+
+/// Guards against a version that turns bad late, whose good sums hide it.
+#[test]
+fn a_version_that_turns_bad_late_is_recognised() {
+    let (_, verdict) = judge(13_000, |now| match now {
+        0..10_000 => [49, 1, 196, 4],
+        _ => [45, 5, 196, 4],
+    });
+    assert!(matches!(verdict, Verdict::Bad { .. }), "{verdict:?}");
+}
+
+/// Guards against a version that is completed by old evidence, while hosts send it nothing any more.
+#[test]
+fn a_version_that_gets_no_requests_is_not_sound() {
+    let used = |now| {
+        if now < 9_000 {
+            [10, 0, 200, 0]
+        } else {
+            [0, 0, 200, 0]
+        }
+    };
+    assert_eq!(judge(8_500, used).1, Verdict::Sound);
+    assert_eq!(judge(12_000, used).1, Verdict::Unclear);
+}
+
 fn phase() -> impl Strategy<Value = RolloutPhase> {
     let share =
         (0..=1_000_000u32).prop_map(|share_millionths| RolloutPhase::Canary { share_millionths });
