shares: judge by a longer span where shares are about a request

Cause: with sums that halve every 500 ms only, small services became worse.

Change: sums of both spans. The recent one (500 ms) judges, unless the share by it is less than 1.2 requests of the size asked for; then the lasting one (2 s) does.

--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -294,7 +294,7 @@
         for engine in &usable {
             state.set_rate_limit(engine);
         }
-        let standing = state.shares.standing(now, request.workspace);
+        let standing = state.shares.standing(now, request.workspace, tokens);
         let Standing {
             share_ratio,
             is_underserved,
--- a/lib/tests/test_entry_share_shifts.rs
+++ b/lib/tests/test_entry_share_shifts.rs
@@ -123,3 +123,10 @@
 fn jumping_demand_gets_even_shares_on_195_hosts() {
     play_jumps(195, 266, 14_000);
 }
+
+/// With eight engines a workspace is granted a request or two a second. A span in which its share is
+/// less than a request says nothing about it.
+#[test]
+fn jumping_demand_gets_even_shares_on_a_small_service() {
+    play_jumps(7, 8, 28_000);
+}
