--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -315,7 +315,7 @@
         }
         let standing = match request.continues_stream {
             true => Standing::CONTINUED_STREAM,
-            false => state.shares.standing(now, request.workspace),
+            false => state.shares.standing(now, request.workspace, tokens),
         };
         let Standing {
             share_ratio,
