entry: raise the limit on lag by objective

Cause: with a limit of a tenth of the objective, small hosts refused before they had used their quota of processor time.

--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -35,8 +35,9 @@
 /// second. On a host with processor time left, timers are a few milliseconds late.
 const LAG_MAX: Duration = Duration::from_millis(60);
 /// The mean lag above which the host is overloaded, as a fraction of the time within which responses of
-/// models should start. Eight times this fraction is most of that time.
-const LAG_OBJECTIVE_FRACTION: f64 = 0.1;
+/// models should start. A host with a quota of processor time is late before it has used the quota: with a
+/// lower limit, callers who reach the fleet by a few such hosts get less than their share.
+const LAG_OBJECTIVE_FRACTION: f64 = 0.15;
 /// Lag above which new connections are refused, as a fraction of that above which the host is
 /// overloaded. It is lower, so that the requests on connections that were accepted are in time.
 const ACCEPTING_LAG_FRACTION: f64 = 0.75;
