entry: hosts behind their work refuse workspaces with many requests first

Cause: a host that was behind its work refused all requests to models, of workspaces with few requests too, and refused connections from a lag of 34 ms on where objectives are short.

Change: only workspaces that send the host at least as many requests as one does on average are refused. Connections are refused from 45 ms on again, whatever the objective.

The new test fails without the decision.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -221,14 +221,15 @@
 }
 
 /// The refusal of a request to a model while this host is behind its work, `None` if it may be scheduled.
-/// Requests to plain services, which run no model, are still served. To save work, the body is not read
+/// Requests to plain services, which run no model, are still served, and so are workspaces that send the
+/// host few requests. To save work, the body is not read
 /// and no line is logged for the request. The lag is logged when it crosses the limit.
 fn refusal_behind_work(
     host: &EntryHost,
     arrived: Timestamp,
     admitted: &Admitted,
 ) -> Option<Refusal> {
-    if host.lag.lag().is_overloaded() {
+    if host.lag.lag().is_overloaded() && host.fleet().is_busy_workspace(admitted) {
         host.stats.refused_overloaded.inc();
         let wait = host.lag.lag().retry_after(arrived);
         return Some(Refusal::with_retry_after(Reason::HostBusy, wait));
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -38,9 +38,10 @@
 /// models should start. A host with a quota of processor time is late before it has used the quota: with a
 /// lower limit, callers who reach the fleet by a few such hosts get less than their share.
 const LAG_OBJECTIVE_FRACTION: f64 = 0.15;
-/// Lag above which new connections are refused, as a fraction of that above which the host is
-/// overloaded. It is lower, so that the requests on connections that were accepted are in time.
-const ACCEPTING_LAG_FRACTION: f64 = 0.75;
+/// Lag above which new connections are refused. It is lower than [`LAG_MAX`], so that the requests on
+/// connections that were accepted are in time. It does not depend on the objective: whose requests a
+/// connection carries is not known yet, and workspaces with few requests would be refused too.
+const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(45);
 /// Time constant of the mean lag that decides on refusals. It is long enough that a single pause of
 /// 100 ms, as on a host with a processor time quota, does not cause refusals.
 const REFUSAL_SPAN: Duration = Duration::from_millis(150);
@@ -176,7 +177,7 @@
     /// Time after which a caller with a new connection should try again, `None` if the host has
     /// processor time for its requests. `late` is how late the timers fire at present.
     pub fn refuses_connections_for(&self, now: Timestamp, late: Duration) -> Option<Duration> {
-        let is_late = late.max(self.recent()) > self.limit.mul_f64(ACCEPTING_LAG_FRACTION);
+        let is_late = late.max(self.recent()) > ACCEPTING_LAG_MAX;
         is_late.then(|| self.retry_after(now))
     }
 
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -366,6 +366,17 @@
         self.grant_rates.refusal(now, service, workspace, lag)
     }
 
+    /// Whether a workspace sends at least as many of the requests to models that this host has read lately
+    /// as one does on average. While the host is behind its work, it refuses these workspaces first: their
+    /// requests are what it is late with.
+    pub fn is_busy_workspace(&self, admitted: &Admitted) -> bool {
+        let count_of = |key| self.read_prompts.get(key).map_or(0.0, |read| read.count);
+        let total: f64 = self.read_prompts.values().map(|read| read.count).sum();
+        let mean = total / self.read_prompts.len().max(1) as f64;
+        let key = (admitted.service.clone(), admitted.workspace.clone());
+        count_of(&key) >= mean
+    }
+
     /// Counts a request to a model that this host refuses by itself, without a schedule request. The
     /// next schedule request for its workspace tells the scheduler.
     pub fn on_refused_locally(&mut self, admitted: &Admitted, prompt: &Prompt) {
--- a/lib/tests/test_entry_fleet.rs
+++ b/lib/tests/test_entry_fleet.rs
@@ -442,3 +442,33 @@
     let expected = VersionId::new(MODEL, "v1");
     assert_eq!(origin, KnownOrigin::OnlyVersion(expected));
 }
+
+/// Guards against a workspace that floods a host which is then behind its work, and so costs the others
+/// at that host their requests.
+#[test]
+fn only_workspaces_with_many_requests_count_as_busy() {
+    let now = at(START_MS);
+    let mut fleet = fleet(now);
+    let head = head(Some(KEY), at(START_MS + 4_000));
+    let one = fleet.admit(now, &head, "/s/x").unwrap();
+    let mut flooding = one.clone();
+    flooding.workspace = Some("flooding".into());
+    let mut idle = one.clone();
+    idle.workspace = Some("idle".into());
+    for n in 0..100 {
+        fleet.on_refused_locally(&flooding, &prompt());
+        if n % 10 == 0 {
+            fleet.on_refused_locally(&one, &prompt());
+        }
+    }
+    assert!(fleet.is_busy_workspace(&flooding));
+    assert!(!fleet.is_busy_workspace(&one));
+    assert!(!fleet.is_busy_workspace(&idle));
+    // Once the flood is over, it does not count for long.
+    for _ in 0..100 {
+        fleet.on_connections_refused(0);
+    }
+    fleet.on_refused_locally(&one, &prompt());
+    assert!(fleet.is_busy_workspace(&one));
+    assert!(!fleet.is_busy_workspace(&flooding));
+}
