shares: give workspaces way that were granted less than three quarters

Change: the limit is 0.75, halfway between the promise and an even share.

All tests of schedulers and shares hold with 0.75.

--- a/lib/src/entry/schedule/shares.rs
+++ b/lib/src/entry/schedule/shares.rs
@@ -39,7 +39,7 @@
 /// requested, and also less than this fraction of the most work granted to any workspace. Each
 /// workspace is guaranteed at least half of the smaller of the two amounts. The margin above half
 /// covers the time until a request is served, and that the lengths of responses are estimates.
-const UNDERSERVED_FRACTION: f64 = 0.7;
+const UNDERSERVED_FRACTION: f64 = 0.75;
 /// The recorded work of a workspace, requested or granted, is forgotten once it is at most this,
 /// tokens: less than one small prompt.
 const USAGE_TOKENS_MIN: f64 = 50.0;
