schedule: take back the work of requests that end before they can have run

Cause: all requests of a workspace come by one host. The connections to each engine are divided among the hosts, so that host may often not use the engine that a scheduler chose, or its callers have left by then; it releases the reservation and asks again. Each time the workspace was counted as granted. How much each of the two reasons took was not measured.

Change: a reservation that ends without a response or a failure, before its prompt was to be processed, is taken from the sums of requested and granted work.

--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -139,6 +139,12 @@
     is_trial: bool,
     /// Hash of the failure domain of the asking host.
     domain: u64,
+    /// Hash of the name of the workspace.
+    workspace: u64,
+    /// Work for which the workspace was charged, tokens.
+    charged_tokens: u64,
+    /// When the engine has processed the prompt, as planned.
+    prefilled_at: Timestamp,
     /// Prompt tokens that the engine had not cached.
     uncached_tokens: u32,
     /// Memory that the request occupies, tokens.
@@ -157,6 +163,14 @@
     expires_at: Timestamp,
 }
 
+impl Reservation {
+    /// Whether an engine has done work for the request, if it ends now. Otherwise the asking host could not
+    /// use the engine, or the caller has left; a request that is scheduled again is counted then.
+    fn has_run(&self, now: Timestamp) -> bool {
+        self.response_started_at.is_some() || self.has_failed || self.prefilled_at.has_passed(now)
+    }
+}
+
 /// What a scheduler has decided and heard about the engines of one service over some time, for log
 /// lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -407,6 +421,9 @@
             parts,
             is_trial,
             domain: request.domain,
+            workspace: request.workspace,
+            charged_tokens: tokens,
+            prefilled_at: now + wait + prefill,
             uncached_tokens: uncached,
             output_tokens: request.output_tokens,
             memory_tokens: request.memory_tokens(),
@@ -553,6 +570,10 @@
                         .hold_time
                         .add(reservation.output_tokens, now.since(at));
                 }
+                if !reservation.has_run(now) {
+                    let shares = &mut state.shares;
+                    shares.on_not_run(now, reservation.workspace, reservation.charged_tokens);
+                }
                 if let Some(engine) = engine {
                     engine.end(progress.reservation, reservation.memory_tokens);
                     if reservation.response_started_at.is_none() {
--- a/lib/src/entry/schedule/shares.rs
+++ b/lib/src/entry/schedule/shares.rs
@@ -99,6 +99,11 @@
         self.lasting += tokens;
     }
 
+    fn take(&mut self, tokens: f64) {
+        self.recent = (self.recent - tokens).max(0.0);
+        self.lasting = (self.lasting - tokens).max(0.0);
+    }
+
     /// Sums at a scheduler that reports `lasting` tokens. `before` are those that follow from its
     /// last report, `None` if there is none.
     fn reported(lasting: f64, before: Option<Self>) -> Self {
@@ -210,6 +215,13 @@
         usage.granted.add(tokens as f64);
     }
 
+    /// Takes back a request that was allowed to start and did not run. `tokens` are what it was counted as.
+    pub(crate) fn on_not_run(&mut self, now: Timestamp, workspace: u64, tokens: u64) {
+        let usage = self.own.entry(now, workspace);
+        usage.requested.take(tokens as f64);
+        usage.granted.take(tokens as f64);
+    }
+
     /// Replaces the report of the scheduler at `from` on the work at its shards.
     pub(crate) fn on_report_from(&mut self, now: Timestamp, from: SocketAddr, shards: ShardWork) {
         let before = self.reports.get(&from).filter(|last| last.is_valid(now));
--- a/lib/tests/test_entry_schedule.rs
+++ b/lib/tests/test_entry_schedule.rs
@@ -536,3 +536,28 @@
         "{decision:?}"
     );
 }
+
+/// Guards against a workspace that seems to get more than it does: the engines that are chosen for it have
+/// no connections left for its host, which asks again for each of its requests.
+#[test]
+fn requests_that_end_before_they_can_have_run_do_not_count_as_work() {
+    let engines = [engine(1), engine(2)];
+    let mut scheduler = Scheduler::new(1);
+    let mut request = schedule_request(7, 4_000);
+    request.shard.count = 2;
+    for n in 0..10 {
+        let (reservation, ..) = started(scheduler.decide(at(n * 5), &request, &engines));
+        end(&mut scheduler, at(n * 5 + 2), reservation);
+    }
+    let work = |scheduler: &Scheduler, now| {
+        let reports = scheduler.shares_to_send(now);
+        reports
+            .first()
+            .and_then(|(_, _, shards)| shards.work.first().copied())
+    };
+    assert_eq!(work(&scheduler, at(50)), None);
+    let (reservation, ..) = started(scheduler.decide(at(60), &request, &engines));
+    end(&mut scheduler, at(1_000), reservation);
+    let counted = work(&scheduler, at(1_000)).map(|work| work.granted_tokens);
+    assert!(counted.is_some_and(|tokens| tokens > 1_000), "{counted:?}");
+}
