entry: refuse a part of the requests of busy workspaces while timers are late

Hypothesis: a host that refuses a part of its connections unread also refuses those of workspaces with few requests, which share it with a flood.

Change: of the requests that are read, a part of those of busy workspaces is refused too, from a lag of 3 ms on, all from 30 ms on. The rest of the host's time goes to the others, and the lag falls.

--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -171,15 +171,8 @@
                     uncached_tokens,
                 } => (reservation, server, send_after, uncached_tokens),
                 SearchStep::AskNext => continue,
-                SearchStep::Refuse(refusal) => {
-                    let now = host.clock.now();
-                    let mut fleet = host.fleet();
-                    fleet.on_decision(now, &call.admitted, Some(refusal));
-                    return Err(refusal);
-                }
+                SearchStep::Refuse(refusal) => return Err(refusal),
             };
-        host.fleet()
-            .on_decision(host.clock.now(), &call.admitted, None);
         let mut scheduled = Link::scheduled(host, scheduler, reservation);
         if !send_after.is_zero() {
             tokio::time::sleep(send_after).await;
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -26,7 +26,6 @@
 use super::config_restore::ConfigRestore;
 use super::dialect::ResponseHead;
 use super::dialect::ServerAnnouncement;
-use super::grant_rates::GrantRates;
 use super::rate_limit::ToldLimit;
 use super::rollout::RolloutControl;
 use super::schedule::Scheduler;
@@ -146,8 +145,6 @@
     /// Requests to models that this host has read lately, by service and workspace. Connections that
     /// are refused unread are assumed to carry such requests.
     pub(super) read_prompts: HashMap<(CompactString, Option<CompactString>), ReadPrompts>,
-    /// What schedulers have lately decided on the requests of this host.
-    pub(super) grant_rates: GrantRates,
     /// Requests that make servers crash.
     pub(super) request_quarantine: RequestQuarantine,
     /// Versions at which streams began.
@@ -214,7 +211,6 @@
             refused_tokens: HashMap::new(),
             refused_counts: HashMap::new(),
             read_prompts: HashMap::new(),
-            grant_rates: GrantRates::default(),
             request_quarantine: RequestQuarantine::default(),
             stream_origins: StreamOrigins::default(),
             version_history: VersionHistory::default(),
@@ -328,7 +324,6 @@
     /// Removes servers that did not announce themselves again in time, and returns their instance
     /// identifiers.
     pub fn sweep(&mut self, now: Timestamp) -> Vec<CompactString> {
-        self.grant_rates.sweep(now);
         self.told_limits.retain(|_, told| told.is_recent(now));
         if self.versions_due_at.has_passed(now) {
             self.versions_due_at = now + VERSIONS_PERIOD;
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -229,15 +229,12 @@
     arrived: Timestamp,
     admitted: &Admitted,
 ) -> Option<Refusal> {
-    if host.lag.lag().is_overloaded() && host.fleet().is_busy_workspace(admitted) {
-        host.stats.refused_overloaded.inc();
-        let wait = host.lag.lag().retry_after(arrived);
-        return Some(Refusal::with_retry_after(Reason::HostBusy, wait));
+    if !host.fleet().is_busy_workspace(admitted) {
+        return None;
     }
-    let lag = host.lag.current(arrived);
-    let refusal = host.fleet().refusal_unasked(arrived, admitted, lag)?;
-    host.stats.refused_unasked.inc();
-    Some(refusal)
+    let wait = host.lag.on_busy_request(arrived)?;
+    host.stats.refused_overloaded.inc();
+    Some(Refusal::with_retry_after(Reason::HostBusy, wait))
 }
 
 /// A request body that was read completely.
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -40,12 +40,17 @@
 /// models should start. A host with a quota of processor time is late before it has used the quota: with a
 /// lower limit, callers who reach the fleet by a few such hosts get less than their share.
 const LAG_OBJECTIVE_FRACTION: f64 = 0.15;
-/// Lag from which on a part of the new connections is refused. On a host with processor time left,
+/// Lag from which on a part of the new connections is refused, and a part of the requests of workspaces
+/// that send the host many. On a host with processor time left,
 /// timers are hardly ever later.
-const ACCEPTING_LAG_MIN: Duration = Duration::from_millis(3);
+const REFUSING_LAG_MIN: Duration = Duration::from_millis(3);
 /// Lag from which on all new connections are refused. A request waits for the host about eight times,
 /// which at this lag takes a third of an objective of 400 ms.
 const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(15);
+/// Lag from which on all requests of workspaces are refused that send the host many. It is longer, since
+/// a request that is refused after it was read costs the host several times as much as a refused
+/// connection.
+const BUSY_REQUEST_LAG_MAX: Duration = Duration::from_millis(30);
 /// Time constant of the mean lag that decides on refusals. It is long enough that a single pause of
 /// 100 ms, as on a host with a processor time quota, does not cause refusals.
 const REFUSAL_SPAN: Duration = Duration::from_millis(150);
@@ -82,6 +87,27 @@
     }
 }
 
+/// Refuses a part of what arrives, the larger the later the timers fire.
+#[derive(Clone, Copy, Debug, Default)]
+struct PartialRefusal {
+    /// Grows with each decision by the fraction to be refused; a refusal costs 1.
+    credit: f64,
+}
+
+impl PartialRefusal {
+    /// Decides on one more. From a lag of `all_from` on, all are refused.
+    fn refuses(&mut self, late: Duration, all_from: Duration) -> bool {
+        let beyond = late.saturating_sub(REFUSING_LAG_MIN).as_secs_f64();
+        let range = all_from.saturating_sub(REFUSING_LAG_MIN).as_secs_f64();
+        self.credit += (beyond / range).min(1.0);
+        let refuses = self.credit >= 1.0;
+        if refuses {
+            self.credit -= 1.0;
+        }
+        refuses
+    }
+}
+
 /// Lag of a host's timers, and the readiness that follows from it.
 #[derive(Clone, Debug)]
 pub struct Lag {
@@ -98,8 +124,10 @@
     ready_at: Timestamp,
     /// How long the host was not ready the last time, zero if it always was ready.
     unready_for: Duration,
-    /// Grows with each new connection by the fraction to be refused; a refused one costs 1.
-    refusal_credit: f64,
+    /// Refusals of new connections.
+    connections: PartialRefusal,
+    /// Refusals of requests of workspaces that send the host many.
+    busy_requests: PartialRefusal,
 }
 
 impl Default for Lag {
@@ -112,7 +140,8 @@
             unready_since: Timestamp::ZERO,
             ready_at: Timestamp::ZERO,
             unready_for: Duration::ZERO,
-            refusal_credit: 0.0,
+            connections: PartialRefusal::default(),
+            busy_requests: PartialRefusal::default(),
         }
     }
 }
@@ -185,15 +214,21 @@
     /// Decides on a new connection. Returns the time after which its caller should try again, `None` if
     /// the connection is to be served. `late` is how late the timers fire at present.
     pub fn on_connection(&mut self, now: Timestamp, late: Duration) -> Option<Duration> {
-        let late = late.max(self.recent());
-        let beyond = late.saturating_sub(ACCEPTING_LAG_MIN).as_secs_f64();
-        let range = (ACCEPTING_LAG_MAX - ACCEPTING_LAG_MIN).as_secs_f64();
-        self.refusal_credit += (beyond / range).min(1.0);
-        if self.refusal_credit < 1.0 {
-            return None;
-        }
-        self.refusal_credit -= 1.0;
-        Some(self.retry_after(now))
+        let is_refused = self
+            .connections
+            .refuses(late.max(self.recent()), ACCEPTING_LAG_MAX);
+        is_refused.then(|| self.retry_after(now))
+    }
+
+    /// Decides on a request to a model of a workspace that sends the host many. Returns the time after which
+    /// its caller should try again, `None` if the request is to be served. `late` is how late the timers
+    /// fire at present.
+    pub fn on_busy_request(&mut self, now: Timestamp, late: Duration) -> Option<Duration> {
+        let is_refused = self.is_overloaded()
+            || self
+                .busy_requests
+                .refuses(late.max(self.recent()), BUSY_REQUEST_LAG_MAX);
+        is_refused.then(|| self.retry_after(now))
     }
 
     /// Whether the host should close its connections after the next response. This begins only when
@@ -245,6 +280,12 @@
         self.lag().on_connection(now, late)
     }
 
+    /// Like [`Lag::on_busy_request`], also if a measurement has not ended yet.
+    pub(crate) fn on_busy_request(&self, now: Timestamp) -> Option<Duration> {
+        let late = self.current(now);
+        self.lag().on_busy_request(now, late)
+    }
+
     /// Locks and returns the lag.
     pub(crate) fn lag(&self) -> MutexGuard<'_, Lag> {
         self.lag.lock().unwrap_or_else(PoisonError::into_inner)
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -342,30 +342,6 @@
         self.scheduler.on_progress(now, progress);
     }
 
-    /// Records what the schedulers have decided on a request to a model.
-    pub fn on_decision(&mut self, now: Timestamp, admitted: &Admitted, refusal: Option<Refusal>) {
-        let (service, workspace) = share_key(admitted);
-        match refusal {
-            None => self.grant_rates.on_granted(now, service, workspace),
-            Some(refusal) => {
-                let rates = &mut self.grant_rates;
-                rates.on_refused(now, service, workspace, refusal);
-            }
-        }
-    }
-
-    /// The refusal of a request to a model for which no scheduler is asked, because this host is behind
-    /// its work and they refuse most requests of the workspace. `lag` is how late the host's timers fire.
-    pub fn refusal_unasked(
-        &mut self,
-        now: Timestamp,
-        admitted: &Admitted,
-        lag: Duration,
-    ) -> Option<Refusal> {
-        let (service, workspace) = share_key(admitted);
-        self.grant_rates.refusal(now, service, workspace, lag)
-    }
-
     /// Whether a workspace sends at least as many of the requests to models that this host has read lately
     /// as one does on average. While the host is behind its work, it refuses these workspaces first: their
     /// requests are what it is late with.
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -44,8 +44,6 @@
     pub(crate) attempts: IntCounterVec,
     /// Requests refused because this host had too little processor time.
     pub(crate) refused_overloaded: IntCounter,
-    /// Requests refused without asking a scheduler since the host was behind its work.
-    pub(crate) refused_unasked: IntCounter,
     /// Requests refused because this host had no memory for their bodies.
     pub(crate) refused_memory: IntCounter,
     /// Bytes of bodies that this host holds, set when the metrics are read.
@@ -88,8 +86,6 @@
     log_dropped_count: Arc<AtomicU64>,
 }
 
-const REFUSED_UNASKED_HELP: &str =
-    "Requests refused without asking a scheduler since the host was behind its work";
 const REFUSED_MEMORY_HELP: &str = "Requests refused for lack of memory for their bodies";
 const CONNECTIONS_OPENED_HELP: &str = "Connections opened to servers";
 
@@ -128,7 +124,6 @@
                 "refused_behind_total",
                 "Requests refused since the host was behind its work",
             )?,
-            refused_unasked: counter("refused_unasked_total", REFUSED_UNASKED_HELP)?,
             refused_memory: counter("refused_memory_total", REFUSED_MEMORY_HELP)?,
             held_bytes: gauge("held_bytes", "Bytes of request and response bodies held")?,
             connections_opened: counter("server_connections_total", CONNECTIONS_OPENED_HELP)?,
--- a/lib/tests/test_entry_lag.rs
+++ b/lib/tests/test_entry_lag.rs
@@ -249,3 +249,19 @@
         "a request waited for {longest_wait} ms"
     );
 }
+
+/// Guards against a workspace whose few requests are lost beside the flood of another one at the same host.
+#[test]
+fn busy_workspaces_are_refused_in_part_before_the_host_is_overloaded() {
+    let refused_at = |late_ms| {
+        let mut lag = Lag::default();
+        let (now, _) = simulate(&mut lag, 10_000, late_ms, 1_000);
+        let late = Duration::from_millis(late_ms);
+        assert!(!lag.is_overloaded());
+        let refusals = (0..100).filter(|_| lag.on_busy_request(at(now), late).is_some());
+        refusals.count()
+    };
+    assert_eq!(refused_at(2), 0);
+    assert!((10..60).contains(&refused_at(12)), "{}", refused_at(12));
+    assert_eq!(refused_at(40), 100);
+}
