entry: log how many prompts a host behind its work has refused

The line on the refusal limit is written at 60 ms or 0.15 of the objective only, but a part of the prompts of busy workspaces is refused from 3 ms on. The line once a second on refused connections now has their number too.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -222,8 +222,8 @@
 
 /// The refusal of a request to a model while this host is behind its work, `None` if it may be scheduled.
 /// Requests to plain services, which run no model, are still served, and so are workspaces that send the
-/// host few requests. To save work, the body is not read
-/// and no line is logged for the request. The lag is logged when it crosses the limit.
+/// host few requests. To save work, the body is not read and no line is logged for the request. The host
+/// logs the number of refusals each second.
 fn refusal_behind_work(
     host: &EntryHost,
     arrived: Timestamp,
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -555,7 +555,7 @@
 async fn sweep(host: Arc<EntryHost>) {
     let mut next_summary_at = host.clock.now() + SUMMARY_PERIOD;
     let mut refused_counted = 0;
-    let mut refused_logged = 0;
+    let mut refused_logged = RefusedBehind::default();
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         host.pool.close_expired();
@@ -569,7 +569,7 @@
             log_schedule_summaries(&host);
             log_memory_change(&host);
             host.fleet().request_quarantine().sweep(now);
-            refused_logged = log_refused_connections(&host, refused_logged);
+            refused_logged = log_refused_behind(&host, refused_logged);
             if host.lag.lag().closes_connections(now) {
                 host.lag.close_idle().notify_one();
             }
@@ -662,12 +662,26 @@
     }
 }
 
-/// Logs how many connections of callers were refused since the count `before`. Returns the count.
-fn log_refused_connections(host: &EntryHost, before: u64) -> u64 {
-    let count = host.stats.connections_refused.get();
-    if count > before {
-        info!(target: "host", refused = count - before, open = host.stats.connections.get(),
+/// What the host has refused since it is behind its work.
+#[derive(Clone, Copy, Default, PartialEq)]
+struct RefusedBehind {
+    /// Connections of callers, unread.
+    connections: u64,
+    /// Requests to models that were read.
+    requests: u64,
+}
+
+/// Logs what was refused since the counts `before`. Returns the counts.
+fn log_refused_behind(host: &EntryHost, before: RefusedBehind) -> RefusedBehind {
+    let counts = RefusedBehind {
+        connections: host.stats.connections_refused.get(),
+        requests: host.stats.refused_overloaded.get(),
+    };
+    if counts != before {
+        info!(target: "host", refused = counts.connections - before.connections,
+            refused_requests = counts.requests - before.requests,
+            open = host.stats.connections.get(),
             lag_ms = millis(host.lag.lag().recent()); "connections of callers refused");
     }
-    count
+    counts
 }
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -41,8 +41,7 @@
 /// lower limit, callers who reach the fleet by a few such hosts get less than their share.
 const LAG_OBJECTIVE_FRACTION: f64 = 0.15;
 /// Lag from which on a part of the new connections is refused, and a part of the requests of workspaces
-/// that send the host many. On a host with processor time left,
-/// timers are hardly ever later.
+/// that send the host many. On a host with processor time left, timers are hardly ever later.
 const REFUSING_LAG_MIN: Duration = Duration::from_millis(3);
 /// Lag from which on all new connections are refused. A request waits for the host about eight times,
 /// which at this lag takes a third of an objective of 400 ms.
