entry: refuse connections and busy workspaces from a longer lag on

Change: 10, 40 and 60 ms, and the accepting thread rests for 10 ms after a refusal, so that it wakes up once for several connections.

--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -42,14 +42,14 @@
 const LAG_OBJECTIVE_FRACTION: f64 = 0.15;
 /// Lag from which on a part of the new connections is refused, and a part of the requests of workspaces
 /// that send the host many. On a host with processor time left, timers are hardly ever later.
-const REFUSING_LAG_MIN: Duration = Duration::from_millis(3);
-/// Lag from which on all new connections are refused. A request waits for the host about eight times,
-/// which at this lag takes a third of an objective of 400 ms.
-const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(15);
+const REFUSING_LAG_MIN: Duration = Duration::from_millis(10);
+/// Lag from which on all new connections are refused. With 15 ms, a host was idle for a seventh of the time
+/// in a flood, and its workspaces got less than their shares.
+const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(40);
 /// Lag from which on all requests of workspaces are refused that send the host many. It is longer, since
 /// a request that is refused after it was read costs the host several times as much as a refused
 /// connection.
-const BUSY_REQUEST_LAG_MAX: Duration = Duration::from_millis(30);
+const BUSY_REQUEST_LAG_MAX: Duration = Duration::from_millis(60);
 /// Time constant of the mean lag that decides on refusals. It is long enough that a single pause of
 /// 100 ms, as on a host with a processor time quota, does not cause refusals.
 const REFUSAL_SPAN: Duration = Duration::from_millis(150);
--- a/lib/src/gateway/accept.rs
+++ b/lib/src/gateway/accept.rs
@@ -34,6 +34,9 @@
     tv_sec: 0,
     tv_nsec: 250_000_000,
 };
+/// Wait after connections were refused. The next ones are accepted together, which takes a host that has
+/// no processor time left less of it than to wake up for each.
+const REFUSING_PAUSE: Duration = Duration::from_millis(10);
 /// Stack of the accepting thread, bytes.
 const STACK_BYTES: usize = 256 << 10;
 /// Most bytes that are read of a refused request. It covers most requests to models.
@@ -106,6 +109,7 @@
             return;
         }
         let mut fds = [PollFd::new(listener, PollFlags::IN)];
+        let refused_before = refusing.refused.get();
         let accepted = match poll(&mut fds, Some(&STOP_CHECK_INTERVAL)) {
             Ok(0) | Err(Errno::INTR) => continue,
             Ok(_) => accept_ready(listener, tx, refusing),
@@ -113,6 +117,8 @@
         };
         if accepted.is_err_and(|err| err.kind() != io::ErrorKind::WouldBlock) {
             std::thread::sleep(ACCEPT_PAUSE);
+        } else if refusing.refused.get() > refused_before {
+            std::thread::sleep(REFUSING_PAUSE);
         }
     }
     accept_queued(listener, tx);
