entry: log accepted connections, requests that were read, and the busiest workspace

The hypotheses on FAIR at flooded small hosts could not be told apart: the line on refusals said neither how many of the refused requests came on kept connections nor whether one workspace sends them. It does now, with two new counters. No change of logic.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -134,6 +134,7 @@
     // `host.lag` measures the lag, that is how late this host's timers fire. Measuring pauses while
     // there are no requests; this resumes it.
     host.lag.on_request();
+    host.stats.callers.requests.inc();
     let mut response = serve_caller(&host, req).await;
     let is_stopping = host.fleet().is_stopping();
     if is_stopping || host.lag.lag().closes_connections(host.clock.now()) {
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -382,8 +382,8 @@
             router: Router::new().fallback(serve).with_state(host.clone()),
             limits: Box::new(move || limits_host.connection_limits(parts.process_limits)),
             close_idle: host.lag.close_idle(),
-            connections: host.stats.connections.clone(),
-            connections_refused: host.stats.connections_refused.clone(),
+            connections: host.stats.callers.connections.clone(),
+            connections_refused: host.stats.callers.refused.clone(),
             stop: stopped,
         };
         let mut tasks = JoinSet::new();
@@ -512,7 +512,8 @@
     };
     let refusing = Refusing {
         retry_after: Box::new(retry_after),
-        refused: host.stats.connections_refused.clone(),
+        accepted: host.stats.callers.accepted.clone(),
+        refused: host.stats.callers.refused.clone(),
     };
     accept_on_thread(listener, stopped, refusing).context(ListenSnafu { purpose, address })
 }
@@ -555,12 +556,12 @@
 async fn sweep(host: Arc<EntryHost>) {
     let mut next_summary_at = host.clock.now() + SUMMARY_PERIOD;
     let mut refused_counted = 0;
-    let mut refused_logged = RefusedBehind::default();
+    let mut refused_logged = CallerCounts::default();
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         host.pool.close_expired();
         let now = host.clock.now();
-        let refused = host.stats.connections_refused.get();
+        let refused = host.stats.callers.refused.get();
         host.fleet()
             .on_connections_refused(refused - refused_counted);
         refused_counted = refused;
@@ -662,26 +663,50 @@
     }
 }
 
-/// What the host has refused since it is behind its work.
-#[derive(Clone, Copy, Default, PartialEq)]
-struct RefusedBehind {
-    /// Connections of callers, unread.
-    connections: u64,
-    /// Requests to models that were read.
-    requests: u64,
+/// What callers have sent to the host, and what it has refused since it is behind its work.
+#[derive(Clone, Copy, Default)]
+struct CallerCounts {
+    /// Connections that were accepted.
+    accepted: u64,
+    /// Connections that were refused unread.
+    refused: u64,
+    /// Requests that were read.
+    read: u64,
+    /// Requests to models that were read and refused.
+    refused_requests: u64,
+}
+
+impl CallerCounts {
+    fn now(host: &EntryHost) -> Self {
+        Self {
+            accepted: host.stats.callers.accepted.get(),
+            refused: host.stats.callers.refused.get(),
+            read: host.stats.callers.requests.get(),
+            refused_requests: host.stats.refused_overloaded.get(),
+        }
+    }
+
+    fn has_refused_since(&self, before: &Self) -> bool {
+        (self.refused, self.refused_requests) != (before.refused, before.refused_requests)
+    }
 }
 
 /// Logs what was refused since the counts `before`. Returns the counts.
-fn log_refused_behind(host: &EntryHost, before: RefusedBehind) -> RefusedBehind {
-    let counts = RefusedBehind {
-        connections: host.stats.connections_refused.get(),
-        requests: host.stats.refused_overloaded.get(),
-    };
-    if counts != before {
-        info!(target: "host", refused = counts.connections - before.connections,
-            refused_requests = counts.requests - before.requests,
-            open = host.stats.connections.get(),
-            lag_ms = millis(host.lag.lag().recent()); "connections of callers refused");
+fn log_refused_behind(host: &EntryHost, before: CallerCounts) -> CallerCounts {
+    let counts = CallerCounts::now(host);
+    if !counts.has_refused_since(&before) {
+        return counts;
     }
+    // The workspace that has sent the most requests to models lately, and its fraction of them.
+    let (workspace, fraction) = host.fleet().busiest_workspace().unzip();
+    let (is_ready, lag) = {
+        let lag = host.lag.lag();
+        (lag.is_ready(host.clock.now()), lag.recent())
+    };
+    info!(target: "host", refused = counts.refused - before.refused,
+        refused_requests = counts.refused_requests - before.refused_requests,
+        accepted = counts.accepted - before.accepted, requests = counts.read - before.read,
+        open = host.stats.callers.connections.get(), lag_ms = millis(lag), is_ready = is_ready,
+        workspace = workspace.as_deref(), fraction = fraction; "connections of callers refused");
     counts
 }
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -389,6 +389,15 @@
             .retain(|_, read| read.count > READ_PROMPTS_MIN);
     }
 
+    /// The workspace that has sent this host the most requests to models lately, and its fraction of them.
+    pub fn busiest_workspace(&self) -> Option<(CompactString, f64)> {
+        let total: f64 = self.read_prompts.values().map(|read| read.count).sum();
+        let reads = self.read_prompts.iter();
+        let most = reads.max_by(|(_, a), (_, b)| a.count.total_cmp(&b.count));
+        let ((_, workspace), read) = most?;
+        Some((workspace.clone().unwrap_or_default(), read.count / total))
+    }
+
     /// The workspace of which this host has refused the most requests by itself since the last call,
     /// and their number.
     pub fn take_most_refused(&mut self) -> Option<(CompactString, u64)> {
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -52,10 +52,8 @@
     pub(crate) connections_opened: IntCounter,
     /// Connections to servers that are open now.
     pub(crate) server_connections: IntGauge,
-    /// Connections of callers that are open now.
-    pub(crate) connections: IntGauge,
-    /// Connections of callers refused because the limit was reached.
-    pub(crate) connections_refused: IntCounter,
+    /// Metrics of callers' connections.
+    pub(crate) callers: CallerStats,
     /// Pauses that servers asked this host for.
     pub(crate) server_pauses: IntCounter,
     /// Times that a part of prompts was found to make servers crash and is held back.
@@ -128,11 +126,7 @@
             held_bytes: gauge("held_bytes", "Bytes of request and response bodies held")?,
             connections_opened: counter("server_connections_total", CONNECTIONS_OPENED_HELP)?,
             server_connections: gauge("server_connections", "Open connections to servers")?,
-            connections: gauge("caller_connections", "Open connections of callers")?,
-            connections_refused: counter(
-                "caller_connections_refused_total",
-                "Connections refused beyond the limit",
-            )?,
+            callers: CallerStats::new(&registry)?,
             server_pauses: counter(
                 "server_pauses_total",
                 "Times that a server asked to be sent nothing for a time",
@@ -201,6 +195,38 @@
     }
 }
 
+/// Metrics of callers' connections.
+#[derive(Debug)]
+pub(crate) struct CallerStats {
+    /// Connections that are open now.
+    pub(crate) connections: IntGauge,
+    /// Connections accepted since the start.
+    pub(crate) accepted: IntCounter,
+    /// Connections refused, at the limit of connections or because the host is overloaded.
+    pub(crate) refused: IntCounter,
+    /// Requests whose heads were read.
+    pub(crate) requests: IntCounter,
+}
+
+impl CallerStats {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let counter = |name: &str, help: &str| register(registry, IntCounter::new(name, help)?);
+        let open = IntGauge::new("caller_connections", "Open connections of callers")?;
+        Ok(Self {
+            connections: register(registry, open)?,
+            accepted: counter(
+                "caller_connections_accepted_total",
+                "Connections of callers accepted",
+            )?,
+            refused: counter(
+                "caller_connections_refused_total",
+                "Connections refused beyond the limit",
+            )?,
+            requests: counter("requests_read_total", "Requests whose heads were read")?,
+        })
+    }
+}
+
 /// Metrics of the orders to roll out software versions.
 #[derive(Debug)]
 pub(crate) struct RolloutStats {
--- a/lib/src/gateway/accept.rs
+++ b/lib/src/gateway/accept.rs
@@ -50,6 +50,8 @@
 pub(crate) struct Refusing {
     /// Value of the `Retry-After` header of the refusal, `None` if the connection is to be served.
     pub(crate) retry_after: Box<dyn Fn() -> Option<HeaderValue> + Send>,
+    /// Metric: accepted connections.
+    pub(crate) accepted: IntCounter,
     /// Metric: refused connections.
     pub(crate) refused: IntCounter,
 }
@@ -138,8 +140,11 @@
                 refusing.refused.inc();
                 refuse(&stream, &retry_after);
             }
-            // Fails only if the server was dropped, which `accept` notices.
-            None => drop(tx.send(stream)),
+            None => {
+                refusing.accepted.inc();
+                // Fails only if the server was dropped, which `accept` notices.
+                drop(tx.send(stream));
+            }
         }
     }
     Ok(())
