entry: close the connections of requests that a flooded host refuses

Cause: while one workspace flooded the host, 95 in 100 of the requests that it read came on connections that it had kept, and up to 87 in 100 of those were refused after they were read. The caller sent its next request on the same connection. The host was late for so long that it left the balance, and the whole flood went to the next small host, with the workspaces there.

A refusal for lack of processor time now closes the connection, after it has discarded what has arrived, so that the caller receives the response. The next request is a new connection, which the accepting thread refuses for a fraction of the time.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -138,12 +138,17 @@
     let mut response = serve_caller(&host, req).await;
     let is_stopping = host.fleet().is_stopping();
     if is_stopping || host.lag.lag().closes_connections(host.clock.now()) {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        close_connection(&mut response);
     }
     response
 }
 
+/// Makes a response close the caller's connection.
+fn close_connection(response: &mut Response<Body>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
 /// Admits a request, reads its body and sends it to servers. Every failure becomes a response with
 /// an error body.
 async fn serve_caller(host: &Arc<EntryHost>, req: Request) -> Response<Body> {
@@ -185,7 +190,11 @@
         && let Some(refusal) = refusal_behind_work(host, arrived, &admitted)
     {
         host.fleet().on_refused_locally(&admitted, prompt);
-        return refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
+        let mut response = refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
+        // The caller would send its next request on this connection, which costs more to refuse than a
+        // new connection.
+        close_connection(&mut response);
+        return response;
     }
     let deadline = host.clock.instant(admitted.give_up_at);
     let held = host.body_memory.start(admitted.workspace.clone());
--- a/lib/src/gateway/preface.rs
+++ b/lib/src/gateway/preface.rs
@@ -21,6 +21,9 @@
 /// Connection preface of HTTP/2 (RFC 9113, section 3.4).
 const HTTP2_PREFACE: &[u8; 24] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 
+/// Most bytes that are discarded when a connection is closed. It covers most requests to models.
+const DISCARD_BYTES: usize = 16 << 10;
+
 /// Protocol of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Protocol {
@@ -105,6 +108,13 @@
         self.has_head_timed_out
     }
 
+    /// Discards bytes that have arrived and were not read, like the body of a refused request. Closing a
+    /// connection with unread bytes would reset it, and the caller might not receive the response.
+    pub(crate) fn discard_received(&self) {
+        let mut discarded = [0; DISCARD_BYTES];
+        let _ = self.stream.try_read(&mut discarded);
+    }
+
     /// Starts the head timer if these bytes are the first ones of a head.
     fn on_bytes(&mut self) {
         let Some(counter) = &self.timeouts.counter else {
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -317,6 +317,7 @@
             let _ = io.write_all(HEAD_TIMEOUT).await;
         }
         let _ = io.shutdown().await;
+        io.discard_received();
     }
 
     async fn serve_http2(mut self, io: CallerStream) {
