log: write lines in batches, and without a tree of JSON values

Cause: each log line woke the writer thread, with a write of its own, and was built as a tree of JSON values. In a profile of an entry host under 250 prompts a second this took 17 % of its processor time. Lines of 20 ms now go out in one write, and fields are written as they are visited. The bounds stay as they are. The order of the fields of a line is no longer alphabetical.

--- a/daemon/src/json_log.rs
+++ b/daemon/src/json_log.rs
@@ -22,8 +22,10 @@
 use log::Metadata;
 use log::Record;
 use log::kv;
-use serde_json::Map;
-use serde_json::Value;
+use serde::Serialize;
+use serde::ser::SerializeMap;
+use serde::ser::Serializer;
+use serde_json::json;
 use snafu::ResultExt;
 
 use crate::error::DaemonError;
@@ -31,6 +33,9 @@
 
 /// Capacity of the queue of lines to be written: about one second of the lines of a busy host.
 const LINES_WAITING_MAX: usize = 1024;
+/// How long a line is held back so that later ones go out in the same write. A write for each line, with a
+/// wake-up of the writer, costs a busy host a tenth of its processor time.
+const WRITE_DELAY: Duration = Duration::from_millis(20);
 /// Longest wait for the queued lines to be written when the process ends: time for ten writes.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Sustained limit on the lines about requests, lines per second. A host writes about 150 lines per
@@ -38,6 +43,8 @@
 const LINES_PER_SECOND: f64 = 400.0;
 /// Limit on the lines about requests that may be written in a burst.
 const LINES_BURST: f64 = 1200.0;
+/// Size of the buffer for a line, bytes. Most lines fit in it.
+const LINE_CAPACITY: usize = 512;
 /// Log targets of this project, which follow the configured level. Other libraries only log
 /// warnings and errors.
 const OWN_TARGETS: [&str; 8] = [
@@ -75,25 +82,27 @@
 /// Message to the writer thread.
 enum WriterMessage {
     /// A complete line with its line feed.
-    Line(String),
+    Line(Vec<u8>),
     /// A request to write all earlier lines. The sender is dropped when they are written.
     Flush(SyncSender<()>),
 }
 
-/// Writes lines until the channel is closed. All lines that are queued at a time go out in one
-/// write.
+/// Writes lines until the channel is closed. All lines of [`WRITE_DELAY`] go out in one write.
 fn write_lines(rx: &Receiver<WriterMessage>) {
     let mut out = std::io::stdout().lock();
     while let Ok(first) = rx.recv() {
-        let mut text = String::new();
+        if matches!(first, WriterMessage::Line(_)) {
+            std::thread::sleep(WRITE_DELAY);
+        }
+        let mut text = Vec::new();
         let mut flushes = Vec::new();
         for entry in std::iter::once(first).chain(rx.try_iter()) {
             match entry {
-                WriterMessage::Line(line) => text.push_str(&line),
+                WriterMessage::Line(line) => text.extend_from_slice(&line),
                 WriterMessage::Flush(tx) => flushes.push(tx),
             }
         }
-        if out.write_all(text.as_bytes()).is_err() {
+        if out.write_all(&text).is_err() {
             // Standard output is closed, so the failure cannot be reported.
             return;
         }
@@ -182,73 +191,93 @@
 }
 
 /// Formats a record. `dropped` is the number of lines dropped before and not yet reported.
-fn to_line(record: &Record<'_>, dropped: u64) -> String {
-    let mut fields = Map::new();
+fn to_line(record: &Record<'_>, dropped: u64) -> Vec<u8> {
+    let mut line = Vec::with_capacity(LINE_CAPACITY);
+    if let Err(err) = write_fields(&mut line, record, dropped) {
+        line.clear();
+        let fallback =
+            json!({"level": "ERROR", "about": record.target(), "log_error": err.to_string()});
+        line.extend_from_slice(fallback.to_string().as_bytes());
+    }
+    line.push(b'\n');
+    line
+}
+
+/// Writes a record as a JSON object.
+fn write_fields(
+    line: &mut Vec<u8>,
+    record: &Record<'_>,
+    dropped: u64,
+) -> Result<(), serde_json::Error> {
+    let mut json = serde_json::Serializer::new(line);
+    let mut fields = json.serialize_map(None)?;
     let at = humantime::format_rfc3339_millis(SystemTime::now());
-    fields.insert("at".into(), at.to_string().into());
-    fields.insert("level".into(), record.level().as_str().into());
-    fields.insert("about".into(), record.target().into());
-    fields.insert("event".into(), record.args().to_string().into());
+    fields.serialize_entry("at", &format_args!("{at}"))?;
+    fields.serialize_entry("level", record.level().as_str())?;
+    fields.serialize_entry("about", record.target())?;
+    fields.serialize_entry("event", record.args())?;
     let visited = record.key_values().visit(&mut Fields(&mut fields));
     if let Err(err) = visited {
-        fields.insert("log_error".into(), err.to_string().into());
+        fields.serialize_entry("log_error", &err.to_string())?;
     }
     if dropped > 0 {
-        fields.insert("dropped_before".into(), dropped.into());
+        fields.serialize_entry("dropped_before", &dropped)?;
     }
-    let mut line = Value::Object(fields).to_string();
-    line.push('\n');
-    line
+    fields.end()
 }
 
-/// Collects the key-value pairs of a record as JSON fields.
-struct Fields<'a>(&'a mut Map<String, Value>);
+/// Writes the key-value pairs of a record as JSON fields.
+struct Fields<'a, M>(&'a mut M);
 
-impl<'kvs> kv::VisitSource<'kvs> for Fields<'_> {
+impl<'kvs, M: SerializeMap> kv::VisitSource<'kvs> for Fields<'_, M> {
     fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
-        let mut json = JsonValue(Value::Null);
-        value.visit(&mut json)?;
-        self.0.insert(key.to_string(), json.0);
-        Ok(())
+        let mut field = Field {
+            fields: &mut *self.0,
+            key: key.as_str(),
+        };
+        value.visit(&mut field)
     }
 }
 
-/// Converts a value of a record to JSON.
-struct JsonValue(Value);
+/// Writes the value of one key as JSON.
+struct Field<'a, M> {
+    fields: &'a mut M,
+    key: &'a str,
+}
+
+impl<M: SerializeMap> Field<'_, M> {
+    fn write(&mut self, value: impl Serialize) -> Result<(), kv::Error> {
+        let written = self.fields.serialize_entry(self.key, &value);
+        written.map_err(|_| kv::Error::msg("cannot write field as JSON"))
+    }
+}
 
-impl<'v> kv::VisitValue<'v> for JsonValue {
+impl<'v, M: SerializeMap> kv::VisitValue<'v> for Field<'_, M> {
     fn visit_any(&mut self, value: kv::Value<'_>) -> Result<(), kv::Error> {
-        self.0 = value.to_string().into();
-        Ok(())
+        self.write(format_args!("{value}"))
     }
 
     fn visit_null(&mut self) -> Result<(), kv::Error> {
-        self.0 = Value::Null;
-        Ok(())
+        self.write(())
     }
 
     fn visit_u64(&mut self, value: u64) -> Result<(), kv::Error> {
-        self.0 = value.into();
-        Ok(())
+        self.write(value)
     }
 
     fn visit_i64(&mut self, value: i64) -> Result<(), kv::Error> {
-        self.0 = value.into();
-        Ok(())
+        self.write(value)
     }
 
     fn visit_f64(&mut self, value: f64) -> Result<(), kv::Error> {
-        self.0 = value.into();
-        Ok(())
+        self.write(value)
     }
 
     fn visit_bool(&mut self, value: bool) -> Result<(), kv::Error> {
-        self.0 = value.into();
-        Ok(())
+        self.write(value)
     }
 
     fn visit_str(&mut self, value: &str) -> Result<(), kv::Error> {
-        self.0 = value.into();
-        Ok(())
+        self.write(value)
     }
 }
