entry: refuse requests of busy workspaces from a longer lag on than connections

Hypothesis: a flooded host refuses about 270 requests a second after it has read them, most of them the first ones of connections that it has just accepted, at several times the cost of a connection that is refused unread. If it refuses them only once most connections are refused, it has time for more requests. Change: a part of the requests of busy workspaces is refused from a lag of 25 ms on, of connections from 10 ms as before.

--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -40,12 +40,15 @@
 /// models should start. A host with a quota of processor time is late before it has used the quota: with a
 /// lower limit, callers who reach the fleet by a few such hosts get less than their share.
 const LAG_OBJECTIVE_FRACTION: f64 = 0.15;
-/// Lag from which on a part of the new connections is refused, and a part of the requests of workspaces
-/// that send the host many. On a host with processor time left, timers are hardly ever later.
+/// Lag from which on a part of the new connections is refused. On a host with processor time left, timers
+/// are hardly ever later.
 const REFUSING_LAG_MIN: Duration = Duration::from_millis(10);
 /// Lag from which on all new connections are refused. With 15 ms, a host was idle for a seventh of the time
 /// in a flood, and its workspaces got less than their shares.
 const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(40);
+/// Lag from which on a part of the requests of workspaces is refused that send the host many. Most of the new
+/// connections are refused then, which costs the host less.
+const BUSY_REQUEST_LAG_MIN: Duration = Duration::from_millis(25);
 /// Lag from which on all requests of workspaces are refused that send the host many. It is longer, since
 /// a request that is refused after it was read costs the host several times as much as a refused
 /// connection.
@@ -94,10 +97,10 @@
 }
 
 impl PartialRefusal {
-    /// Decides on one more. From a lag of `all_from` on, all are refused.
-    fn refuses(&mut self, late: Duration, all_from: Duration) -> bool {
-        let beyond = late.saturating_sub(REFUSING_LAG_MIN).as_secs_f64();
-        let range = all_from.saturating_sub(REFUSING_LAG_MIN).as_secs_f64();
+    /// Decides on one more. From a lag of `some_from` on some are refused, and all from `all_from` on.
+    fn refuses(&mut self, late: Duration, some_from: Duration, all_from: Duration) -> bool {
+        let beyond = late.saturating_sub(some_from).as_secs_f64();
+        let range = all_from.saturating_sub(some_from).as_secs_f64();
         self.credit += (beyond / range).min(1.0);
         let refuses = self.credit >= 1.0;
         if refuses {
@@ -213,9 +216,10 @@
     /// Decides on a new connection. Returns the time after which its caller should try again, `None` if
     /// the connection is to be served. `late` is how late the timers fire at present.
     pub fn on_connection(&mut self, now: Timestamp, late: Duration) -> Option<Duration> {
+        let late = late.max(self.recent());
         let is_refused = self
             .connections
-            .refuses(late.max(self.recent()), ACCEPTING_LAG_MAX);
+            .refuses(late, REFUSING_LAG_MIN, ACCEPTING_LAG_MAX);
         is_refused.then(|| self.retry_after(now))
     }
 
@@ -223,10 +227,11 @@
     /// its caller should try again, `None` if the request is to be served. `late` is how late the timers
     /// fire at present.
     pub fn on_busy_request(&mut self, now: Timestamp, late: Duration) -> Option<Duration> {
+        let late = late.max(self.recent());
         let is_refused = self.is_overloaded()
             || self
                 .busy_requests
-                .refuses(late.max(self.recent()), BUSY_REQUEST_LAG_MAX);
+                .refuses(late, BUSY_REQUEST_LAG_MIN, BUSY_REQUEST_LAG_MAX);
         is_refused.then(|| self.retry_after(now))
     }
 
