entry: continue a stream only with a stream

Reported by operators of similar systems: a stream breaks off, the next worker answers with an error, and the stream ends as if it were complete. Errors by status were guarded. A sealed response with status 200 and another content type was not: its bytes were held back as an incomplete event, and its end ended the caller's stream as complete. It no longer continues the stream, which ends as broken. broken_stream_is_not_continued_with_an_error fails before on this case; its other cases passed.

--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -12,6 +12,7 @@
 use axum::body::Bytes;
 use futures::stream;
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header;
@@ -93,14 +94,6 @@
 impl Upstream {
     fn new(in_flight: InFlightRequest, response: ServerResponse) -> Self {
         let headers = &response.parts.headers;
-        let content_type = headers.get(header::CONTENT_TYPE);
-        let is_other_type = content_type.is_some_and(|value| {
-            let value = value.as_bytes();
-            let name = EVENTS_TYPE.as_bytes();
-            !value
-                .get(..name.len())
-                .is_some_and(|start| start.eq_ignore_ascii_case(name))
-        });
         let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
         let is_framed = framing.iter().any(|name| headers.contains_key(name));
         Self {
@@ -108,7 +101,7 @@
             body: response.body,
             head: response.head,
             connection: response.connection,
-            tracker: (!is_other_type).then(EventTracker::default),
+            tracker: is_event_stream(headers).then(EventTracker::default),
             ends_with_connection: !is_framed,
             has_data: false,
         }
@@ -157,6 +150,14 @@
     }
 }
 
+/// Whether a response is a stream of events, which one without a content type is taken for.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers.get(header::CONTENT_TYPE).is_none_or(|value| {
+        let start = value.as_bytes().get(..EVENTS_TYPE.len());
+        start.is_some_and(|start| start.eq_ignore_ascii_case(EVENTS_TYPE.as_bytes()))
+    })
+}
+
 /// A stream that is being forwarded.
 pub(crate) struct StreamRelay {
     host: Arc<EntryHost>,
@@ -408,7 +409,9 @@
         self.sent_count += 1;
         in_flight.on_response_head(&placed, &response.head);
         let is_same_request = response.head.id.as_ref() == Some(&self.call.head.id);
-        if !response.parts.status.is_success() || !response.head.is_sealed || !is_same_request {
+        let is_stream = is_event_stream(&response.parts.headers);
+        let is_valid = response.parts.status.is_success() && response.head.is_sealed;
+        if !is_valid || !is_same_request || !is_stream {
             info!(target: "request", id = id, server = server,
                 status = response.parts.status.as_u16(); "cannot resume stream: invalid response");
             in_flight.end(match response.head.not_run {
