entry: judge requests that were read by the mean lag, and look up only the chosen engine

Hypothesis: a flooded host still refused 160 to 240 of 410 to 500 requests a second after it had read them, nearly as many as the connections that it accepted, because a single late timer counts as a long lag. It has spent time on these requests already. Change: they are refused by the mean lag only. An engine that a scheduler chose is looked up by itself, instead of with all others of its service.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -242,7 +242,7 @@
     if !host.fleet().is_busy_workspace(admitted) {
         return None;
     }
-    let wait = host.lag.on_busy_request(arrived)?;
+    let wait = host.lag.lag().on_busy_request(arrived)?;
     host.stats.refused_overloaded.inc();
     Some(Refusal::with_retry_after(Reason::HostBusy, wait))
 }
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -224,10 +224,10 @@
     }
 
     /// Decides on a request to a model of a workspace that sends the host many. Returns the time after which
-    /// its caller should try again, `None` if the request is to be served. `late` is how late the timers
-    /// fire at present.
-    pub fn on_busy_request(&mut self, now: Timestamp, late: Duration) -> Option<Duration> {
-        let late = late.max(self.recent());
+    /// its caller should try again, `None` if the request is to be served. The host has spent time on the
+    /// request already, so a single late timer does not count.
+    pub fn on_busy_request(&mut self, now: Timestamp) -> Option<Duration> {
+        let late = self.recent();
         let is_refused = self.is_overloaded()
             || self
                 .busy_requests
@@ -284,12 +284,6 @@
         self.lag().on_connection(now, late)
     }
 
-    /// Like [`Lag::on_busy_request`], also if a measurement has not ended yet.
-    pub(crate) fn on_busy_request(&self, now: Timestamp) -> Option<Duration> {
-        let late = self.current(now);
-        self.lag().on_busy_request(now, late)
-    }
-
     /// Locks and returns the lag.
     pub(crate) fn lag(&self) -> MutexGuard<'_, Lag> {
         self.lag.lock().unwrap_or_else(PoisonError::into_inner)
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -522,9 +522,12 @@
         server: u64,
         uncached_tokens: u32,
     ) -> Option<Placement> {
-        let usable = self.usable(now, &admitted.service, versions, &[]);
-        let chosen = usable.candidates.iter().find(|c| c.hash == server)?;
-        let key = chosen.key;
+        let has_hash = |key: &ServerKey| self.servers.get(*key).is_some_and(|s| s.hash == server);
+        let keys = self.servers.of_service(&admitted.service).iter().copied();
+        let keys: Vec<_> = keys.filter(has_hash).collect();
+        // Whether the server fails was checked by the scheduler and in the schedule request.
+        let usable = self.usable_among(now, &admitted.service, versions, &[], &keys, 0.0);
+        let key = usable.candidates.first()?.key;
         if let Some(session) = prompt.session() {
             self.session_affinity.set(now, session, server);
         }
@@ -567,14 +570,26 @@
         versions: VersionChoice,
         tried: &[ServerKey],
     ) -> Usable {
-        let service_hash = xxh3_64(service.as_bytes());
         let keys = self.servers.of_service(service).to_vec();
         let rates: Vec<f64> = keys
             .iter()
             .filter_map(|key| self.servers.get(*key)?.failures.rate(now))
             .collect();
-        // Usual failure rate of the service's servers.
-        let service_rate = median(rates);
+        self.usable_among(now, service, versions, tried, &keys, median(rates))
+    }
+
+    /// Those of the servers `keys` that are usable as [`Self::usable`] says. `service_rate` is the usual
+    /// failure rate of the service's servers.
+    fn usable_among(
+        &mut self,
+        now: Timestamp,
+        service: &CompactString,
+        versions: VersionChoice,
+        tried: &[ServerKey],
+        keys: &[ServerKey],
+        service_rate: f64,
+    ) -> Usable {
+        let service_hash = xxh3_64(service.as_bytes());
         let spec = self.config.as_ref().and_then(|c| c.services.get(service));
         // Requests to engines are limited by their schedulers.
         let is_plain = spec.is_none_or(|spec| spec.engine.is_none());
@@ -591,7 +606,7 @@
             has_limited: false,
             first_room_at: None,
         };
-        for key in keys {
+        for &key in keys {
             let Some(server) = self.servers.get_mut(key) else {
                 continue;
             };
