--- a/daemon/src/json_log.rs
+++ b/daemon/src/json_log.rs
@@ -33,8 +33,8 @@
 
 /// Capacity of the queue of lines to be written: about one second of the lines of a busy host.
 const LINES_WAITING_MAX: usize = 1024;
-/// How long a line is held back so that later ones go out in the same write. A write for each line, with a
-/// wake-up of the writer, costs a busy host a tenth of its processor time.
+/// How long a line is held back so that later ones go out in the same write, with one wake-up of the
+/// writer.
 const WRITE_DELAY: Duration = Duration::from_millis(20);
 /// Longest wait for the queued lines to be written when the process ends: time for ten writes.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -525,7 +525,7 @@
         let has_hash = |key: &ServerKey| self.servers.get(*key).is_some_and(|s| s.hash == server);
         let keys = self.servers.of_service(&admitted.service).iter().copied();
         let keys: Vec<_> = keys.filter(has_hash).collect();
-        // Whether the server fails was checked by the scheduler and in the schedule request.
+        // The schedule request has excluded the servers that fail, so their rate is not needed here.
         let usable = self.usable_among(now, &admitted.service, versions, &[], &keys, 0.0);
         let key = usable.candidates.first()?.key;
         if let Some(session) = prompt.session() {
