entry: divide a flooded host's time among workspaces, and hand requests over

Cause: the processor time of a host is a resource that nobody divided and nobody could lend. Connections were refused unread, whosever they were, and what the host could serve (about 230 requests a second beside 2,300 refused connections) is less than half of the share of two such workspaces together.

Change: while timers are late, the accepting thread receives what has arrived, which it had to do anyway, and finds the workspace of the request. The connections that have to be refused are refused by an even division among workspaces. Accepted requests to models are handed over to another host of the failure domain: this host only passes bytes on. What is refused counts for its own workspace.

--- /dev/null
+++ b/lib/src/entry/arrival.rs
@@ -0,0 +1,156 @@
+//! Decides on new connections of callers while this host is behind its work, by the request that has
+//! arrived on each.
+//!
+//! The load is a workspace (customer) that floods one small entry host: its callers open thousands of
+//! connections a second there, while the other hosts have processor time left. The time of the flooded
+//! host is divided: each workspace may have as many connections accepted as any other one, and what one
+//! does not use the others get. The requests to models that are accepted are handed over to other hosts
+//! of the failure domain, which costs this host less than to serve them.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::http::HeaderMap;
+use axum::http::HeaderValue;
+use axum::http::Method;
+use axum::http::Request;
+use axum::http::header;
+use axum::http::request::Parts;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::admission::Admitted;
+use super::dialect::CallHead;
+use super::dialect::Prompt;
+use super::host::EntryHost;
+use crate::gateway::ConnectionDecision;
+use crate::gateway::EndGuard;
+use crate::gateway::Handover;
+use crate::gateway::close_after_response;
+use crate::time::Timestamp;
+
+/// Most headers of a request that is read before its connection is accepted.
+const HEADERS_MAX: usize = 64;
+
+/// How long after its deadline a request that was handed over may get the other host's response, which
+/// counts the time from the arrival there.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
+
+/// A request that has arrived on a new connection.
+struct Arrival {
+    head: CallHead,
+    admitted: Admitted,
+}
+
+/// Decides on a connection from the address `from`, on which `received` has arrived.
+pub(crate) fn decide(host: &Arc<EntryHost>, from: IpAddr, received: &[u8]) -> ConnectionDecision {
+    let now = host.clock.now();
+    // The lag is also measured while all requests are handed over.
+    host.lag.on_request();
+    let late = host.lag.current(now);
+    let Some(arrival) = read_arrival(host, now, received) else {
+        return decide_unread(host, now);
+    };
+    let (refused_fraction, wait) = {
+        let lag = host.lag.lag();
+        (lag.refused_fraction(late), lag.retry_after(now))
+    };
+    let Arrival { head, admitted } = arrival;
+    {
+        let mut fleet = host.fleet();
+        if fleet.refuses_for_share(&admitted, refused_fraction) {
+            fleet.on_refused_connection(&admitted, head.prompt.as_ref());
+            return ConnectionDecision::Refuse(retry_after(host, wait));
+        }
+    }
+    let Some(prompt) = &head.prompt else {
+        host.fleet().on_arrived(&admitted, None);
+        return ConnectionDecision::Serve;
+    };
+    // A stream that continues is bound to what this host knows of it.
+    if head.resumes_after.is_some() || host.link.is_peer(from) {
+        return ConnectionDecision::Serve;
+    }
+    match hand_over(host, now, &head, &admitted, prompt, received) {
+        Some((handover, request)) => {
+            host.fleet().on_arrived(&admitted, Some(prompt));
+            host.stats.handovers.inc();
+            ConnectionDecision::HandOver(handover, request)
+        }
+        None => ConnectionDecision::Serve,
+    }
+}
+
+/// Decides on a connection whose request has not arrived or cannot be read: a part is refused.
+fn decide_unread(host: &EntryHost, now: Timestamp) -> ConnectionDecision {
+    match host.lag.on_connection(now) {
+        Some(wait) => {
+            host.lag.on_refused_unread();
+            ConnectionDecision::Refuse(retry_after(host, wait))
+        }
+        None => ConnectionDecision::Serve,
+    }
+}
+
+fn retry_after(host: &EntryHost, wait: Duration) -> HeaderValue {
+    let mut headers = HeaderMap::new();
+    (host.dialect.write_retry_after)(&mut headers, wait);
+    let value = headers.remove(header::RETRY_AFTER);
+    value.unwrap_or(HeaderValue::from_static("1"))
+}
+
+/// Reads the head of a request and admits it. `None` if it is incomplete or would not be admitted: then it
+/// is served like any other, which gives its caller the reason.
+fn read_arrival(host: &EntryHost, now: Timestamp, received: &[u8]) -> Option<Arrival> {
+    let parts = read_parts(received)?;
+    let head = (host.dialect.read_call)(&parts, now).ok()?;
+    let admitted = host.fleet().admit(now, &head, parts.uri.path()).ok()?;
+    Some(Arrival { head, admitted })
+}
+
+/// Parses the head of an HTTP/1 request. `None` if it is incomplete or malformed.
+fn read_parts(received: &[u8]) -> Option<Parts> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut req = httparse::Request::new(&mut headers);
+    if !req.parse(received).ok()?.is_complete() {
+        return None;
+    }
+    let method = Method::from_bytes(req.method?.as_bytes()).ok()?;
+    let mut builder = Request::builder().method(method).uri(req.path?);
+    for header in req.headers.iter() {
+        builder = builder.header(header.name, header.value);
+    }
+    Some(builder.body(()).ok()?.into_parts().0)
+}
+
+/// Chooses a host to hand a request over to. Returns also the bytes to send it in place of `received`.
+/// `None` if no host is known that could take it, or no connection may be opened.
+fn hand_over(
+    host: &Arc<EntryHost>,
+    now: Timestamp,
+    head: &CallHead,
+    admitted: &Admitted,
+    prompt: &Prompt,
+    received: &[u8],
+) -> Option<(Handover, Vec<u8>)> {
+    let request = close_after_response(received)?;
+    let permit = host.pool.reserve()?;
+    // Requests with the same beginning of the prompt go to the same host, which remembers the engine
+    // that has it cached.
+    let subject = prompt.session();
+    let subject = subject.unwrap_or_else(|| xxh3_64(head.id.as_bytes()));
+    let helper = host.link.choose_helper(now, subject)?;
+    let ended_host = host.clone();
+    let on_end = EndGuard::new(move |outcome| {
+        drop(permit);
+        let now = ended_host.clock.now();
+        ended_host.link.on_handover_ended(now, helper.peer, outcome);
+    });
+    let handover = Handover {
+        to: helper.callers,
+        from: host.link.own_address().ip(),
+        deadline: host.clock.instant(admitted.give_up_at + RESPONSE_MARGIN),
+        on_end,
+    };
+    Some((handover, request))
+}
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -59,6 +59,8 @@
 pub(super) struct ReadPrompts {
     pub(super) count: f64,
     pub(super) tokens: f64,
+    /// Grows with each request by the part that is to be refused; a refusal costs 1.
+    pub(super) refusal_credit: f64,
 }
 
 /// Identity of this host within the fleet.
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -22,7 +22,6 @@
 
 use axum::Router;
 use axum::extract::State;
-use axum::http::HeaderMap;
 use axum::http::StatusCode;
 use axum::http::header;
 use axum::response::IntoResponse;
@@ -40,6 +39,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::arrival;
 use super::budget::FleetBounds;
 use super::config::FleetConfig;
 use super::dialect::Dialect;
@@ -50,6 +50,7 @@
 use super::forward::millis;
 use super::forward::serve;
 use super::lag;
+use super::lag::Lag;
 use super::lag::LagMeter;
 use super::memory_budget::BodyMemory;
 use super::memory_budget::MemoryBudget;
@@ -502,16 +503,14 @@
 ) -> Result<Accepted, EntryError> {
     let purpose = "callers";
     let listener = listen(purpose, address).await?;
-    let refusing_host = host.clone();
-    let retry_after = move || {
-        let host = &refusing_host;
-        let wait = host.lag.on_connection(host.clock.now())?;
-        let mut headers = HeaderMap::new();
-        (host.dialect.write_retry_after)(&mut headers, wait);
-        headers.remove(header::RETRY_AFTER)
+    let (behind_host, deciding_host) = (host.clone(), host.clone());
+    let is_behind = move || {
+        let late = behind_host.lag.current(behind_host.clock.now());
+        Lag::is_behind(late)
     };
     let refusing = Refusing {
-        retry_after: Box::new(retry_after),
+        is_behind: Box::new(is_behind),
+        decide: Box::new(move |from, received| arrival::decide(&deciding_host, from, received)),
         accepted: host.stats.callers.accepted.clone(),
         refused: host.stats.callers.refused.clone(),
     };
@@ -555,16 +554,13 @@
 /// connections that have expired. Runs until the task is dropped.
 async fn sweep(host: Arc<EntryHost>) {
     let mut next_summary_at = host.clock.now() + SUMMARY_PERIOD;
-    let mut refused_counted = 0;
     let mut refused_logged = CallerCounts::default();
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         host.pool.close_expired();
         let now = host.clock.now();
-        let refused = host.stats.callers.refused.get();
-        host.fleet()
-            .on_connections_refused(refused - refused_counted);
-        refused_counted = refused;
+        let refused = host.lag.take_refused_unread();
+        host.fleet().on_connections_refused(refused);
         if next_summary_at.has_passed(now) {
             next_summary_at = now + SUMMARY_PERIOD;
             log_schedule_summaries(&host);
@@ -674,6 +670,8 @@
     read: u64,
     /// Requests to models that were read and refused.
     refused_requests: u64,
+    /// Requests that were handed over to other hosts.
+    handed_over: u64,
 }
 
 impl CallerCounts {
@@ -683,11 +681,14 @@
             refused: host.stats.callers.refused.get(),
             read: host.stats.callers.requests.get(),
             refused_requests: host.stats.refused_overloaded.get(),
+            handed_over: host.stats.handovers.get(),
         }
     }
 
     fn has_refused_since(&self, before: &Self) -> bool {
-        (self.refused, self.refused_requests) != (before.refused, before.refused_requests)
+        self.refused != before.refused
+            || self.refused_requests != before.refused_requests
+            || self.handed_over != before.handed_over
     }
 }
 
@@ -705,6 +706,7 @@
     };
     info!(target: "host", refused = counts.refused - before.refused,
         refused_requests = counts.refused_requests - before.refused_requests,
+        handed_over = counts.handed_over - before.handed_over,
         accepted = counts.accepted - before.accepted, requests = counts.read - before.read,
         open = host.stats.callers.connections.get(), lag_ms = millis(lag), is_ready = is_ready,
         workspace = workspace.as_deref(), fraction = fraction; "connections of callers refused");
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -46,6 +46,9 @@
 /// Lag from which on all new connections are refused. With 15 ms, a host was idle for a seventh of the time
 /// in a flood, and its workspaces got less than their shares.
 const ACCEPTING_LAG_MAX: Duration = Duration::from_millis(40);
+/// Largest part of the connections that is refused if it is known whose they are. The rest is divided among
+/// the workspaces, so that those with few connections are not kept out by others.
+const REFUSED_FRACTION_MAX: f64 = 0.95;
 /// Lag from which on a part of the requests of workspaces is refused that send the host many. Most of the new
 /// connections are refused then, which costs the host less.
 const BUSY_REQUEST_LAG_MIN: Duration = Duration::from_millis(25);
@@ -213,7 +216,20 @@
         }
     }
 
-    /// Decides on a new connection. Returns the time after which its caller should try again, `None` if
+    /// Whether timers that are late by `late` mean that the host has no processor time left.
+    pub fn is_behind(late: Duration) -> bool {
+        late >= REFUSING_LAG_MIN
+    }
+
+    /// The part of new connections, from 0 to 1, that should be refused if it is known whose they are.
+    pub fn refused_fraction(&self, late: Duration) -> f64 {
+        let late = late.max(self.recent());
+        let beyond = late.saturating_sub(REFUSING_LAG_MIN).as_secs_f64();
+        let range = (ACCEPTING_LAG_MAX - REFUSING_LAG_MIN).as_secs_f64();
+        (beyond / range).min(REFUSED_FRACTION_MAX)
+    }
+
+    /// Decides on a new connection of which nothing is known. Returns the time after which its caller should try again, `None` if
     /// the connection is to be served. `late` is how late the timers fire at present.
     pub fn on_connection(&mut self, now: Timestamp, late: Duration) -> Option<Duration> {
         let late = late.max(self.recent());
@@ -250,6 +266,8 @@
     lag: Mutex<Lag>,
     /// When the timer of the present measurement is due, microseconds; 0 if measuring pauses.
     due_micros: AtomicU64,
+    /// Connections refused since the last sweep without knowing whose they are.
+    refused_unread: AtomicU64,
     /// Notified of each request.
     has_work: Notify,
     /// Notified when callers' idle connections are to be closed.
@@ -278,6 +296,16 @@
         late.max(self.lag().recent())
     }
 
+    /// Counts a connection that was refused without knowing whose it is.
+    pub(crate) fn on_refused_unread(&self) {
+        self.refused_unread.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of these connections since the last call.
+    pub(crate) fn take_refused_unread(&self) -> u64 {
+        self.refused_unread.swap(0, Ordering::Relaxed)
+    }
+
     /// Like [`Lag::on_connection`], also if a measurement has not ended yet.
     pub(crate) fn on_connection(&self, now: Timestamp) -> Option<Duration> {
         let late = self.current(now);
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -13,6 +13,7 @@
 //! argument and do no I/O.
 
 mod admission;
+mod arrival;
 mod assign;
 mod attempt;
 mod budget;
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -14,6 +14,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -36,6 +37,7 @@
 use super::codec::encode;
 use super::origin::OriginQuestion;
 use super::reply::wait_for_reply;
+use super::selection::Helper;
 use super::selection::Peer;
 use super::selection::Peers;
 use crate::entry::fleet::RequestOutcome;
@@ -48,6 +50,7 @@
 use crate::entry::schedule::ScheduleRequest;
 use crate::entry::schedule::Shard;
 use crate::entry::stream_origins::KnownOrigin;
+use crate::gateway::HandoverOutcome;
 use crate::time::Timestamp;
 
 /// How long to wait for a reply before a schedule request is sent again, and then before the asked
@@ -253,8 +256,30 @@
         self.inner().peers.set(peers);
     }
 
+    /// Whether a connection from this address is that of a host.
+    pub(crate) fn is_peer(&self, from: IpAddr) -> bool {
+        self.inner().peers.is_peer(from)
+    }
+
+    /// Chooses a host to hand a request over to, and counts the request there until
+    /// [`Self::on_handover_ended`].
+    pub(crate) fn choose_helper(&self, now: Timestamp, subject: u64) -> Option<Helper> {
+        self.inner().peers.choose_helper(now, subject)
+    }
+
+    /// Records how a request ended that was handed over to the host with this address.
+    pub(crate) fn on_handover_ended(
+        &self,
+        now: Timestamp,
+        peer: SocketAddr,
+        outcome: HandoverOutcome,
+    ) {
+        let was_reached = outcome == HandoverOutcome::Ended;
+        self.inner().peers.on_handover_ended(now, peer, was_reached);
+    }
+
     /// Address of this host.
-    pub(super) fn own_address(&self) -> SocketAddr {
+    pub(crate) fn own_address(&self) -> SocketAddr {
         self.inner().peers.own_address()
     }
 
--- a/lib/src/entry/peers/selection.rs
+++ b/lib/src/entry/peers/selection.rs
@@ -15,6 +15,7 @@
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -43,6 +44,11 @@
 /// from the platform.
 const MIRROR_HOSTS: usize = 2;
 
+/// Hosts among which one is chosen to hand a request over to.
+const HELPER_CHOICES: usize = 2;
+/// How long no request is handed over to a host that could not be reached, or did not respond in time.
+const NO_HELP_DURATION: Duration = Duration::from_secs(2);
+
 /// An entry host, as registered on the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
@@ -50,18 +56,35 @@
     pub name: CompactString,
     /// Address at which it receives datagrams (UDP) and requests for mirrored objects (HTTP).
     pub address: SocketAddr,
+    /// Address at which it accepts callers, `None` if it does not say.
+    pub callers: Option<SocketAddr>,
     /// Failure domain of the host.
     pub domain: CompactString,
     /// Processor cores that the host may use; below 1 for a share of a core.
     pub cores: f64,
 }
 
+/// A host to which a request can be handed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Helper {
+    /// Its address among the hosts.
+    pub peer: SocketAddr,
+    /// Address at which it accepts callers.
+    pub callers: SocketAddr,
+}
+
 /// Another host and its recent behaviour.
 #[derive(Clone, Debug)]
 struct KnownPeer {
     /// Hash of its name.
     hash: u64,
     address: SocketAddr,
+    /// Address at which it accepts callers.
+    callers: Option<SocketAddr>,
+    /// Requests handed over to it that have not ended.
+    handed_over: u32,
+    /// Time until which no request is handed over to it.
+    no_help_until: Timestamp,
     /// Hash of its failure domain.
     domain: u64,
     /// Whether it is in this host's failure domain.
@@ -73,6 +96,16 @@
     next_backoff: Duration,
 }
 
+impl KnownPeer {
+    /// Whether requests can be handed over to it.
+    fn can_help(&self, now: Timestamp) -> bool {
+        self.is_same_domain
+            && self.callers.is_some()
+            && self.skipped_until.has_passed(now)
+            && self.no_help_until.has_passed(now)
+    }
+}
+
 /// All entry hosts that this host knows.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -149,14 +182,18 @@
             let fresh = || KnownPeer {
                 hash: xxh3_64(peer.name.as_bytes()),
                 address: peer.address,
+                callers: peer.callers,
+                handed_over: 0,
+                no_help_until: Timestamp::ZERO,
                 domain: xxh3_64(peer.domain.as_bytes()),
                 is_same_domain: peer.domain == self.own.domain,
                 cores: peer.cores,
                 skipped_until: Timestamp::ZERO,
                 next_backoff: SILENT_BACKOFF_FIRST,
             };
-            let kept = self.known.remove(&peer.address);
-            known.insert(peer.address, kept.unwrap_or_else(fresh));
+            let mut entry = self.known.remove(&peer.address).unwrap_or_else(fresh);
+            entry.callers = peer.callers;
+            known.insert(peer.address, entry);
         }
         self.known = known;
     }
@@ -205,6 +242,45 @@
         before.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Whether a connection from this address is that of a host.
+    pub fn is_peer(&self, from: IpAddr) -> bool {
+        self.known.keys().any(|address| address.ip() == from)
+    }
+
+    /// Chooses a host of this failure domain to hand a request over to, and counts the request there. Of the
+    /// first two for `subject`, it is the one with fewer such requests for its processor cores.
+    pub fn choose_helper(&mut self, now: Timestamp, subject: u64) -> Option<Helper> {
+        let known = self.known.values();
+        let mut able: Vec<_> = known
+            .filter(|peer| peer.can_help(now))
+            .map(|peer| {
+                let load = f64::from(peer.handed_over) / peer.cores;
+                (rank(peer.hash, subject), load, peer.address)
+            })
+            .collect();
+        able.sort_unstable_by_key(|(rank, ..)| Reverse(*rank));
+        able.truncate(HELPER_CHOICES);
+        let (.., address) = able.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
+        let peer = self.known.get_mut(&address)?;
+        peer.handed_over += 1;
+        Some(Helper {
+            peer: address,
+            callers: peer.callers?,
+        })
+    }
+
+    /// Records that a request that was handed over has ended. A host that could not be reached gets none
+    /// for a while.
+    pub fn on_handover_ended(&mut self, now: Timestamp, address: SocketAddr, was_reached: bool) {
+        let Some(peer) = self.known.get_mut(&address) else {
+            return;
+        };
+        peer.handed_over = peer.handed_over.saturating_sub(1);
+        if !was_reached {
+            peer.no_help_until = now + NO_HELP_DURATION;
+        }
+    }
+
     /// Skips a host that did not reply. Returns whether that is new: false if it is unknown or
     /// already skipped, as when several requests find it silent at the same time.
     pub fn on_no_reply(&mut self, now: Timestamp, address: SocketAddr) -> bool {
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -116,6 +116,23 @@
     }
 }
 
+/// The most that each of several parties gets if a part of the sum of what they ask for is divided evenly,
+/// and what one of them does not ask for goes to the others.
+fn even_share(mut asked: Vec<f64>, part: f64) -> f64 {
+    let mut left = part * asked.iter().sum::<f64>();
+    asked.sort_unstable_by(f64::total_cmp);
+    let mut parties = asked.len();
+    for amount in asked {
+        let share = left / parties as f64;
+        if amount >= share {
+            return share;
+        }
+        left -= amount;
+        parties -= 1;
+    }
+    f64::INFINITY
+}
+
 /// Hashes of the names of a request's service and workspace; 0 for a request without a workspace.
 fn share_key(admitted: &Admitted) -> (u64, u64) {
     let workspace = admitted.workspace.as_deref();
@@ -353,6 +370,43 @@
         count_of(&key) >= mean
     }
 
+    /// Decides whether a request is refused, for which this host has no processor time, if `refused_fraction`
+    /// of all are to be. What is left is divided evenly among the workspaces; what one of them does not
+    /// use the others get.
+    pub fn refuses_for_share(&mut self, admitted: &Admitted, refused_fraction: f64) -> bool {
+        if refused_fraction <= 0.0 {
+            return false;
+        }
+        let counts = self.read_prompts.values().map(|read| read.count);
+        let share = even_share(counts.collect(), 1.0 - refused_fraction);
+        let key = (admitted.service.clone(), admitted.workspace.clone());
+        let Some(read) = self.read_prompts.get_mut(&key) else {
+            return false;
+        };
+        read.refusal_credit += (1.0 - share / read.count).max(0.0);
+        let refuses = read.refusal_credit >= 1.0;
+        if refuses {
+            read.refusal_credit -= 1.0;
+        }
+        refuses
+    }
+
+    /// Counts a request that has arrived on a new connection and is not scheduled by this host.
+    pub fn on_arrived(&mut self, admitted: &Admitted, prompt: Option<&Prompt>) {
+        let key = (admitted.service.clone(), admitted.workspace.clone());
+        let read = self.read_prompts.entry(key).or_default();
+        read.count += 1.0;
+        read.tokens += prompt.map_or(0.0, |prompt| prompt.work_tokens() as f64);
+    }
+
+    /// Counts a request whose connection this host refuses.
+    pub fn on_refused_connection(&mut self, admitted: &Admitted, prompt: Option<&Prompt>) {
+        match prompt {
+            Some(prompt) => self.on_refused_locally(admitted, prompt),
+            None => self.on_arrived(admitted, None),
+        }
+    }
+
     /// Counts a request to a model that this host refuses by itself, without a schedule request. The
     /// next schedule request for its workspace tells the scheduler.
     pub fn on_refused_locally(&mut self, admitted: &Admitted, prompt: &Prompt) {
@@ -367,15 +421,17 @@
 
     /// Counts a request to a model whose head this host has read.
     fn on_prompt_read(&mut self, admitted: &Admitted, prompt: &Prompt) {
-        let key = (admitted.service.clone(), admitted.workspace.clone());
-        let read = self.read_prompts.entry(key).or_default();
-        read.count += 1.0;
-        read.tokens += prompt.work_tokens() as f64;
+        self.on_arrived(admitted, Some(prompt));
     }
 
     /// Counts connections of callers that this host has refused unread. Their requests are assumed to
     /// be like those that were read lately. To be called once in each sweep of the host.
     pub fn on_connections_refused(&mut self, count: u64) {
+        // What no schedule request has told in time says little about the present demand.
+        for tokens in self.refused_tokens.values_mut() {
+            *tokens = (*tokens as f64 * READ_PROMPTS_KEPT) as u64;
+        }
+        self.refused_tokens.retain(|_, tokens| *tokens > 0);
         let read_count: f64 = self.read_prompts.values().map(|read| read.count).sum();
         for (key, read) in &mut self.read_prompts {
             if count > 0 && read_count > 0.0 {
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -58,6 +58,8 @@
     pub(crate) server_pauses: IntCounter,
     /// Times that a part of prompts was found to make servers crash and is held back.
     pub(crate) prompt_parts_held_back: IntCounter,
+    /// Requests handed over to other hosts because this host was behind its work.
+    pub(crate) handovers: IntCounter,
     /// Times that a request was found to make servers crash and is held back.
     pub(crate) requests_held_back: IntCounter,
     /// Requests that take a stream up, by outcome: `admitted` if they have the claim to continue it, `as_new`
@@ -131,6 +133,7 @@
                 "server_pauses_total",
                 "Times that a server asked to be sent nothing for a time",
             )?,
+            handovers: counter("handovers_total", "Requests handed over to other hosts")?,
             prompt_parts_held_back: counter(
                 "prompt_parts_held_back_total",
                 "Times that a part of prompts was held back because it makes servers crash",
--- a/lib/src/gateway/accept.rs
+++ b/lib/src/gateway/accept.rs
@@ -2,9 +2,13 @@
 //! thread that serves requests is behind its work.
 //!
 //! Such a thread takes too long to come back to its listener. The kernel then drops new connections,
-//! whose callers wait for seconds. A refusal that is sent at once is cheaper for both sides.
+//! whose callers wait for seconds. A refusal that is sent at once is cheaper for both sides. What has
+//! arrived on a connection has to be received anyway, so the decision can depend on it.
 
 use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::net::TcpListener as StdListener;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -21,8 +25,10 @@
 use rustix::net::SocketFlags;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::watch;
 
+use super::handover::Handover;
 use super::server::stopped;
 
 /// Wait after accepting a connection has failed. Avoids a busy loop when file descriptors run out.
@@ -34,22 +40,65 @@
     tv_sec: 0,
     tv_nsec: 250_000_000,
 };
-/// Wait after connections were refused. The next ones are accepted together, which takes a host that has
+/// No wait, if there are connections to be looked at again.
+const NO_WAIT: Timespec = Timespec {
+    tv_sec: 0,
+    tv_nsec: 0,
+};
+/// Wait after connections were refused, or nothing has arrived on some. The next ones are accepted together, which takes a host that has
 /// no processor time left less of it than to wake up for each.
 const REFUSING_PAUSE: Duration = Duration::from_millis(10);
 /// Stack of the accepting thread, bytes.
 const STACK_BYTES: usize = 256 << 10;
-/// Most bytes that are read of a refused request. It covers most requests to models.
-const DISCARD_BYTES: usize = 16 << 10;
+/// Most bytes that are received of a request before it is decided on. It covers most requests to models.
+const RECEIVED_MAX_BYTES: usize = 16 << 10;
+/// Most accepted connections that wait for the thread that serves requests, with what has arrived on them.
+const ACCEPTED_WAITING_MAX: usize = 256;
+/// Time after which the caller of a connection beyond these should try again, seconds.
+const WAITING_RETRY_AFTER: &[u8] = b"1";
+/// How often the accepting thread waits [`REFUSING_PAUSE`] for the first bytes of a connection.
+const LOOKS_MAX: u32 = 3;
+
+/// Connections that were accepted. The channel is closed after the stop signal, when the listener is
+/// closed.
+pub(crate) type Accepted = mpsc::Receiver<AcceptedConnection>;
+
+/// A connection of a caller that was not refused.
+pub(crate) struct AcceptedConnection {
+    /// The connection, in non-blocking mode.
+    pub(crate) stream: TcpStream,
+    /// Bytes that were received on it.
+    pub(crate) received: Vec<u8>,
+    /// Set if another host is to serve the request, with the bytes that it gets in place of `received`.
+    pub(crate) handover: Option<(Handover, Vec<u8>)>,
+}
+
+impl From<TcpStream> for AcceptedConnection {
+    fn from(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            received: Vec::new(),
+            handover: None,
+        }
+    }
+}
 
-/// Connections that were accepted, in non-blocking mode. The channel is closed after the stop signal,
-/// when the listener is closed.
-pub(crate) type Accepted = mpsc::UnboundedReceiver<TcpStream>;
+/// What is done with a new connection.
+pub(crate) enum ConnectionDecision {
+    /// This host serves it.
+    Serve,
+    /// Another host serves its first request, which is sent there as these bytes.
+    HandOver(Handover, Vec<u8>),
+    /// It is refused, with this value of the `Retry-After` header.
+    Refuse(HeaderValue),
+}
 
-/// Decides which new connections are refused.
+/// Decides on new connections.
 pub(crate) struct Refusing {
-    /// Value of the `Retry-After` header of the refusal, `None` if the connection is to be served.
-    pub(crate) retry_after: Box<dyn Fn() -> Option<HeaderValue> + Send>,
+    /// Whether connections may have to be refused now. If not, they are served without a look at them.
+    pub(crate) is_behind: Box<dyn Fn() -> bool + Send>,
+    /// Decides on a connection from an address by the bytes that have arrived.
+    pub(crate) decide: Box<dyn Fn(IpAddr, &[u8]) -> ConnectionDecision + Send>,
     /// Metric: accepted connections.
     pub(crate) accepted: IntCounter,
     /// Metric: refused connections.
@@ -58,7 +107,7 @@
 
 /// Accepts all connections in a task of the current runtime.
 pub(crate) fn accept_in_task(listener: TcpListener, mut stop: watch::Receiver<bool>) -> Accepted {
-    let (tx, rx) = mpsc::unbounded_channel();
+    let (tx, rx) = mpsc::channel(ACCEPTED_WAITING_MAX);
     tokio::spawn(async move {
         loop {
             let accepted = tokio::select! {
@@ -68,7 +117,7 @@
             };
             match accepted.and_then(|(stream, _)| stream.into_std()) {
                 // Fails only if the server was dropped, which the next turn notices.
-                Ok(stream) => drop(tx.send(stream)),
+                Ok(stream) => drop(tx.send(stream.into()).await),
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
@@ -89,7 +138,7 @@
     stop: watch::Receiver<bool>,
     refusing: Refusing,
 ) -> io::Result<Accepted> {
-    let (tx, rx) = mpsc::unbounded_channel();
+    let (tx, rx) = mpsc::channel(ACCEPTED_WAITING_MAX);
     let listener = listener.into_std()?;
     std::thread::Builder::new()
         .name("accept".into())
@@ -98,87 +147,166 @@
     Ok(rx)
 }
 
+/// A connection on which nothing has arrived yet.
+struct SilentConnection {
+    stream: TcpStream,
+    from: IpAddr,
+    /// How often it was looked at.
+    looks: u32,
+}
+
 /// Accepts or refuses connections until the stop signal, or until nobody receives them any more.
 fn accept(
     listener: &StdListener,
     stop: &watch::Receiver<bool>,
-    tx: &mpsc::UnboundedSender<TcpStream>,
+    tx: &mpsc::Sender<AcceptedConnection>,
     refusing: &Refusing,
 ) {
+    let mut silent = Vec::new();
     // An error means that the sender of the signal is gone, which also counts as a stop.
     while !*stop.borrow() && stop.has_changed().is_ok() {
         if tx.is_closed() {
             return;
         }
+        let wait = match silent.is_empty() {
+            true => &STOP_CHECK_INTERVAL,
+            false => &NO_WAIT,
+        };
         let mut fds = [PollFd::new(listener, PollFlags::IN)];
         let refused_before = refusing.refused.get();
-        let accepted = match poll(&mut fds, Some(&STOP_CHECK_INTERVAL)) {
-            Ok(0) | Err(Errno::INTR) => continue,
-            Ok(_) => accept_ready(listener, tx, refusing),
+        let accepted = match poll(&mut fds, Some(wait)) {
+            Err(Errno::INTR) => continue,
+            Ok(0) => Ok(()),
+            Ok(_) => accept_ready(listener, tx, refusing, &mut silent),
             Err(err) => Err(err.into()),
         };
+        for connection in std::mem::take(&mut silent) {
+            decide(connection, tx, refusing, &mut silent);
+        }
         if accepted.is_err_and(|err| err.kind() != io::ErrorKind::WouldBlock) {
             std::thread::sleep(ACCEPT_PAUSE);
-        } else if refusing.refused.get() > refused_before {
+        } else if refusing.refused.get() > refused_before || !silent.is_empty() {
             std::thread::sleep(REFUSING_PAUSE);
         }
     }
+    for connection in silent {
+        pass_on(connection.stream.into(), tx);
+    }
     accept_queued(listener, tx);
 }
 
-/// Accepts or refuses the connections in the accept queue, up to a limit. The error is `WouldBlock` if
-/// none is left.
+/// Accepts the connections in the accept queue, up to a limit, and serves them or adds them to `silent`
+/// to be decided on. The error is `WouldBlock` if none is left.
 fn accept_ready(
     listener: &StdListener,
-    tx: &mpsc::UnboundedSender<TcpStream>,
+    tx: &mpsc::Sender<AcceptedConnection>,
     refusing: &Refusing,
+    silent: &mut Vec<SilentConnection>,
 ) -> io::Result<()> {
     for _ in 0..ACCEPTED_PER_TURN {
-        let stream = accept_one(listener)?;
-        match (refusing.retry_after)() {
-            Some(retry_after) => {
-                refusing.refused.inc();
-                refuse(&stream, &retry_after);
-            }
-            None => {
-                refusing.accepted.inc();
-                // Fails only if the server was dropped, which `accept` notices.
-                drop(tx.send(stream));
-            }
+        let (stream, from) = accept_one(listener)?;
+        if (refusing.is_behind)() {
+            silent.push(SilentConnection {
+                stream,
+                from,
+                looks: 0,
+            });
+            continue;
+        }
+        match pass_on(stream.into(), tx) {
+            true => refusing.accepted.inc(),
+            false => refusing.refused.inc(),
         }
     }
     Ok(())
 }
 
+/// Decides on a connection by what has arrived on it. Receiving it also keeps the close of a refused
+/// connection from resetting it, which might cost its caller the response. It is added to `silent` if nothing has.
+fn decide(
+    connection: SilentConnection,
+    tx: &mpsc::Sender<AcceptedConnection>,
+    refusing: &Refusing,
+    silent: &mut Vec<SilentConnection>,
+) {
+    let SilentConnection {
+        stream,
+        from,
+        looks,
+    } = connection;
+    let mut buf = [0; RECEIVED_MAX_BYTES];
+    // A connection that has failed or ended is left to the server.
+    let len = rustix::net::recv(&stream, &mut buf[..], RecvFlags::DONTWAIT);
+    let received = match len {
+        Ok((len, _)) => &buf[..len],
+        Err(Errno::AGAIN) if looks < LOOKS_MAX => {
+            let looks = looks + 1;
+            silent.push(SilentConnection {
+                stream,
+                from,
+                looks,
+            });
+            return;
+        }
+        Err(_) => &[],
+    };
+    let handover = match (refusing.decide)(from, received) {
+        ConnectionDecision::Serve => None,
+        ConnectionDecision::HandOver(handover, request) => Some((handover, request)),
+        ConnectionDecision::Refuse(retry_after) => {
+            refusing.refused.inc();
+            refuse(&stream, retry_after.as_bytes());
+            return;
+        }
+    };
+    let accepted = AcceptedConnection {
+        stream,
+        received: received.to_vec(),
+        handover,
+    };
+    match pass_on(accepted, tx) {
+        true => refusing.accepted.inc(),
+        false => refusing.refused.inc(),
+    }
+}
+
+/// Passes a connection on to the server, or refuses it if too many wait there. Returns whether it was not
+/// refused.
+fn pass_on(connection: AcceptedConnection, tx: &mpsc::Sender<AcceptedConnection>) -> bool {
+    match tx.try_send(connection) {
+        Err(TrySendError::Full(connection)) => {
+            let mut buf = [0; RECEIVED_MAX_BYTES];
+            let _ = rustix::net::recv(&connection.stream, &mut buf[..], RecvFlags::DONTWAIT);
+            refuse(&connection.stream, WAITING_RETRY_AFTER);
+            false
+        }
+        // The server was dropped, which `accept` notices.
+        Ok(()) | Err(TrySendError::Closed(_)) => true,
+    }
+}
+
 /// Accepts the connections that are still in the accept queue of a listener that is about to be closed,
 /// which would reset them.
-fn accept_queued(listener: &StdListener, tx: &mpsc::UnboundedSender<TcpStream>) {
+fn accept_queued(listener: &StdListener, tx: &mpsc::Sender<AcceptedConnection>) {
     // The listener is non-blocking, so the first error means that the queue is empty.
-    while let Ok(stream) = accept_one(listener) {
-        drop(tx.send(stream));
+    while let Ok((stream, _)) = accept_one(listener) {
+        pass_on(stream.into(), tx);
     }
 }
 
-/// Accepts a connection in non-blocking mode.
-fn accept_one(listener: &StdListener) -> io::Result<TcpStream> {
+/// Accepts a connection in non-blocking mode. Returns it with the address that it comes from.
+fn accept_one(listener: &StdListener) -> io::Result<(TcpStream, IpAddr)> {
     let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
-    Ok(TcpStream::from(rustix::net::accept_with(listener, flags)?))
+    let (stream, from) = rustix::net::acceptfrom_with(listener, flags)?;
+    let from = from.and_then(|from| SocketAddr::try_from(from).ok());
+    let from = from.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |from| from.ip());
+    Ok((TcpStream::from(stream), from))
 }
 
 /// Refuses a connection. If the response cannot be sent, the caller only sees a closed connection.
-fn refuse(stream: &TcpStream, retry_after: &HeaderValue) {
-    let mut discarded = [0; DISCARD_BYTES];
-    // Closing a connection with unread bytes would reset it, and the caller might not receive the
-    // response.
-    let _ = rustix::net::recv(stream, &mut discarded[..], RecvFlags::DONTWAIT);
+fn refuse(stream: &TcpStream, retry_after: &[u8]) {
     let head = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n";
-    let response = [
-        head,
-        &b"retry-after: "[..],
-        retry_after.as_bytes(),
-        b"\r\n\r\n",
-    ]
-    .concat();
+    let response = [head, &b"retry-after: "[..], retry_after, b"\r\n\r\n"].concat();
     let flags = SendFlags::DONTWAIT | SendFlags::NOSIGNAL;
     let _ = rustix::net::send(stream, &response, flags);
 }
--- a/lib/src/gateway/backend/pool.rs
+++ b/lib/src/gateway/backend/pool.rs
@@ -161,6 +161,12 @@
         })
     }
 
+    /// Counts a connection that is opened elsewhere against the limit until the permit is dropped. `None`
+    /// if the limit is reached.
+    pub(crate) fn reserve(&self) -> Option<OwnedSemaphorePermit> {
+        self.acquire_permit()
+    }
+
     /// Acquires a permit for one more connection, closing an idle connection if necessary.
     fn acquire_permit(&self) -> Option<OwnedSemaphorePermit> {
         let permit = self.permits.clone().try_acquire_owned().ok();
--- a/lib/src/gateway/preface.rs
+++ b/lib/src/gateway/preface.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use tokio::io::AsyncRead;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
@@ -33,18 +32,18 @@
     Http2,
 }
 
+/// Most bytes that are read while the protocol is unknown. It covers most requests to models.
+const INITIAL_BYTES_MAX: usize = 16 << 10;
+
 /// Bytes read from a connection while its protocol was still unknown.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct InitialBytes {
-    buf: [u8; HTTP2_PREFACE.len()],
-    len: usize,
-}
+#[derive(Debug, Default)]
+pub(crate) struct InitialBytes(Vec<u8>);
 
 impl InitialBytes {
     /// Returns a stream that yields these bytes first and then the rest of `stream`.
     pub(crate) fn join(self, stream: TcpStream, timeouts: Timeouts) -> CallerStream {
         CallerStream {
-            start: self,
+            start: self.0,
             replayed: 0,
             stream,
             timeouts,
@@ -55,20 +54,31 @@
     }
 }
 
-/// Reads until the bytes either differ from the HTTP/2 preface or contain all of it.
-pub(crate) async fn read_preface(stream: &mut TcpStream) -> io::Result<(Protocol, InitialBytes)> {
-    let mut start = InitialBytes::default();
-    while start.len < HTTP2_PREFACE.len() {
-        let n = stream.read(&mut start.buf[start.len..]).await?;
-        if n == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
+/// Reads until the bytes either differ from the HTTP/2 preface or contain all of it. `received` was read
+/// before.
+pub(crate) async fn read_preface(
+    stream: &mut TcpStream,
+    received: Vec<u8>,
+) -> io::Result<(Protocol, InitialBytes)> {
+    let mut start = received;
+    loop {
+        let len = start.len().min(HTTP2_PREFACE.len());
+        if start[..len] != HTTP2_PREFACE[..len] {
+            return Ok((Protocol::Http1, InitialBytes(start)));
         }
-        start.len += n;
-        if start.buf[..start.len] != HTTP2_PREFACE[..start.len] {
-            return Ok((Protocol::Http1, start));
+        if len == HTTP2_PREFACE.len() {
+            return Ok((Protocol::Http2, InitialBytes(start)));
+        }
+        // Waits before the buffer is allocated, so that idle connections have none.
+        stream.readable().await?;
+        start.reserve(INITIAL_BYTES_MAX);
+        match stream.try_read_buf(&mut start) {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => {}
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+            Err(err) => return Err(err),
         }
     }
-    Ok((Protocol::Http2, start))
 }
 
 /// Timeouts for a caller on one connection.
@@ -91,7 +101,7 @@
 /// Caller's stream that replays the bytes read for protocol detection, and fails with `TimedOut` if
 /// a head or a write takes too long.
 pub(crate) struct CallerStream {
-    start: InitialBytes,
+    start: Vec<u8>,
     /// Bytes of `start` that have been replayed.
     replayed: usize,
     stream: TcpStream,
@@ -170,7 +180,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.replayed == self.start.len {
+        if self.replayed == self.start.len() {
             if Pin::new(&mut self.stream).poll_read(cx, buf)?.is_ready() {
                 self.on_bytes();
                 return Poll::Ready(Ok(()));
@@ -180,10 +190,13 @@
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         self.on_bytes();
-        let rest = &self.start.buf[self.replayed..self.start.len];
+        let rest = &self.start[self.replayed..];
         let n = rest.len().min(buf.remaining());
         buf.put_slice(&rest[..n]);
         self.replayed += n;
+        if self.replayed == self.start.len() {
+            (self.start, self.replayed) = (Vec::new(), 0);
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -26,6 +26,7 @@
 use tokio::task::JoinSet;
 
 use super::accept::Accepted;
+use super::accept::AcceptedConnection;
 use super::idle_connections::OpenConnections;
 use super::preface::CallerStream;
 use super::preface::Protocol;
@@ -132,10 +133,10 @@
                 Some(_) = connections.tasks.join_next() => continue,
             };
             // The channel is closed after the stop signal.
-            let Some(stream) = accepted else {
+            let Some(accepted) = accepted else {
                 break;
             };
-            connections.admit(stream);
+            connections.admit(accepted);
         }
         connections.drain().await;
     }
@@ -163,7 +164,7 @@
 impl Connections {
     /// Serves a connection. At the connection limit idle ones make room; if all are busy, it is
     /// refused.
-    fn admit(&mut self, stream: StdStream) {
+    fn admit(&mut self, accepted: AcceptedConnection) {
         let closing = match self.permits.available_permits() <= self.spare {
             true => self.open.close_idle(self.spare + 1),
             false => 0,
@@ -171,14 +172,14 @@
         let waiting = self.waiting.load(Ordering::Acquire);
         match self.permits.clone().try_acquire_owned() {
             Ok(permit) => {
-                let connection = self.connection(stream);
+                let connection = self.connection(accepted);
                 self.tasks.spawn(async move {
                     connection.await;
                     drop(permit);
                 });
             }
             Err(_) if waiting < closing => {
-                let connection = self.connection(stream);
+                let connection = self.connection(accepted);
                 let permit = self.permits.clone().acquire_owned();
                 let waiting = self.waiting.clone();
                 waiting.fetch_add(1, Ordering::AcqRel);
@@ -189,7 +190,7 @@
                     drop(permit);
                 });
             }
-            Err(_) => self.refuse_connection(&stream),
+            Err(_) => self.refuse_connection(&accepted.stream),
         }
     }
 
@@ -207,8 +208,12 @@
         let _ = stream.write(TOO_MANY_CONNECTIONS);
     }
 
-    /// Serves a connection until it ends or, while it is idle, is chosen to be closed.
-    fn connection(&mut self, stream: StdStream) -> impl Future<Output = ()> + Send + 'static {
+    /// Serves a connection until it ends or, while it is idle, is chosen to be closed. If it is to be handed
+    /// over to another host that cannot be reached, this host serves it.
+    fn connection(
+        &mut self,
+        accepted: AcceptedConnection,
+    ) -> impl Future<Output = ()> + Send + 'static {
         let open = self.open.add();
         let connection = CallerConnection {
             router: self.router.clone(),
@@ -219,14 +224,24 @@
         let gauge = self.gauge.clone();
         async move {
             // Fails if the runtime cannot watch more sockets; the caller then sees a closed connection.
-            let Ok(stream) = TcpStream::from_std(stream) else {
+            let Ok(mut stream) = TcpStream::from_std(accepted.stream) else {
                 return;
             };
             gauge.inc();
+            connection.configure(&stream);
+            if let Some((handover, request)) = accepted.handover {
+                let _busy = InFlight::start(connection.requests.clone());
+                let kept = handover.run(stream, request).await;
+                let Some(kept) = kept else {
+                    gauge.dec();
+                    return;
+                };
+                stream = kept;
+            }
             tokio::select! {
                 // Biased, so that a request that has arrived is read before the check for idleness.
                 biased;
-                () = connection.serve(stream) => {}
+                () = connection.serve(stream, accepted.received) => {}
                 () = open.chosen() => {}
             }
             gauge.dec();
@@ -248,13 +263,17 @@
 }
 
 impl CallerConnection {
-    async fn serve(self, mut stream: TcpStream) {
+    fn configure(&self, stream: &TcpStream) {
         let _ = stream.set_nodelay(true);
         if let Some(bytes) = self.limits.buffer_bytes {
             // Without it the connection only buffers more.
-            let _ = SockRef::from(&stream).set_send_buffer_size(bytes);
+            let _ = SockRef::from(stream).set_send_buffer_size(bytes);
         }
-        let preface = read_preface(&mut stream);
+    }
+
+    /// Serves the connection, on which `received` has arrived before.
+    async fn serve(self, mut stream: TcpStream, received: Vec<u8>) {
+        let preface = read_preface(&mut stream, received);
         match tokio::time::timeout(self.limits.head_timeout, preface).await {
             Ok(Ok((protocol, start))) => {
                 let counter = self.requests.clone();
--- a/lib/tests/common/deployment.rs
+++ b/lib/tests/common/deployment.rs
@@ -127,6 +127,7 @@
             .map(|n| Peer {
                 name: format!("h{n}").into(),
                 address: SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7_400)),
+                callers: None,
                 domain: "d".into(),
                 cores: 0.25,
             })
--- a/lib/tests/test_entry_peers.rs
+++ b/lib/tests/test_entry_peers.rs
@@ -50,6 +50,7 @@
     Peer {
         name: format!("h{n}").into(),
         address: SocketAddr::from(([10, 0, 0, n], 7_400)),
+        callers: None,
         domain: domain.into(),
         cores,
     }
--- a/lib/tests/test_entry_stream_versions.rs
+++ b/lib/tests/test_entry_stream_versions.rs
@@ -43,6 +43,7 @@
     Peer {
         name: format!("h{host}").into(),
         address: address(host),
+        callers: None,
         domain: format!("d{}", host % DOMAINS).into(),
         cores: 0.25,
     }
--- a/lib/tests/test_entry_take_up.rs
+++ b/lib/tests/test_entry_take_up.rs
@@ -186,6 +186,7 @@
     Peer {
         name: format!("h{host}").into(),
         address: address(host),
+        callers: None,
         domain: format!("d{}", host % HOMES).into(),
         cores: 0.25,
     }
