entry: refuse requests that a stopping host has no time left for

Could happen here: a request whose head or body arrives after the listener is closed was sent to a server although its route's time ends after the grace; one whose body never came was dropped. Now requests that may outlast the host are refused with 503 from the end of the accepting time on, as long as no server has them, and unread ones 300 ms before the end.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -41,6 +41,7 @@
 use super::response::handle_response;
 use super::response::on_error;
 use super::servers::ServerKey;
+use super::stopping::RETRY_AFTER;
 use super::stream_origins::StreamKey;
 use super::take_up::continued_stream;
 use crate::crashing::RequestDigest;
@@ -136,8 +137,10 @@
     host.lag.on_request();
     host.stats.callers.requests.inc();
     let mut response = serve_caller(&host, req).await;
+    let now = host.clock.now();
     let is_stopping = host.fleet().is_stopping();
-    if is_stopping || host.lag.lag().closes_connections(host.clock.now()) {
+    let is_leaving = host.lag.lag().closes_connections(now);
+    if is_stopping || is_leaving {
         close_connection(&mut response);
     }
     response
@@ -196,10 +199,22 @@
         close_connection(&mut response);
         return response;
     }
+    if host.stopping.refuses(arrived, admitted.give_up_at) {
+        return refuse(host, Some(&id), &route.name, stopping(), Duration::ZERO);
+    }
     let deadline = host.clock.instant(admitted.give_up_at);
     let held = host.body_memory.start(admitted.workspace.clone());
     let read = read_body(host, body, held);
-    let body = match tokio::time::timeout_at(deadline.into(), read).await {
+    let read = tokio::time::timeout_at(deadline.into(), read);
+    let read = tokio::select! {
+        read = read => read,
+        () = host.stopping.ends_reading(host.clock) => Ok(Err(Reason::HostStopping)),
+    };
+    let read = match host.stopping.refuses(host.clock.now(), admitted.give_up_at) {
+        true => read.map(|read| read.and(Err(Reason::HostStopping))),
+        false => read,
+    };
+    let body = match read {
         Ok(Ok(body)) => body,
         Ok(Err(reason)) => {
             let refusal = on_unread(host, &head, &admitted, reason);
@@ -247,6 +262,11 @@
     Some(Refusal::with_retry_after(Reason::HostBusy, wait))
 }
 
+/// The refusal of a request that this host has no time left for, because it is stopping.
+fn stopping() -> Refusal {
+    Refusal::with_retry_after(Reason::HostStopping, RETRY_AFTER)
+}
+
 /// A request body that was read completely.
 struct ReadBody {
     body: Bytes,
@@ -296,6 +316,9 @@
 
 /// Logs or counts a request whose body was not read. Returns what its caller gets.
 fn on_unread(host: &EntryHost, head: &CallHead, admitted: &Admitted, reason: Reason) -> Refusal {
+    if reason == Reason::HostStopping {
+        return stopping();
+    }
     if reason != Reason::HostMemory {
         info!(target: "request", id = head.id.as_str(), reason = reason.name();
             "cannot read request body");
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -67,6 +67,8 @@
 use super::source::SourceError;
 use super::source::StoreGate;
 use super::stats::EntryStats;
+use super::stopping::StopPlan;
+use super::stopping::Stopping;
 use super::updates;
 use crate::crashing::RequestQuarantineChange;
 use crate::gateway::Accepted;
@@ -260,6 +262,8 @@
     pub(crate) mirrors: Mirrors,
     /// How late the runtime executes this host's tasks.
     pub(crate) lag: LagMeter,
+    /// The planned stop of this host.
+    pub(crate) stopping: Stopping,
     /// What this host knows of the fleet.
     fleet: Mutex<Fleet>,
     /// Admits calls to the platform while these fail.
@@ -369,6 +373,7 @@
             link: Link::new(socket, &parts.own, rand::random()),
             mirrors: Mirrors::default(),
             lag: LagMeter::default(),
+            stopping: Stopping::default(),
             fleet: Mutex::new(Fleet::new(parts.identity, parts.bounds, rand::random())),
             store_gate: Mutex::default(),
             latest_era: AtomicU64::new(0),
@@ -456,6 +461,10 @@
         host.link.leave();
         let stopped_at = host.clock.now();
         let end_at = stopped_at + grace.saturating_sub(STOP_MARGIN);
+        host.stopping.begin(StopPlan {
+            refuses_from: stopped_at + STOP_ACCEPT_DURATION,
+            ends_at: end_at,
+        });
         info!(target: "host", requests = host.fleet().in_flight_count(); "stopping");
         let closing = async {
             tokio::time::sleep(STOP_ACCEPT_DURATION).await;
--- a/lib/src/entry/refusal.rs
+++ b/lib/src/entry/refusal.rs
@@ -34,6 +34,8 @@
     OverShare,
     /// This host has no processor time left, or has reached its limit of connections to servers.
     HostBusy,
+    /// This host is stopping and may end before the response is complete.
+    HostStopping,
     /// The bodies that this host holds leave no memory for the body of the request, or the workspace
     /// holds more than is left free for it.
     HostMemory,
@@ -82,6 +84,7 @@
             | Self::NoServer
             | Self::Overloaded
             | Self::HostBusy
+            | Self::HostStopping
             | Self::HostMemory
             | Self::ServersCold
             | Self::ServersPaused
@@ -119,6 +122,7 @@
             Self::Overloaded => "overloaded",
             Self::OverShare => "over-share",
             Self::HostBusy => "host-busy",
+            Self::HostStopping => "host-stopping",
             Self::HostMemory => "host-memory",
             Self::ServersCold => "servers-cold",
             Self::ServersPaused => "servers-paused",
--- a/lib/tests/test_entry_host_time.rs
+++ b/lib/tests/test_entry_host_time.rs
@@ -9,6 +9,7 @@
 
 use cardamomshift_lib::entry::Peer;
 use cardamomshift_lib::entry::Peers;
+use cardamomshift_lib::entry::StopPlan;
 
 use crate::entry::at;
 use crate::entry::fleet;
@@ -129,3 +130,16 @@
     assert!(peers.is_peer(address(4).ip()));
     assert!(!peers.is_peer(address(6).ip()));
 }
+
+#[test]
+fn stopping_host_refuses_only_late_requests_that_may_outlast_it() {
+    let plan = StopPlan {
+        refuses_from: at(2_500),
+        ends_at: at(7_700),
+    };
+    assert!(!plan.refuses(at(2_400), at(12_000)));
+    assert!(plan.refuses(at(2_500), at(12_000)));
+    assert!(!plan.refuses(at(6_000), at(7_700)));
+    assert!(plan.refuses(at(6_000), at(7_701)));
+    assert_eq!(plan.unread_until(), at(7_400));
+}
