entry: add the header to a handed-over request only after a connection

A request was copied with a header added before the other host was reached, and both copies were held until the response ended. The header goes after the request line also where lines end without a carriage return or empty lines come first, which the parser accepts; a search for the first CR LF could have changed a body. Test: request_that_is_handed_over_arrives_unchanged.

--- a/lib/src/entry/arrival.rs
+++ b/lib/src/entry/arrival.rs
@@ -26,7 +26,6 @@
 use crate::gateway::ConnectionDecision;
 use crate::gateway::EndGuard;
 use crate::gateway::Handover;
-use crate::gateway::close_after_response;
 use crate::time::Timestamp;
 
 /// Most headers of a request that is read before its connection is accepted.
@@ -71,11 +70,11 @@
     if head.resumes_after.is_some() || host.link.is_peer(from) {
         return ConnectionDecision::Serve;
     }
-    match hand_over(host, now, &head, &admitted, prompt, received) {
-        Some((handover, request)) => {
+    match hand_over(host, now, &head, &admitted, prompt) {
+        Some(handover) => {
             host.fleet().on_arrived(&admitted, Some(prompt));
             host.stats.handovers.inc();
-            ConnectionDecision::HandOver(handover, request)
+            ConnectionDecision::HandOver(handover)
         }
         None => ConnectionDecision::Serve,
     }
@@ -99,8 +98,8 @@
     value.unwrap_or(HeaderValue::from_static("1"))
 }
 
-/// Reads the head of a request and admits it. `None` if it is incomplete or would not be admitted: then it
-/// is served like any other, which gives its caller the reason.
+/// Reads the head of a request and admits it. `None` if it is incomplete or not admitted. Its caller gets
+/// the reason if the connection is served.
 fn read_arrival(host: &EntryHost, now: Timestamp, received: &[u8]) -> Option<Arrival> {
     let parts = read_parts(received)?;
     let head = (host.dialect.read_call)(&parts, now).ok()?;
@@ -123,17 +122,15 @@
     Some(builder.body(()).ok()?.into_parts().0)
 }
 
-/// Chooses a host to hand a request over to. Returns also the bytes to send it in place of `received`.
-/// `None` if no host is known that could take it, or no connection may be opened.
+/// Chooses a host to hand a request over to. `None` if no host is known that could take it, or no
+/// connection may be opened.
 fn hand_over(
     host: &Arc<EntryHost>,
     now: Timestamp,
     head: &CallHead,
     admitted: &Admitted,
     prompt: &Prompt,
-    received: &[u8],
-) -> Option<(Handover, Vec<u8>)> {
-    let request = close_after_response(received)?;
+) -> Option<Handover> {
     let permit = host.pool.reserve()?;
     // Requests with the same beginning of the prompt go to the same host, which remembers the engine
     // that has it cached.
@@ -146,11 +143,10 @@
         let now = ended_host.clock.now();
         ended_host.link.on_handover_ended(now, helper.peer, outcome);
     });
-    let handover = Handover {
+    Some(Handover {
         to: helper.callers,
         from: host.link.own_address().ip(),
         deadline: host.clock.instant(admitted.give_up_at + RESPONSE_MARGIN),
         on_end,
-    };
-    Some((handover, request))
+    })
 }
--- a/lib/src/gateway/accept.rs
+++ b/lib/src/gateway/accept.rs
@@ -69,8 +69,8 @@
     pub(crate) stream: TcpStream,
     /// Bytes that were received on it.
     pub(crate) received: Vec<u8>,
-    /// Set if another host is to serve the request, with the bytes that it gets in place of `received`.
-    pub(crate) handover: Option<(Handover, Vec<u8>)>,
+    /// Set if another host is to serve the request.
+    pub(crate) handover: Option<Handover>,
 }
 
 impl From<TcpStream> for AcceptedConnection {
@@ -87,8 +87,8 @@
 pub(crate) enum ConnectionDecision {
     /// This host serves it.
     Serve,
-    /// Another host serves its first request, which is sent there as these bytes.
-    HandOver(Handover, Vec<u8>),
+    /// Another host serves its first request, whose head has arrived.
+    HandOver(Handover),
     /// It is refused, with this value of the `Retry-After` header.
     Refuse(HeaderValue),
 }
@@ -252,7 +252,7 @@
     };
     let handover = match (refusing.decide)(from, received) {
         ConnectionDecision::Serve => None,
-        ConnectionDecision::HandOver(handover, request) => Some((handover, request)),
+        ConnectionDecision::HandOver(handover) => Some(handover),
         ConnectionDecision::Refuse(retry_after) => {
             refusing.refused.inc();
             refuse(&stream, retry_after.as_bytes());
--- a/lib/src/gateway/handover.rs
+++ b/lib/src/gateway/handover.rs
@@ -79,10 +79,14 @@
 }
 
 impl Handover {
-    /// Passes bytes on between the caller and the other host, those in `request` first, until the
-    /// response is complete. Returns the caller's connection if the other host cannot be reached; nothing
-    /// was sent then.
-    pub(crate) async fn run(self, caller: TcpStream, request: Vec<u8>) -> Option<TcpStream> {
+    /// Passes bytes on between the caller and the other host until the response is complete. `received` has
+    /// the head of the request. Returns the caller's connection and these bytes if the other host cannot be
+    /// reached; nothing was sent then.
+    pub(crate) async fn run(
+        self,
+        caller: TcpStream,
+        received: Vec<u8>,
+    ) -> Option<(TcpStream, Vec<u8>)> {
         let Self {
             to,
             from,
@@ -92,8 +96,10 @@
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, connect(from, to));
         let Ok(Ok(host)) = connect.await else {
             on_end.end(HandoverOutcome::Unreachable);
-            return Some(caller);
+            return Some((caller, received));
         };
+        let request = close_after_response(&received);
+        drop(received);
         let mut tunnel = Tunnel {
             caller,
             host,
@@ -166,11 +172,15 @@
     }
 }
 
-/// Adds a header to a request by which its connection is closed after the response. `received` begins with
-/// the request line.
-pub(crate) fn close_after_response(received: &[u8]) -> Option<Vec<u8>> {
+/// Adds a header to a request by which its connection is closed after the response. Lines may end without a
+/// carriage return, and empty lines may precede the request line (RFC 9112, section 2.2).
+fn close_after_response(received: &[u8]) -> Vec<u8> {
     const CLOSE: &[u8] = b"connection: close\r\n";
-    let line_end = received.windows(2).position(|pair| pair == b"\r\n")?;
-    let (line, rest) = received.split_at(line_end + 2);
-    Some([line, CLOSE, rest].concat())
+    let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+    let start = received.iter().position(|byte| !is_line_end(byte));
+    let start = start.unwrap_or(received.len());
+    let line = received[start..].iter().position(|byte| *byte == b'\n');
+    let line_end = line.map_or(received.len(), |line| start + line + 1);
+    let (line, rest) = received.split_at(line_end);
+    [line, CLOSE, rest].concat()
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -55,7 +55,6 @@
 pub(crate) use self::handover::EndGuard;
 pub(crate) use self::handover::Handover;
 pub(crate) use self::handover::HandoverOutcome;
-pub(crate) use self::handover::close_after_response;
 pub(crate) use self::headers::end_to_end;
 use self::routes::RouterState;
 use self::routes::router;
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -229,19 +229,19 @@
             };
             gauge.inc();
             connection.configure(&stream);
-            if let Some((handover, request)) = accepted.handover {
+            let mut received = accepted.received;
+            if let Some(handover) = accepted.handover {
                 let _busy = InFlight::start(connection.requests.clone());
-                let kept = handover.run(stream, request).await;
-                let Some(kept) = kept else {
+                let Some(kept) = handover.run(stream, received).await else {
                     gauge.dec();
                     return;
                 };
-                stream = kept;
+                (stream, received) = kept;
             }
             tokio::select! {
                 // Biased, so that a request that has arrived is read before the check for idleness.
                 biased;
-                () = connection.serve(stream, accepted.received) => {}
+                () = connection.serve(stream, received) => {}
                 () = open.chosen() => {}
             }
             gauge.dec();
