--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -202,28 +202,16 @@
     if host.stopping.refuses(arrived, admitted.give_up_at) {
         return refuse(host, Some(&id), &route.name, stopping(), Duration::ZERO);
     }
-    let deadline = host.clock.instant(admitted.give_up_at);
-    let held = host.body_memory.start(admitted.workspace.clone());
-    let read = read_body(host, body, held);
-    let read = tokio::time::timeout_at(deadline.into(), read);
-    let read = tokio::select! {
-        read = read => read,
-        () = host.stopping.ends_reading(host.clock) => Ok(Err(Reason::HostStopping)),
-    };
-    let read = match host.stopping.refuses(host.clock.now(), admitted.give_up_at) {
-        true => read.map(|read| read.and(Err(Reason::HostStopping))),
-        false => read,
-    };
-    let body = match read {
-        Ok(Ok(body)) => body,
-        Ok(Err(reason)) => {
-            let refusal = on_unread(host, &head, &admitted, reason);
-            return refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
-        }
-        Err(_) => {
+    let body = match read_in_time(host, &admitted, body).await {
+        Ok(body) => body,
+        Err(Reason::ExpiredUnsent) => {
             let refusal = Refusal::new(Reason::ExpiredUnsent);
             return refuse(host, Some(&id), &route.name, refusal, route.timeout);
         }
+        Err(reason) => {
+            let refusal = on_unread(host, &head, &admitted, reason);
+            return refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
+        }
     };
     let call = Arc::new(Call::new(parts, head, admitted, body));
     match send_with_retries(host, &call).await {
@@ -273,6 +261,26 @@
     held: HeldBytes,
 }
 
+/// Reads a request body until the deadline of the request, or until this host has no time left for the
+/// request because it is stopping.
+async fn read_in_time(
+    host: &EntryHost,
+    admitted: &Admitted,
+    body: Body,
+) -> Result<ReadBody, Reason> {
+    let deadline = host.clock.instant(admitted.give_up_at);
+    let held = host.body_memory.start(admitted.workspace.clone());
+    let reading = tokio::time::timeout_at(deadline.into(), read_body(host, body, held));
+    let read = tokio::select! {
+        read = reading => read.unwrap_or(Err(Reason::ExpiredUnsent)),
+        () = host.stopping.ends_reading(host.clock) => Err(Reason::HostStopping),
+    };
+    match host.stopping.refuses(host.clock.now(), admitted.give_up_at) {
+        true => read.and(Err(Reason::HostStopping)),
+        false => read,
+    }
+}
+
 /// Reads a request body up to the configured size limit. Only bytes that have arrived are held, so
 /// that a caller that announces a large body and sends it slowly takes no memory from others. A body
 /// that is announced to be larger than there is room for is not read.
--- a/lib/src/gateway/accept.rs
+++ b/lib/src/gateway/accept.rs
@@ -93,12 +93,14 @@
     Refuse(HeaderValue),
 }
 
+/// Decides on a connection from an address by the bytes that have arrived.
+type Decide = Box<dyn Fn(IpAddr, &[u8]) -> ConnectionDecision + Send>;
+
 /// Decides on new connections.
 pub(crate) struct Refusing {
     /// Whether connections may have to be refused now. If not, they are served without a look at them.
     pub(crate) is_behind: Box<dyn Fn() -> bool + Send>,
-    /// Decides on a connection from an address by the bytes that have arrived.
-    pub(crate) decide: Box<dyn Fn(IpAddr, &[u8]) -> ConnectionDecision + Send>,
+    pub(crate) decide: Decide,
     /// Metric: accepted connections.
     pub(crate) accepted: IntCounter,
     /// Metric: refused connections.
