--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -41,6 +41,7 @@
 use super::schedule::ScheduleSummary;
 use super::schedule::Shard;
 use super::schedule::ShardWork;
+use super::schedule::max_min_share;
 use super::selection::Candidate;
 use super::selection::healthy_candidates;
 use super::selection::select_by_evidence;
@@ -116,23 +117,6 @@
     }
 }
 
-/// The most that each of several parties gets if a part of the sum of what they ask for is divided evenly,
-/// and what one of them does not ask for goes to the others.
-fn even_share(mut asked: Vec<f64>, part: f64) -> f64 {
-    let mut left = part * asked.iter().sum::<f64>();
-    asked.sort_unstable_by(f64::total_cmp);
-    let mut parties = asked.len();
-    for amount in asked {
-        let share = left / parties as f64;
-        if amount >= share {
-            return share;
-        }
-        left -= amount;
-        parties -= 1;
-    }
-    f64::INFINITY
-}
-
 /// Hashes of the names of a request's service and workspace; 0 for a request without a workspace.
 fn share_key(admitted: &Admitted) -> (u64, u64) {
     let workspace = admitted.workspace.as_deref();
@@ -377,8 +361,9 @@
         if refused_fraction <= 0.0 {
             return false;
         }
-        let counts = self.read_prompts.values().map(|read| read.count);
-        let share = even_share(counts.collect(), 1.0 - refused_fraction);
+        let counts: Vec<_> = self.read_prompts.values().map(|read| read.count).collect();
+        let accepted = counts.iter().sum::<f64>() * (1.0 - refused_fraction);
+        let share = max_min_share(counts, accepted);
         let key = (admitted.service.clone(), admitted.workspace.clone());
         let Some(read) = self.read_prompts.get_mut(&key) else {
             return false;
--- a/lib/src/entry/schedule/mod.rs
+++ b/lib/src/entry/schedule/mod.rs
@@ -31,3 +31,4 @@
 pub use shard_search::ShardSearch;
 pub use shares::ShardWork;
 pub use shares::WorkspaceWork;
+pub(crate) use shares::max_min_share;
