entry: reset a handed-over response that is cut short

A response to an HTTP/1.0 caller has neither length nor chunks and ends with its connection. If the connection to the other host failed, or the deadline passed, the caller's was closed and the caller would have taken the part for the whole. Found by reading; no run shows it.

--- a/lib/src/gateway/handover.rs
+++ b/lib/src/gateway/handover.rs
@@ -106,13 +106,17 @@
             has_response: false,
         };
         let passing = tunnel.pass(request);
-        let (outcome, response) = match tokio::time::timeout_at(deadline.into(), passing).await {
-            // A failed connection ends both, so neither side takes what it has for complete.
+        let passed = tokio::time::timeout_at(deadline.into(), passing).await;
+        let (outcome, response) = match passed {
             Ok(_) => (HandoverOutcome::Ended, NO_RESPONSE),
             Err(_) => (HandoverOutcome::TimedOut, TIMED_OUT),
         };
         if !tunnel.has_response {
             let _ = tunnel.caller.try_write(response);
+        } else if !matches!(passed, Ok(Ok(()))) {
+            // A response without length or chunks is complete when its connection closes, so one that is
+            // not complete is reset.
+            let _ = tunnel.caller.set_zero_linger();
         }
         on_end.end(outcome);
         None
