--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -54,7 +54,7 @@
 /// Interval at which the software versions of the servers are recorded.
 const VERSIONS_PERIOD: Duration = Duration::from_secs(1);
 
-/// Number and work of requests to models, which decay with each use.
+/// Number and work of requests that have arrived, which decay with each sweep of the host.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ReadPrompts {
     pub(super) count: f64,
@@ -144,8 +144,9 @@
     /// Tokens of the requests to models that this host has refused without a schedule request, by
     /// service and workspace, until the next schedule request.
     pub(super) refused_tokens: HashMap<(CompactString, Option<CompactString>), u64>,
-    /// Requests to models that this host has read lately, by service and workspace. Connections that
-    /// are refused unread are assumed to carry such requests.
+    /// Requests that have arrived here lately, by service and workspace: those to models, and while the
+    /// host is behind its work also those to plain services. Connections that are refused unread are
+    /// assumed to carry such requests.
     pub(super) read_prompts: HashMap<(CompactString, Option<CompactString>), ReadPrompts>,
     /// Requests that make servers crash.
     pub(super) request_quarantine: RequestQuarantine,
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -4,7 +4,8 @@
 //! Late timers mean that the host has no processor time left, for example when all callers of one
 //! busy workspace (customer) connect to the same small host. Requests would then wait on the host,
 //! so it refuses them at once: first a part of the new connections, the larger the later the timers
-//! are, so that the others are served in time and the host does not run idle in between. If the lag
+//! are, so that the others are served in time and the host does not run idle in between. Whose
+//! connections these are, and which requests other hosts serve, is decided in `arrival`. If the lag
 //! grows all the same, it refuses requests, and if it persists, even refusing is too much work: the
 //! host reports that it is not ready, so that the load balancer of the platform sends it no new
 //! connections. Then it closes each existing connection after the next response, so that the
