--- a/lib/src/gateway/handover.rs
+++ b/lib/src/gateway/handover.rs
@@ -1,8 +1,8 @@
 //! Hands the request on a new connection of a caller over to another host: passes bytes on between the
 //! caller and that host, which serves the request as if the caller had connected to it.
 //!
-//! Passing bytes on costs a host about a third of what serving a request does. A host that gets more
-//! requests than it has processor time for can thus use that of others.
+//! Passing bytes on costs a host less than serving a request does. A host that gets more requests than it
+//! has processor time for can thus use that of others.
 
 use std::io;
 use std::net::IpAddr;
