host: log the work that workspaces ask for and get

Each host logs once a second, for each workspace, the tokens that its callers asked for and those of the requests that were sent to backend servers, also of requests that the host refuses by itself.

Logic is unchanged.

--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -37,6 +37,7 @@
 use super::session_affinity::SessionAffinity;
 use super::stream_origins::StreamOrigins;
 use super::stream_origins::VersionHistory;
+use super::workspace_tally::WorkspaceTally;
 use crate::crashing::RequestQuarantine;
 use crate::time::Timestamp;
 
@@ -160,6 +161,8 @@
     pub(super) versions_due_at: Timestamp,
     /// What schedulers were told of the limits of runs of engines, by address and run.
     pub(super) told_limits: HashMap<(SocketAddr, u64), ToldLimit>,
+    /// Work of each workspace, for log lines.
+    pub(super) tally: WorkspaceTally,
     /// Number of these requests by workspace, for log lines.
     pub(super) refused_counts: HashMap<CompactString, u64>,
     /// Server to which this host last sent each session (requests whose prompts begin alike).
@@ -212,6 +215,7 @@
             points_drawn: 0,
             scheduler: Scheduler::new(epoch),
             refused_tokens: HashMap::new(),
+            tally: WorkspaceTally::default(),
             refused_counts: HashMap::new(),
             read_prompts: HashMap::new(),
             request_quarantine: RequestQuarantine::default(),
@@ -233,6 +237,11 @@
         &self.bounds
     }
 
+    /// Work of each workspace since the last log line.
+    pub(crate) fn tally(&mut self) -> &mut WorkspaceTally {
+        &mut self.tally
+    }
+
     /// Replaces the limits of the fleet after a change of the settings.
     pub fn set_bounds(&mut self, bounds: FleetBounds) {
         self.bounds = bounds;
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -187,9 +187,15 @@
     };
     let route = admitted.route.clone();
     let id = head.id.clone();
+    let new_prompt = head
+        .prompt
+        .as_ref()
+        .filter(|_| head.resumes_after.is_none());
+    if let Some(prompt) = new_prompt {
+        host.fleet().tally().on_asked(&admitted, prompt);
+    }
     // A stream that continues was admitted when it began.
-    if let Some(prompt) = &head.prompt
-        && head.resumes_after.is_none()
+    if let Some(prompt) = new_prompt
         && let Some(refusal) = refusal_behind_work(host, arrived, &admitted)
     {
         host.fleet().on_refused_locally(&admitted, prompt);
@@ -434,6 +440,12 @@
 ) -> Result<Response<Body>, Failure> {
     let Assignment { placed, in_flight } = assignment;
     let prompt = call.head.prompt.as_ref();
+    if let Some(prompt) = prompt
+        && call.head.resumes_after.is_none()
+        && attempts.tried.len() == 1
+    {
+        host.fleet().tally().on_sent(&call.admitted, prompt);
+    }
     let unread_shared =
         prompt.map(|prompt| placed.uncached_tokens.saturating_sub(prompt.own_tokens()));
     // `placed.entry` is the server's last announcement. `unread` is the number of prompt tokens that
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -573,6 +573,7 @@
         if next_summary_at.has_passed(now) {
             next_summary_at = now + SUMMARY_PERIOD;
             log_schedule_summaries(&host);
+            log_work_of_workspaces(&host);
             log_memory_change(&host);
             host.fleet().request_quarantine().sweep(now);
             refused_logged = log_refused_behind(&host, refused_logged);
@@ -594,6 +595,14 @@
     }
 }
 
+/// Logs the work that workspaces have asked of this host since the last call.
+fn log_work_of_workspaces(host: &EntryHost) {
+    let work = host.fleet().tally().take_text();
+    if let Some(work) = work {
+        info!(target: "host", work = work.as_str(); "work of workspaces");
+    }
+}
+
 /// Logs what this host's scheduler has decided for each service of which it has refused requests.
 fn log_schedule_summaries(host: &EntryHost) {
     let summaries = host.fleet().take_schedule_summaries();
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -48,6 +48,7 @@
 mod take_up;
 mod updates;
 mod version_traffic;
+mod workspace_tally;
 
 pub use admission::Admitted;
 pub use budget::ColdStartLimiter;
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -387,7 +387,10 @@
     /// Counts a request whose connection this host refuses.
     pub fn on_refused_connection(&mut self, admitted: &Admitted, prompt: Option<&Prompt>) {
         match prompt {
-            Some(prompt) => self.on_refused_locally(admitted, prompt),
+            Some(prompt) => {
+                self.tally.on_asked(admitted, prompt);
+                self.on_refused_locally(admitted, prompt);
+            }
             None => self.on_arrived(admitted, None),
         }
     }
