entry: tell schedulers of the requests that a host refuses by itself

Callers of a workspace that comes by one small host got far less than half of its share. The host hands nearly everything over, so that it sends hardly any schedule requests, and what it refuses was told with those only. To schedulers the workspace asked for what its host let pass, had all of it, and got the start limit of any other.

Nothing is told twice: the next schedule request or the next report takes it. What was refused is no longer forgotten before that.

--- a/lib/src/entry/arrival.rs
+++ b/lib/src/entry/arrival.rs
@@ -59,6 +59,7 @@
         let mut fleet = host.fleet();
         if fleet.refuses_for_share(&admitted, refused_fraction) {
             fleet.on_refused_connection(&admitted, head.prompt.as_ref());
+            host.link.on_refused_by_host();
             return ConnectionDecision::Refuse(retry_after(host, wait));
         }
     }
--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -199,6 +199,7 @@
         && let Some(refusal) = refusal_behind_work(host, arrived, &admitted)
     {
         host.fleet().on_refused_locally(&admitted, prompt);
+        host.link.on_refused_by_host();
         let mut response = refuse(host, Some(&id), &route.name, refusal, Duration::ZERO);
         // The caller would send its next request on this connection, which costs more to refuse than a
         // new connection.
@@ -342,6 +343,7 @@
     host.stats.refused_memory.inc();
     if let Some(prompt) = &head.prompt {
         host.fleet().on_refused_locally(admitted, prompt);
+        host.link.on_refused_by_host();
     }
     Refusal::with_retry_after(reason, MEMORY_RETRY_AFTER)
 }
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -541,8 +541,13 @@
         decision
     }
 
-    /// Sends reports on the work at this host's shards to the schedulers of other shards until the
-    /// task is dropped.
+    /// Wakes [`Link::send_shares`], since this host has refused a request by itself.
+    pub(crate) fn on_refused_by_host(&self) {
+        self.has_decided.notify_one();
+    }
+
+    /// Sends reports on the work at this host's shards, and on what it has refused by itself, to the schedulers
+    /// of other shards until the task is dropped.
     pub(crate) async fn send_shares(host: Arc<EntryHost>) {
         loop {
             host.link.has_decided.notified().await;
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -117,11 +117,10 @@
     }
 }
 
-/// Hashes of the names of a request's service and workspace; 0 for a request without a workspace.
-fn share_key(admitted: &Admitted) -> (u64, u64) {
-    let workspace = admitted.workspace.as_deref();
+/// Hashes of the names of a service and a workspace; 0 for requests without a workspace.
+fn share_key(service: &str, workspace: Option<&str>) -> (u64, u64) {
     let workspace = workspace.map_or(0, |name| xxh3_64(name.as_bytes()));
-    (xxh3_64(admitted.service.as_bytes()), workspace)
+    (xxh3_64(service.as_bytes()), workspace)
 }
 
 impl Fleet {
@@ -257,7 +256,7 @@
         let shard = Shard::of_session(session, of_shards.into_iter());
         let mut excluded: Vec<_> = servers().map(|server| server.hash).collect();
         excluded.retain(|hash| !healthy.contains(hash));
-        let (service, workspace_hash) = share_key(admitted);
+        let (service, workspace_hash) = share_key(&admitted.service, admitted.workspace.as_deref());
         let last_server = prompt
             .session()
             .and_then(|session| self.session_affinity.get(session));
@@ -395,8 +394,8 @@
         }
     }
 
-    /// Counts a request to a model that this host refuses by itself, without a schedule request. The
-    /// next schedule request for its workspace tells the scheduler.
+    /// Counts a request to a model that this host refuses by itself, without a schedule request. The next
+    /// schedule request for its workspace tells a scheduler, or the next report to schedulers.
     pub fn on_refused_locally(&mut self, admitted: &Admitted, prompt: &Prompt) {
         self.on_prompt_read(admitted, prompt);
         let key = (admitted.service.clone(), admitted.workspace.clone());
@@ -415,11 +414,6 @@
     /// Counts connections of callers that this host has refused unread. Their requests are assumed to
     /// be like those that were read lately. To be called once in each sweep of the host.
     pub fn on_connections_refused(&mut self, count: u64) {
-        // What no schedule request has told in time says little about the present demand.
-        for tokens in self.refused_tokens.values_mut() {
-            *tokens = (*tokens as f64 * READ_PROMPTS_KEPT) as u64;
-        }
-        self.refused_tokens.retain(|_, tokens| *tokens > 0);
         let read_count: f64 = self.read_prompts.values().map(|read| read.count).sum();
         for (key, read) in &mut self.read_prompts {
             if count > 0 && read_count > 0.0 {
@@ -534,9 +528,17 @@
         self.scheduler.on_shares(now, from, service, shards);
     }
 
-    /// Reports for the schedulers of other shards: by service, the number of its shards and the work
-    /// at the shards of this host.
-    pub fn shares_to_send(&self, now: Timestamp) -> Vec<(u64, u32, ShardWork)> {
+    /// Reports for other schedulers: by service, the number of its shards, and the work at the shards of this
+    /// host together with what the host has refused by itself.
+    pub fn shares_to_send(&mut self, now: Timestamp) -> Vec<(u64, u32, ShardWork)> {
+        for ((service, workspace), tokens) in std::mem::take(&mut self.refused_tokens) {
+            let keys = self.servers.of_service(&service).iter();
+            let servers: Vec<_> = keys.filter_map(|key| self.servers.get(*key)).collect();
+            let shard_count = Shard::of_session(0, servers.iter().map(|s| s.hash)).count;
+            let (service, workspace) = share_key(&service, workspace.as_deref());
+            self.scheduler
+                .on_refused_by_host(now, service, shard_count, workspace, tokens);
+        }
         self.scheduler.shares_to_send(now)
     }
 
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -206,6 +206,8 @@
     shard_count: u32,
     /// Time of the last request.
     asked_at: Timestamp,
+    /// When this host last refused requests by itself.
+    refused_at: Timestamp,
     /// Contention for the engines at the last request.
     contention: f64,
     /// Decisions and reports since the last summary.
@@ -455,19 +457,42 @@
         state.shares.on_report_from(now, from, shards);
     }
 
-    /// The services with several shards for which this scheduler was asked lately, with the number
-    /// of their shards and the report for their other schedulers.
+    /// Counts work of a workspace's requests that this host has refused by itself. `shard_count` is the number of
+    /// shards of the service.
+    pub fn on_refused_by_host(
+        &mut self,
+        now: Timestamp,
+        service: u64,
+        shard_count: u32,
+        workspace: u64,
+        tokens: u64,
+    ) {
+        let state = self.services.entry(service).or_default();
+        state.refused_at = now;
+        state.shard_count = shard_count;
+        state.shares.on_requested(now, workspace, tokens);
+    }
+
+    /// The services with several shards for which this scheduler was asked lately, and those of which this host
+    /// has lately refused requests by itself, with the number of their shards and the report for their
+    /// other schedulers.
     pub fn shares_to_send(&self, now: Timestamp) -> Vec<(u64, u32, ShardWork)> {
-        let asked = self.services.iter().filter(|(_, state)| {
-            state.shard_count > 1 && now.since(state.asked_at) < SHARES_SENT_AFTER
-        });
-        asked
-            .map(|(service, state)| {
+        let is_recent = |at| now.since(at) < SHARES_SENT_AFTER;
+        self.services
+            .iter()
+            .filter_map(|(service, state)| {
+                let is_asked = is_recent(state.asked_at);
+                let has_news = (is_asked && state.shard_count > 1) || is_recent(state.refused_at);
                 let shards = ShardWork {
-                    contention: state.contention as f32,
+                    // Without requests the host may have no shard, and so no free engine.
+                    contention: if is_asked {
+                        state.contention as f32
+                    } else {
+                        1.0
+                    },
                     work: state.shares.own_work(now),
                 };
-                (*service, state.shard_count, shards)
+                has_news.then_some((*service, state.shard_count, shards))
             })
             .collect()
     }
