entry: close kept connections of a flood at a host that is behind its work

A host that is behind its work hands over the requests of new connections.

While its timers are late, such a host now closes the connection of a workspace that sends it many requests after the response, if there is a host to hand over to. Connections of other workspaces are kept.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -222,24 +222,33 @@
     };
     let call = Arc::new(Call::new(parts, head, admitted, body));
     match send_with_retries(host, &call).await {
-        Ok(response) => response,
+        Ok(mut response) => {
+            if prefers_new_connection(host, &call) {
+                close_connection(&mut response);
+            }
+            response
+        }
         Err(refusal) => {
             let elapsed = host.clock.now().since(arrived);
-            // If a scheduler refused the request, it compared two times to the first event of the
-            // response: `soonest` is the shortest that a server could offer, `limit` the longest
-            // allowed.
-            info!(target: "request", id = id.as_str(), route = route.name.as_str(),
-                workspace = call.admitted.workspace.as_deref(),
-                config = call.admitted.config_version, reason = refusal.reason.name(),
-                soonest_ms = refusal.waits.map(|waits| millis(waits.soonest)),
-                limit_ms = refusal.waits.map(|waits| millis(waits.limit)),
-                retry_after_ms = refusal.retry_after.map(millis), ms = millis(elapsed);
-                "refused");
+            log_refused(&call, &refusal, elapsed);
             refuse(host, Some(&id), &route.name, refusal, elapsed)
         }
     }
 }
 
+/// Logs a request that was refused after it was read. If a scheduler refused it, the line has the two times to
+/// the first event of the response that it compared: `soonest` is the shortest that a server could
+/// offer, `limit` the longest allowed.
+fn log_refused(call: &Call, refusal: &Refusal, elapsed: Duration) {
+    info!(target: "request", id = call.head.id.as_str(), route = call.admitted.route.name.as_str(),
+        workspace = call.admitted.workspace.as_deref(),
+        config = call.admitted.config_version, reason = refusal.reason.name(),
+        soonest_ms = refusal.waits.map(|waits| millis(waits.soonest)),
+        limit_ms = refusal.waits.map(|waits| millis(waits.limit)),
+        retry_after_ms = refusal.retry_after.map(millis), ms = millis(elapsed);
+        "refused");
+}
+
 /// The refusal of a request to a model while this host is behind its work, `None` if it may be scheduled.
 /// Requests to plain services, which run no model, are still served, and so are workspaces that send the
 /// host few requests. To save work, the body is not read and no line is logged for the request. The host
@@ -257,6 +266,15 @@
     Some(Refusal::with_retry_after(Reason::HostBusy, wait))
 }
 
+/// Whether the caller should send its next request on a new connection: this host is behind its work, the
+/// workspace sends it many requests, and other hosts can serve them.
+fn prefers_new_connection(host: &EntryHost, call: &Call) -> bool {
+    call.head.prompt.is_some()
+        && host.lag.lag().prefers_new_connections()
+        && host.fleet().is_busy_workspace(&call.admitted)
+        && host.link.has_helper(host.clock.now())
+}
+
 /// The refusal of a request that this host has no time left for, because it is stopping.
 fn stopping() -> Refusal {
     Refusal::with_retry_after(Reason::HostStopping, RETRY_AFTER)
--- a/lib/src/entry/lag.rs
+++ b/lib/src/entry/lag.rs
@@ -252,6 +252,12 @@
         is_refused.then(|| self.retry_after(now))
     }
 
+    /// Whether requests should come on new connections, which cost less to hand over or refuse than a request on
+    /// a connection that is kept.
+    pub fn prefers_new_connections(&self) -> bool {
+        Self::is_behind(self.recent())
+    }
+
     /// Whether the host should close its connections after the next response. This begins only when
     /// the load balancer sends new connections to other hosts, since callers would otherwise
     /// reconnect to this one.
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -261,6 +261,11 @@
         self.inner().peers.is_peer(from)
     }
 
+    /// Whether there is a host to hand requests over to.
+    pub(crate) fn has_helper(&self, now: Timestamp) -> bool {
+        self.inner().peers.has_helper(now)
+    }
+
     /// Chooses a host to hand a request over to, and counts the request there until
     /// [`Self::on_handover_ended`].
     pub(crate) fn choose_helper(&self, now: Timestamp, subject: u64) -> Option<Helper> {
--- a/lib/src/entry/peers/selection.rs
+++ b/lib/src/entry/peers/selection.rs
@@ -247,6 +247,11 @@
         self.known.keys().any(|address| address.ip() == from)
     }
 
+    /// Whether there is a host to hand requests over to.
+    pub fn has_helper(&self, now: Timestamp) -> bool {
+        self.known.values().any(|peer| peer.can_help(now))
+    }
+
     /// Chooses a host of this failure domain to hand a request over to, and counts the request there. Of the
     /// first two for `subject`, it is the one with fewer such requests for its processor cores.
     pub fn choose_helper(&mut self, now: Timestamp, subject: u64) -> Option<Helper> {
