gateway: hand requests over on one connection to each other host

All requests to the same host now share a connection, on which frames carry the bytes of each request and its response. It is made by an HTTP upgrade at the address for other hosts. Hosts of earlier versions are refused the upgrade and hand over by connections, which still works.

The requests arrive at the serving host as before, and are divided and refused there by the same rules.

--- a/lib/src/entry/arrival.rs
+++ b/lib/src/entry/arrival.rs
@@ -23,6 +23,7 @@
 use super::dialect::CallHead;
 use super::dialect::Prompt;
 use super::host::EntryHost;
+use super::lag::Lag;
 use crate::gateway::ConnectionDecision;
 use crate::gateway::EndGuard;
 use crate::gateway::Handover;
@@ -41,8 +42,26 @@
     admitted: Admitted,
 }
 
+/// Decides on a request that another host hands over, of which `received` has arrived. Returns the value of the
+/// `Retry-After` header if it is to be refused.
+pub(crate) fn refuse_handed_over(host: &Arc<EntryHost>, received: &[u8]) -> Option<HeaderValue> {
+    if !Lag::is_behind(host.lag.current(host.clock.now())) {
+        return None;
+    }
+    match decide_on(host, received, true) {
+        ConnectionDecision::Refuse(retry_after) => Some(retry_after),
+        ConnectionDecision::Serve | ConnectionDecision::HandOver(_) => None,
+    }
+}
+
 /// Decides on a connection from the address `from`, on which `received` has arrived.
 pub(crate) fn decide(host: &Arc<EntryHost>, from: IpAddr, received: &[u8]) -> ConnectionDecision {
+    // Hosts of earlier versions hand each request over on a connection of its own.
+    decide_on(host, received, host.link.is_peer(from))
+}
+
+/// Decides on a request of which `received` has arrived. One that was handed over before goes no further.
+fn decide_on(host: &Arc<EntryHost>, received: &[u8], was_handed_over: bool) -> ConnectionDecision {
     let now = host.clock.now();
     // The lag is also measured while all requests are handed over.
     host.lag.on_request();
@@ -68,7 +87,7 @@
         return ConnectionDecision::Serve;
     };
     // A stream that continues is bound to what this host knows of it.
-    if head.resumes_after.is_some() || host.link.is_peer(from) {
+    if head.resumes_after.is_some() || was_handed_over {
         return ConnectionDecision::Serve;
     }
     match hand_over(host, now, &head, &admitted, prompt) {
@@ -145,8 +164,8 @@
         ended_host.link.on_handover_ended(now, helper.peer, outcome);
     });
     Some(Handover {
-        to: helper.callers,
-        from: host.link.own_address().ip(),
+        to: helper.peer,
+        links: host.handover_links.clone(),
         deadline: host.clock.instant(admitted.give_up_at + RESPONSE_MARGIN),
         on_end,
     })
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -27,6 +27,7 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
+use axum::serve::ListenerExt;
 use compact_str::CompactString;
 use futures::future::BoxFuture;
 use log::info;
@@ -36,6 +37,7 @@
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::WeakSender;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -49,6 +51,7 @@
 use super::fleet::HostIdentity;
 use super::forward::millis;
 use super::forward::serve;
+use super::handed_over;
 use super::lag;
 use super::lag::Lag;
 use super::lag::LagMeter;
@@ -72,8 +75,10 @@
 use super::updates;
 use crate::crashing::RequestQuarantineChange;
 use crate::gateway::Accepted;
+use crate::gateway::AcceptedConnection;
 use crate::gateway::BackendPool;
 use crate::gateway::ConnectionLimits;
+use crate::gateway::HandoverLinks;
 use crate::gateway::Refusing;
 use crate::gateway::Server;
 use crate::gateway::accept_on_thread;
@@ -255,6 +260,8 @@
     pub(crate) stats: EntryStats,
     /// Memory for request and response bodies.
     pub(crate) body_memory: BodyMemory,
+    /// Links over which requests are handed over to other hosts.
+    pub(crate) handover_links: Arc<HandoverLinks>,
     /// Exchanges datagrams with other entry hosts about the scheduling of requests to models, and
     /// knows which hosts are schedulers and mirror hosts.
     pub(crate) link: Link,
@@ -355,11 +362,7 @@
     ///
     /// Fails if a listener cannot be opened or the metrics cannot be registered.
     pub async fn start(parts: EntryParts) -> Result<Self, EntryError> {
-        let address = parts.listen.peers;
-        let socket = UdpSocket::bind(address).await.context(ListenSnafu {
-            purpose: "peers",
-            address,
-        })?;
+        let socket = bind_peers(parts.listen.peers).await?;
         let host = Arc::new(EntryHost {
             clock: parts.clock,
             dialect: parts.dialect,
@@ -371,6 +374,7 @@
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
             body_memory: BodyMemory::new(MemoryBudget::new(parts.process_limits.body_bytes())),
             link: Link::new(socket, &parts.own, rand::random()),
+            handover_links: Arc::default(),
             mirrors: Mirrors::default(),
             lag: LagMeter::default(),
             stopping: Stopping::default(),
@@ -382,8 +386,8 @@
         host.fleet().weigh_plain_servers(parts.weighs_plain_servers);
         let (stop, stopped) = watch::channel(false);
         let limits_host = host.clone();
-        let address = parts.listen.callers;
-        let accepted = accept_callers(&host, address, stopped.clone()).await?;
+        let accepting = accept_callers(&host, parts.listen.callers, stopped.clone());
+        let (accepted, handed_over) = accepting.await?;
         let callers = Server {
             router: Router::new().fallback(serve).with_state(host.clone()),
             limits: Box::new(move || limits_host.connection_limits(parts.process_limits)),
@@ -398,8 +402,8 @@
             .route(host.dialect.readiness_path, get(show_readiness))
             .with_state(host.clone());
         tasks.spawn(serve_router(readiness, checks));
-        let mirror_listener = listen("hosts of the failure domain", parts.listen.peers).await?;
-        tasks.spawn(serve_router(mirror_listener, mirror::router(host.clone())));
+        let peers = listen("hosts of the failure domain", parts.listen.peers).await?;
+        tasks.spawn(serve_router(peers, hosts_router(&host, handed_over)));
         if let Some(address) = parts.listen.metrics {
             let metrics = listen("metrics", address).await?;
             let router = Router::new()
@@ -497,6 +501,13 @@
     }
 }
 
+async fn bind_peers(address: SocketAddr) -> Result<UdpSocket, EntryError> {
+    UdpSocket::bind(address).await.context(ListenSnafu {
+        purpose: "peers",
+        address,
+    })
+}
+
 async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
     TcpListener::bind(address)
         .await
@@ -509,7 +520,7 @@
     host: &Arc<EntryHost>,
     address: SocketAddr,
     stopped: watch::Receiver<bool>,
-) -> Result<Accepted, EntryError> {
+) -> Result<(Accepted, WeakSender<AcceptedConnection>), EntryError> {
     let purpose = "callers";
     let listener = listen(purpose, address).await?;
     let (behind_host, deciding_host) = (host.clone(), host.clone());
@@ -529,11 +540,20 @@
 /// Serves HTTP requests until the task is dropped. A failure is logged, and that listener stays
 /// closed.
 async fn serve_router(listener: TcpListener, router: Router) {
+    let listener = listener.tap_io(|stream| {
+        // Without it small frames of handed-over requests wait for others.
+        let _ = stream.set_nodelay(true);
+    });
     if let Err(err) = axum::serve(listener, router).await {
         warn!(target: "host", reason = err.to_string(); "HTTP listener failed");
     }
 }
 
+/// What this host serves to other hosts: objects of the platform, and requests that they hand over.
+fn hosts_router(host: &Arc<EntryHost>, handed_over: WeakSender<AcceptedConnection>) -> Router {
+    mirror::router(host.clone()).merge(handed_over::router(host, handed_over))
+}
+
 /// Answers a readiness check: 200 if this host can serve requests and has processor time left,
 /// otherwise 503.
 async fn show_readiness(State(host): State<Arc<EntryHost>>) -> StatusCode {
--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -23,6 +23,7 @@
 mod events;
 mod fleet;
 mod forward;
+mod handed_over;
 mod health;
 mod host;
 mod lag;
--- a/lib/src/gateway/accept.rs
+++ b/lib/src/gateway/accept.rs
@@ -23,6 +23,7 @@
 use rustix::net::RecvFlags;
 use rustix::net::SendFlags;
 use rustix::net::SocketFlags;
+use tokio::io::DuplexStream;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
@@ -55,7 +56,7 @@
 /// Most accepted connections that wait for the thread that serves requests, with what has arrived on them.
 const ACCEPTED_WAITING_MAX: usize = 256;
 /// Time after which the caller of a connection beyond these should try again, seconds.
-const WAITING_RETRY_AFTER: &[u8] = b"1";
+pub(super) const WAITING_RETRY_AFTER: &[u8] = b"1";
 /// How often the accepting thread waits [`REFUSING_PAUSE`] for the first bytes of a connection.
 const LOOKS_MAX: u32 = 3;
 
@@ -63,10 +64,17 @@
 /// closed.
 pub(crate) type Accepted = mpsc::Receiver<AcceptedConnection>;
 
+/// A way by which a caller's requests arrive.
+pub(crate) enum CallerIo {
+    /// Its own connection, in non-blocking mode.
+    Connection(TcpStream),
+    /// One end of a request that another host hands over.
+    HandedOver(DuplexStream),
+}
+
 /// A connection of a caller that was not refused.
 pub(crate) struct AcceptedConnection {
-    /// The connection, in non-blocking mode.
-    pub(crate) stream: TcpStream,
+    pub(crate) io: CallerIo,
     /// Bytes that were received on it.
     pub(crate) received: Vec<u8>,
     /// Set if another host is to serve the request.
@@ -76,7 +84,7 @@
 impl From<TcpStream> for AcceptedConnection {
     fn from(stream: TcpStream) -> Self {
         Self {
-            stream,
+            io: CallerIo::Connection(stream),
             received: Vec::new(),
             handover: None,
         }
@@ -130,7 +138,8 @@
     rx
 }
 
-/// Accepts connections on a new thread, and refuses those that `refusing` says.
+/// Accepts connections on a new thread, and refuses those that `refusing` says. Also returns a sender for
+/// requests that other hosts hand over, which works until the stop signal.
 ///
 /// # Errors
 ///
@@ -139,14 +148,15 @@
     listener: TcpListener,
     stop: watch::Receiver<bool>,
     refusing: Refusing,
-) -> io::Result<Accepted> {
+) -> io::Result<(Accepted, mpsc::WeakSender<AcceptedConnection>)> {
     let (tx, rx) = mpsc::channel(ACCEPTED_WAITING_MAX);
+    let weak = tx.downgrade();
     let listener = listener.into_std()?;
     std::thread::Builder::new()
         .name("accept".into())
         .stack_size(STACK_BYTES)
         .spawn(move || accept(&listener, &stop, &tx, &refusing))?;
-    Ok(rx)
+    Ok((rx, weak))
 }
 
 /// A connection on which nothing has arrived yet.
@@ -262,7 +272,7 @@
         }
     };
     let accepted = AcceptedConnection {
-        stream,
+        io: CallerIo::Connection(stream),
         received: received.to_vec(),
         handover,
     };
@@ -277,9 +287,11 @@
 fn pass_on(connection: AcceptedConnection, tx: &mpsc::Sender<AcceptedConnection>) -> bool {
     match tx.try_send(connection) {
         Err(TrySendError::Full(connection)) => {
-            let mut buf = [0; RECEIVED_MAX_BYTES];
-            let _ = rustix::net::recv(&connection.stream, &mut buf[..], RecvFlags::DONTWAIT);
-            refuse(&connection.stream, WAITING_RETRY_AFTER);
+            if let CallerIo::Connection(stream) = &connection.io {
+                let mut buf = [0; RECEIVED_MAX_BYTES];
+                let _ = rustix::net::recv(stream, &mut buf[..], RecvFlags::DONTWAIT);
+                refuse(stream, WAITING_RETRY_AFTER);
+            }
             false
         }
         // The server was dropped, which `accept` notices.
@@ -307,8 +319,12 @@
 
 /// Refuses a connection. If the response cannot be sent, the caller only sees a closed connection.
 fn refuse(stream: &TcpStream, retry_after: &[u8]) {
-    let head = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n";
-    let response = [head, &b"retry-after: "[..], retry_after, b"\r\n\r\n"].concat();
     let flags = SendFlags::DONTWAIT | SendFlags::NOSIGNAL;
-    let _ = rustix::net::send(stream, &response, flags);
+    let _ = rustix::net::send(stream, &refusal(retry_after), flags);
+}
+
+/// A response that refuses a request. `retry_after` is the value of its header of that name.
+pub(super) fn refusal(retry_after: &[u8]) -> Vec<u8> {
+    let head = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n";
+    [head, &b"retry-after: "[..], retry_after, b"\r\n\r\n"].concat()
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod accept;
 mod auth;
 mod backend;
+mod caller_socket;
 mod dispatch;
 mod error_code;
 mod error_response;
@@ -40,6 +41,7 @@
 use tokio::sync::watch;
 
 pub(crate) use self::accept::Accepted;
+pub(crate) use self::accept::AcceptedConnection;
 pub(crate) use self::accept::ConnectionDecision;
 pub(crate) use self::accept::Refusing;
 use self::accept::accept_in_task;
@@ -53,8 +55,12 @@
 pub use self::error_code::ErrorCode;
 pub use self::error_response::Outcome;
 pub(crate) use self::handover::EndGuard;
+pub(crate) use self::handover::HandedOver;
 pub(crate) use self::handover::Handover;
+pub(crate) use self::handover::HandoverLinks;
 pub(crate) use self::handover::HandoverOutcome;
+pub(crate) use self::handover::LINK_PATH;
+pub(crate) use self::handover::LINK_PROTOCOL;
 pub(crate) use self::headers::end_to_end;
 use self::routes::RouterState;
 use self::routes::router;
--- a/lib/src/gateway/preface.rs
+++ b/lib/src/gateway/preface.rs
@@ -12,9 +12,9 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use super::caller_socket::CallerSocket;
 use super::request_counter::RequestCounter;
 
 /// Connection preface of HTTP/2 (RFC 9113, section 3.4).
@@ -41,7 +41,7 @@
 
 impl InitialBytes {
     /// Returns a stream that yields these bytes first and then the rest of `stream`.
-    pub(crate) fn join(self, stream: TcpStream, timeouts: Timeouts) -> CallerStream {
+    pub(crate) fn join(self, stream: CallerSocket, timeouts: Timeouts) -> CallerStream {
         CallerStream {
             start: self.0,
             replayed: 0,
@@ -57,7 +57,7 @@
 /// Reads until the bytes either differ from the HTTP/2 preface or contain all of it. `received` was read
 /// before.
 pub(crate) async fn read_preface(
-    stream: &mut TcpStream,
+    stream: &mut CallerSocket,
     received: Vec<u8>,
 ) -> io::Result<(Protocol, InitialBytes)> {
     let mut start = received;
@@ -69,14 +69,8 @@
         if len == HTTP2_PREFACE.len() {
             return Ok((Protocol::Http2, InitialBytes(start)));
         }
-        // Waits before the buffer is allocated, so that idle connections have none.
-        stream.readable().await?;
-        start.reserve(INITIAL_BYTES_MAX);
-        match stream.try_read_buf(&mut start) {
-            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(_) => {}
-            Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
-            Err(err) => return Err(err),
+        if stream.read_arrived(&mut start, INITIAL_BYTES_MAX).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
 }
@@ -104,7 +98,7 @@
     start: Vec<u8>,
     /// Bytes of `start` that have been replayed.
     replayed: usize,
-    stream: TcpStream,
+    stream: CallerSocket,
     timeouts: Timeouts,
     head: Option<HeadTimer>,
     has_head_timed_out: bool,
@@ -121,8 +115,7 @@
     /// Discards bytes that have arrived and were not read, like the body of a refused request. Closing a
     /// connection with unread bytes would reset it, and the caller might not receive the response.
     pub(crate) fn discard_received(&self) {
-        let mut discarded = [0; DISCARD_BYTES];
-        let _ = self.stream.try_read(&mut discarded);
+        self.stream.discard_arrived(&mut [0; DISCARD_BYTES]);
     }
 
     /// Starts the head timer if these bytes are the first ones of a head.
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -1,7 +1,6 @@
 //! Serves callers' HTTP connections, limits their number, and drains them at a planned stop.
 
 use std::io::Write;
-use std::net::TcpStream as StdStream;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -9,6 +8,7 @@
 use std::time::Duration;
 
 use axum::Router;
+use futures::FutureExt;
 use hyper::server::conn::http1;
 use hyper::server::conn::http2;
 use hyper_util::rt::TokioExecutor;
@@ -27,6 +27,8 @@
 
 use super::accept::Accepted;
 use super::accept::AcceptedConnection;
+use super::accept::CallerIo;
+use super::caller_socket::CallerSocket;
 use super::idle_connections::OpenConnections;
 use super::preface::CallerStream;
 use super::preface::Protocol;
@@ -190,7 +192,7 @@
                     drop(permit);
                 });
             }
-            Err(_) => self.refuse_connection(&accepted.stream),
+            Err(_) => self.refuse_connection(accepted.io),
         }
     }
 
@@ -201,11 +203,15 @@
         let _ = tokio::time::timeout(timeout, drained).await;
     }
 
-    fn refuse_connection(&self, mut stream: &StdStream) {
+    fn refuse_connection(&self, io: CallerIo) {
         self.refused.inc();
-        // If the response does not fit into the socket's send buffer, the caller only sees a closed
-        // connection.
-        let _ = stream.write(TOO_MANY_CONNECTIONS);
+        // If the response does not fit into the send buffer, the caller only sees a closed connection.
+        match io {
+            CallerIo::Connection(mut stream) => drop(stream.write(TOO_MANY_CONNECTIONS)),
+            CallerIo::HandedOver(mut stream) => {
+                drop(stream.write(TOO_MANY_CONNECTIONS).now_or_never());
+            }
+        }
     }
 
     /// Serves a connection until it ends or, while it is idle, is chosen to be closed. If it is to be handed
@@ -223,25 +229,35 @@
         };
         let gauge = self.gauge.clone();
         async move {
-            // Fails if the runtime cannot watch more sockets; the caller then sees a closed connection.
-            let Ok(mut stream) = TcpStream::from_std(accepted.stream) else {
-                return;
-            };
-            gauge.inc();
-            connection.configure(&stream);
             let mut received = accepted.received;
-            if let Some(handover) = accepted.handover {
-                let _busy = InFlight::start(connection.requests.clone());
-                let Some(kept) = handover.run(stream, received).await else {
-                    gauge.dec();
-                    return;
-                };
-                (stream, received) = kept;
-            }
+            let socket = match accepted.io {
+                CallerIo::HandedOver(stream) => {
+                    gauge.inc();
+                    CallerSocket::HandedOver(stream)
+                }
+                CallerIo::Connection(stream) => {
+                    // Fails if the runtime cannot watch more sockets; the caller then sees a closed
+                    // connection.
+                    let Ok(mut stream) = TcpStream::from_std(stream) else {
+                        return;
+                    };
+                    gauge.inc();
+                    connection.configure(&stream);
+                    if let Some(handover) = accepted.handover {
+                        let _busy = InFlight::start(connection.requests.clone());
+                        let Some(kept) = handover.run(stream, received).await else {
+                            gauge.dec();
+                            return;
+                        };
+                        (stream, received) = kept;
+                    }
+                    CallerSocket::Connection(stream)
+                }
+            };
             tokio::select! {
                 // Biased, so that a request that has arrived is read before the check for idleness.
                 biased;
-                () = connection.serve(stream, received) => {}
+                () = connection.serve(socket, received) => {}
                 () = open.chosen() => {}
             }
             gauge.dec();
@@ -272,7 +288,7 @@
     }
 
     /// Serves the connection, on which `received` has arrived before.
-    async fn serve(self, mut stream: TcpStream, received: Vec<u8>) {
+    async fn serve(self, mut stream: CallerSocket, received: Vec<u8>) {
         let preface = read_preface(&mut stream, received);
         match tokio::time::timeout(self.limits.head_timeout, preface).await {
             Ok(Ok((protocol, start))) => {
