entry: test that engines start what a lone host lets pass

Two workspaces ask for more than all engines can do; one comes by all hosts, the other by one host that has time for two fifths of the engines' capacity, with all engines and with three quarters of them.

--- a/lib/tests/common/deployment.rs
+++ b/lib/tests/common/deployment.rs
@@ -98,6 +98,11 @@
     pub report_delays: HashMap<SocketAddr, Option<u64>>,
     /// Scheduler of each shard. The number of shards stays the same.
     pub by_shard: Vec<SocketAddr>,
+    /// Workspaces that come by one host only, and how many of their requests a second that host has time for. It
+    /// refuses the others.
+    pub passed_per_second: HashMap<u64, f64>,
+    /// Part of the next request of these workspaces for which their host has had time.
+    passed_credit: HashMap<u64, f64>,
     /// Span during which requests have been refused, milliseconds.
     refusing_ms: Range<u64>,
     /// Longest time for which an engine was empty while requests were refused, milliseconds.
@@ -154,6 +159,8 @@
             slowness: HashMap::new(),
             report_delays: HashMap::new(),
             by_shard,
+            passed_per_second: HashMap::new(),
+            passed_credit: HashMap::new(),
             refusing_ms: 0..0,
             longest_empty_ms: 0,
             empty_since_ms: HashMap::new(),
@@ -218,6 +225,34 @@
         }
     }
 
+    /// Gives the hosts of workspaces that come by one host only the time of another millisecond.
+    fn gain_host_time(&mut self) {
+        for (workspace, per_second) in &self.passed_per_second {
+            let credit = self.passed_credit.entry(*workspace).or_default();
+            // Time that is not used is lost, apart from that for two requests.
+            *credit = (*credit + per_second / 1_000.0).min(2.0);
+        }
+    }
+
+    /// Whether the host of a workspace has time for a request. If not, it refuses the request, and tells
+    /// schedulers.
+    fn passes_host(&mut self, now_ms: u64, workspace: u64) -> bool {
+        if !self.passed_per_second.contains_key(&workspace) {
+            return true;
+        }
+        let credit = self.passed_credit.entry(workspace).or_default();
+        if *credit >= 1.0 {
+            *credit -= 1.0;
+            return true;
+        }
+        let address = SocketAddr::from(([10, 1, 0, workspace as u8], 7_400));
+        let host = self.schedulers.entry(address);
+        let host = host.or_insert_with(|| Scheduler::new(1));
+        let shards = self.by_shard.len() as u32;
+        host.on_refused_by_host(at(now_ms), SERVICE, shards, workspace, PROMPT_TOKENS);
+        false
+    }
+
     /// Asks for a request as a host does. Returns the time after which its response starts, `None`
     /// if it is refused.
     fn ask(&mut self, now_ms: u64, workspace: u64, session: u64) -> Option<Duration> {
@@ -379,6 +414,7 @@
             deployment.send_shares(now_ms);
         }
         deployment.deliver_reports(now_ms);
+        deployment.gain_host_time();
         for (index, workspace) in workspaces.iter().enumerate() {
             due[index] += 1.0 / workspace.interval_at(now_ms);
             while due[index] >= 1.0 {
@@ -388,7 +424,10 @@
                 let work = all.get_mut(&workspace.id).unwrap();
                 let second = (now_ms / 1_000) as usize;
                 work.asked[second] += PROMPT_TOKENS;
-                let started = deployment.ask(now_ms, workspace.id, session);
+                let started = match deployment.passes_host(now_ms, workspace.id) {
+                    true => deployment.ask(now_ms, workspace.id, session),
+                    false => None,
+                };
                 if started.is_some() {
                     work.granted[second] += PROMPT_TOKENS;
                 }
--- a/lib/tests/test_entry_refused_demand.rs
+++ b/lib/tests/test_entry_refused_demand.rs
@@ -1,5 +1,6 @@
 //! Tests that schedulers know of the requests that entry hosts refuse by themselves.
 
+mod common;
 mod entry;
 
 use std::net::SocketAddr;
@@ -15,6 +16,12 @@
 use cardamomshift_lib::time::Timestamp;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::common::deployment::Deployment;
+use crate::common::deployment::PROMPT_TOKENS;
+use crate::common::deployment::WorkByWorkspace;
+use crate::common::deployment::Workspace;
+use crate::common::deployment::check_shares;
+use crate::common::deployment::play;
 use crate::entry::KEY;
 use crate::entry::at;
 use crate::entry::fleet;
@@ -131,3 +138,72 @@
         "{decision:?}"
     );
 }
+
+/// Workspace that comes by one host only, and one that comes by all.
+const LONE: u64 = 1;
+const SPREAD: u64 = 2;
+/// Span in which both ask for more than all engines can do, milliseconds.
+const FLOODS_MS: std::ops::Range<u64> = 4_000..18_000;
+/// Fraction of the engines' capacity that the host of the first one has time for.
+const PASSED_FRACTION: f64 = 0.4;
+
+/// Fraction of the engines' capacity that the ordinary workspaces ask for.
+const ORDINARY_FRACTION: f64 = 0.3;
+
+/// Plays both beside ordinary workspaces. Returns all work, and the requests a second that the first one should get:
+/// what its host lets pass, but no more than an even share of the engines that are left.
+fn play_lone_host(hosts: u32, engines: u32, engines_left: f64) -> (WorkByWorkspace, f64) {
+    let mut deployment = Deployment::new(hosts, engines);
+    let per_second = deployment.capacity() / PROMPT_TOKENS as f64;
+    let passed = per_second * PASSED_FRACTION;
+    let share = per_second * (engines_left - ORDINARY_FRACTION) / 2.0;
+    deployment.passed_per_second.insert(LONE, passed);
+    let sessions = |id: u64| (id * 1_000..id * 1_000 + 20).collect();
+    let mut workspaces: Vec<_> = (10..26)
+        .map(|id| Workspace {
+            id,
+            sessions: sessions(id),
+            interval_ms: deployment.interval_ms(ORDINARY_FRACTION / 16.0),
+            changes: Vec::new(),
+        })
+        .collect();
+    for id in [LONE, SPREAD] {
+        workspaces.push(Workspace {
+            id,
+            sessions: sessions(id),
+            interval_ms: deployment.interval_ms(0.02),
+            changes: vec![(FLOODS_MS, deployment.interval_ms(1.5))],
+        });
+    }
+    let left = (f64::from(engines) * engines_left) as usize;
+    let all = play(
+        &mut deployment,
+        &workspaces,
+        20_000,
+        |deployment, now_ms| {
+            if now_ms == 10_000 {
+                deployment.engines.truncate(left);
+            }
+        },
+    );
+    (all, passed.min(share))
+}
+
+/// Guards against engines that refuse what the scarcest host has spent its time on.
+#[test]
+fn requests_that_a_lone_host_lets_pass_are_started() {
+    for (hosts, engines, engines_left) in
+        [(7, 18, 1.0), (7, 18, 0.75), (73, 60, 1.0), (73, 60, 0.75)]
+    {
+        let name = format!("{hosts} hosts, {engines_left} of the engines left");
+        let (all, due) = play_lone_host(hosts, engines, engines_left);
+        check_shares(&all, &name);
+        let seconds = (FLOODS_MS.start / 1_000) as usize + 1..(FLOODS_MS.end / 1_000) as usize;
+        let granted: u64 = all[&LONE].granted[seconds.clone()].iter().sum();
+        let started = granted as f64 / PROMPT_TOKENS as f64 / seconds.len() as f64;
+        assert!(
+            started >= 0.9 * due,
+            "{name}: {started:.0} of {due:.0} requests a second"
+        );
+    }
+}
