gateway: let requests not wait for each other at a link

A link that is being established could also fail at this host's own delays, which left it with no host to hand over to for 2 s.

A link is now established by a task of its own; requests wait for it together. It may take 500 ms. A host hands over to eight others at most instead of all of its failure domain, so that few links are established when a flood begins, and one read takes what has arrived for more requests.

--- a/lib/src/entry/peers/selection.rs
+++ b/lib/src/entry/peers/selection.rs
@@ -44,7 +44,11 @@
 /// from the platform.
 const MIRROR_HOSTS: usize = 2;
 
-/// Hosts among which one is chosen to hand a request over to.
+/// Most hosts to which one host hands requests over. With few of them, one read takes what has arrived for many
+/// requests, and links are soon established. Together they have several times the processor time that a
+/// small host can hand requests over with.
+const HELPERS_MAX: usize = 8;
+/// Those of them among which one is chosen for a request.
 const HELPER_CHOICES: usize = 2;
 /// How long no request is handed over to a host that could not be reached, or did not respond in time.
 const NO_HELP_DURATION: Duration = Duration::from_secs(2);
@@ -252,20 +256,22 @@
         self.known.values().any(|peer| peer.can_help(now))
     }
 
-    /// Chooses a host of this failure domain to hand a request over to, and counts the request there. Of the
-    /// first two for `subject`, it is the one with fewer such requests for its processor cores.
+    /// Chooses a host of this failure domain to hand a request over to, and counts the request there. Each host
+    /// hands over to a few others. Of the first two of them for `subject`, it is the one with fewer such requests
+    /// for its processor cores.
     pub fn choose_helper(&mut self, now: Timestamp, subject: u64) -> Option<Helper> {
-        let known = self.known.values();
-        let mut able: Vec<_> = known
-            .filter(|peer| peer.can_help(now))
-            .map(|peer| {
-                let load = f64::from(peer.handed_over) / peer.cores;
-                (rank(peer.hash, subject), load, peer.address)
-            })
+        let known = self.known.values().filter(|peer| peer.can_help(now));
+        let mut helpers: Vec<_> = known
+            .map(|peer| (rank(peer.hash, self.own_hash), peer))
             .collect();
-        able.sort_unstable_by_key(|(rank, ..)| Reverse(*rank));
-        able.truncate(HELPER_CHOICES);
-        let (.., address) = able.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
+        helpers.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+        helpers.truncate(HELPERS_MAX);
+        let by_subject = |peer: &KnownPeer| Reverse(rank(peer.hash, subject));
+        helpers.sort_unstable_by_key(|(_, peer)| by_subject(peer));
+        let load = |peer: &KnownPeer| f64::from(peer.handed_over) / peer.cores;
+        let choices = helpers.into_iter().take(HELPER_CHOICES);
+        let chosen = choices.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)));
+        let address = chosen?.1.address;
         let peer = self.known.get_mut(&address)?;
         peer.handed_over += 1;
         Some(Helper {
--- a/lib/src/gateway/handover/links.rs
+++ b/lib/src/gateway/handover/links.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,6 +22,7 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use super::link::LinkEnd;
 use super::link::NewLink;
@@ -30,67 +32,89 @@
 pub(crate) const LINK_PATH: &str = "/handover";
 /// Name of the protocol to which the connection is upgraded.
 pub(crate) const LINK_PROTOCOL: HeaderValue = HeaderValue::from_static("cardamomshift-handover");
-/// Longest time to connect to another host: many round trips within a failure domain.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time to establish a link. It covers the delays of a host that is behind its work, which has to look at
+/// the connection several times until the link is there.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after a failure until the next attempt to connect.
 const RECONNECT_AFTER: Duration = Duration::from_secs(2);
 
 /// Links to other hosts.
 #[derive(Default)]
 pub(crate) struct HandoverLinks {
-    links: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<Link>>>>,
+    links: Mutex<HashMap<SocketAddr, Link>>,
 }
 
-/// A link to one host, if there is one.
-#[derive(Default)]
-struct Link {
-    end: Option<Arc<LinkEnd>>,
-    /// When to connect again after a failure.
-    retry_at: Option<Instant>,
+/// A link to one host.
+enum Link {
+    /// It is being established. The channel is closed afterwards.
+    Connecting(watch::Receiver<()>),
+    Open(Arc<LinkEnd>),
+    Failed {
+        /// When to connect again.
+        retry_at: Instant,
+    },
 }
 
 impl HandoverLinks {
-    /// Opens a stream to the host at `to` with the first bytes of a request. `None` if the host cannot be
-    /// reached; nothing was sent then.
-    pub(super) async fn open(&self, to: SocketAddr, first: Bytes) -> Option<Stream> {
-        let link = {
-            let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-            links.entry(to).or_default().clone()
-        };
-        // Requests that come while a link is being established wait for it.
-        let mut link = link.lock().await;
-        link.end(to).await?.open(first)
+    /// Opens a stream to the host at `to` with the first bytes of a request, on a link that is established first
+    /// if there is none. `None` if the host cannot be reached; nothing was sent then.
+    pub(super) async fn open(self: &Arc<Self>, to: SocketAddr, first: Bytes) -> Option<Stream> {
+        loop {
+            let mut connecting = match self.link(to) {
+                Link::Open(end) => return end.open(first),
+                Link::Failed { .. } => return None,
+                Link::Connecting(connecting) => connecting,
+            };
+            // The error says that the channel is closed.
+            let _ = connecting.changed().await;
+        }
+    }
+
+    fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, Link>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
-}
 
-impl Link {
-    /// The end of an open link, which is established first if there is none.
-    async fn end(&mut self, to: SocketAddr) -> Option<&Arc<LinkEnd>> {
+    /// The present link to a host. Begins to establish one if it is time to.
+    fn link(self: &Arc<Self>, to: SocketAddr) -> Link {
         let now = Instant::now();
-        if let Some(end) = self.end.take_if(|end| end.is_closed())
-            && end.was_given_up()
-        {
-            info!(target: "peer", peer = to.to_string(); "link for handed-over requests given up");
-            self.retry_at = Some(now + RECONNECT_AFTER);
-        }
-        if self.end.is_none() {
-            if self.retry_at.is_some_and(|at| now < at) {
-                return None;
+        let mut links = self.links();
+        match links.get(&to) {
+            Some(Link::Open(end)) if !end.is_closed() => return Link::Open(end.clone()),
+            Some(Link::Open(end)) if end.was_given_up() => {
+                info!(target: "peer", peer = to.to_string(); "link for handed-over requests given up");
+                let retry_at = now + RECONNECT_AFTER;
+                links.insert(to, Link::Failed { retry_at });
+                return Link::Failed { retry_at };
             }
-            match tokio::time::timeout(CONNECT_TIMEOUT, connect(to)).await {
-                Ok(Ok(io)) => self.end = Some(start(io)),
-                failed => {
-                    let reason = match failed {
-                        Ok(Err(err)) => err.to_string(),
-                        _ => format!("no connection within {} ms", CONNECT_TIMEOUT.as_millis()),
-                    };
-                    info!(target: "peer", peer = to.to_string(), reason = reason.as_str();
-                        "no link for handed-over requests");
-                    self.retry_at = Some(Instant::now() + RECONNECT_AFTER);
-                }
+            Some(Link::Failed { retry_at }) if now < *retry_at => {
+                let retry_at = *retry_at;
+                return Link::Failed { retry_at };
             }
+            Some(Link::Connecting(connecting)) => return Link::Connecting(connecting.clone()),
+            Some(Link::Open(_) | Link::Failed { .. }) | None => {}
         }
-        self.end.as_ref()
+        let (tx, rx) = watch::channel(());
+        links.insert(to, Link::Connecting(rx.clone()));
+        tokio::spawn(self.clone().establish(to, tx));
+        Link::Connecting(rx)
+    }
+
+    /// Establishes a link. Requests wait for it until `_connecting` is dropped.
+    async fn establish(self: Arc<Self>, to: SocketAddr, _connecting: watch::Sender<()>) {
+        let link = match tokio::time::timeout(CONNECT_TIMEOUT, connect(to)).await {
+            Ok(Ok(io)) => Link::Open(start(io)),
+            failed => {
+                let reason = match failed {
+                    Ok(Err(err)) => err.to_string(),
+                    _ => format!("no connection within {} ms", CONNECT_TIMEOUT.as_millis()),
+                };
+                info!(target: "peer", peer = to.to_string(), reason = reason.as_str();
+                    "no link for handed-over requests");
+                let retry_at = Instant::now() + RECONNECT_AFTER;
+                Link::Failed { retry_at }
+            }
+        };
+        self.links().insert(to, link);
     }
 }
 
