gateway: close idle links only at the host that opens streams

Both hosts closed a link on which no stream was open for 5 s. The one that serves could close it just when the other one opened a stream, whose caller got 502 although the request had not run.

Two comments said something else than the code does.

--- a/lib/src/gateway/handover/link.rs
+++ b/lib/src/gateway/handover/link.rs
@@ -37,7 +37,8 @@
 const RECEIPT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval at which overdue confirmations are looked for.
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
-/// Number of these intervals without a stream after which the link is closed.
+/// Number of these intervals without a stream after which the host that opens streams closes the link. The
+/// other one might close it just when a stream is being opened.
 const IDLE_CHECKS_MAX: u32 = 25;
 
 /// State of one end of a link, shared between the task of the link and its streams.
@@ -112,8 +113,8 @@
     Ok(())
 }
 
-/// Receives frames until the connection ends, the other host doesn't confirm a stream in time, or no stream was
-/// open for a while.
+/// Receives frames until the connection ends or no stream was open for a while. If the other host does not confirm a
+/// stream in time, no more are opened.
 async fn receive(
     end: &Arc<LinkEnd>,
     read: impl AsyncRead + Unpin,
@@ -130,7 +131,7 @@
             frame = frames.next() => frame,
             _ = checks.tick() => {
                 idle_checks = if end.is_idle() { idle_checks + 1 } else { 0 };
-                if idle_checks > IDLE_CHECKS_MAX {
+                if idle_checks > IDLE_CHECKS_MAX && end.has_opened() {
                     return;
                 }
                 if end.is_overdue(Instant::now()) {
@@ -218,6 +219,11 @@
         first.is_some_and(|(_, due)| *due <= now)
     }
 
+    /// Whether this host has opened streams on the link.
+    fn has_opened(&self) -> bool {
+        self.streams().last_opened > 0
+    }
+
     fn is_idle(&self) -> bool {
         self.streams().open.is_empty()
     }
--- a/lib/src/gateway/handover/stream.rs
+++ b/lib/src/gateway/handover/stream.rs
@@ -149,7 +149,7 @@
     }
 }
 
-/// Reads into a buffer that is allocated only here, so that a connection on which nothing arrives has none.
+/// Reads what has arrived, at most [`READ_BYTES`] at once.
 async fn read_some(read: &mut (impl AsyncRead + Unpin), buf: &mut BytesMut) -> io::Result<usize> {
     buf.reserve(READ_BYTES);
     read.read_buf(buf).await
