review: a burst of large bodies ends hosts, and what they passed on goes unanswered

Cause: bodies are held whole and not counted against the memory of the process unless the settings name the contract 'pressure'. Done: a script with two hosts of 110 MB and clients that send bodies of the size that the configuration allows.

--- a/review/stand_ins/host.rs
+++ b/review/stand_ins/host.rs
@@ -85,6 +85,18 @@
         self.child = Some(child);
     }
 
+    /// Memory that the process has resident, bytes; 0 if it does not run.
+    pub fn memory(&self) -> u64 {
+        let Some(child) = &self.child else {
+            return 0;
+        };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let line = status.unwrap_or_default();
+        let line = line.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kb.unwrap_or(0) << 10
+    }
+
     /// Ends the process at once (SIGKILL).
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -8,6 +8,7 @@
 mod case_fleet;
 mod case_key;
 mod case_limit;
+mod case_memory;
 mod host;
 mod http;
 mod record;
@@ -78,6 +79,7 @@
         "fleet" => case_fleet::run(&scene),
         "key" => case_key::run(&scene),
         "limit" => case_limit::run(&scene),
+        "memory" => case_memory::run(&scene),
         _ => Err(format!("no case \"{case}\"")),
     });
     let result = std::panic::catch_unwind(run).unwrap_or(Err("a stand-in failed".to_owned()));
@@ -104,16 +106,22 @@
     ExitCode::from(code)
 }
 
-/// A configuration with one route to the service `model`: streams that are not resumable.
+/// A configuration with a route to the service `model`, of streams that are not resumable, and one to the
+/// service `desk`, of requests that are not idempotent.
 pub fn config(version: u32, keys: &[&str]) -> String {
     let keys: Vec<_> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     format!(
         r#"{{"version":{version},"routes":[{{"name":"commentary","host":"app.example","path-prefix":"/s/",
 "type":"streaming","timeout-ms":4000,"latency-target-ms":800,"priority":1,"service":"model","max-attempts":1,
-"anonymous":false,"sticky":true,"resumable":false,"inter-token-ms":600}}],
+"anonymous":false,"sticky":true,"resumable":false,"inter-token-ms":600}},
+{{"name":"submit","host":"app.example","path-prefix":"/w/","type":"non_idempotent","timeout-ms":4000,
+"latency-target-ms":300,"priority":2,"service":"desk","max-attempts":1,"anonymous":false,"sticky":false,
+"resumable":false}}],
 "services":[{{"name":"model","health-path":"/healthz","max-connections":360,"protocol":"h1","tls":false,
 "cold-start-s":3.0,"cold-per-s":9.8,"runtime":{{"slots":64,"kv-capacity":228336,"kv-token-bytes":327680,
-"link-mbps":1100000.0,"model-list":[{{"name":"m"}}]}}}}],
+"link-mbps":1100000.0,"model-list":[{{"name":"m"}}]}}}},
+{{"name":"desk","health-path":"/healthz","max-connections":960,"protocol":"h1","tls":false,"cold-start-s":0.0,
+"cold-per-s":0.0}}],
 "limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
 "idle-timeout-ms":15000,"tokens-per-s":230000}},
 "tenants":[{{"name":"house-one","api-keys":[{}],"priority":1}}]}}"#,
--- a/review/stand_ins/worker.rs
+++ b/review/stand_ins/worker.rs
@@ -49,6 +49,7 @@
 #[derive(Clone)]
 pub struct Worker {
     pub id: String,
+    service: String,
     zone: String,
     born: u64,
     address: SocketAddr,
@@ -61,9 +62,15 @@
 impl Worker {
     /// Starts a worker of the service `model` and registers it.
     pub fn start(id: &str, zone: &str, store: &Store, record: &Record) -> Self {
+        Self::start_for("model", id, zone, store, record)
+    }
+
+    /// Like [`Self::start`], for a service.
+    pub fn start_for(service: &str, id: &str, zone: &str, store: &Store, record: &Record) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port for a worker");
         let worker = Self {
             id: id.to_owned(),
+            service: service.to_owned(),
             zone: zone.to_owned(),
             born: 1_790_000_000_000,
             address: listener.local_addr().expect("an address"),
@@ -100,6 +107,7 @@
     pub fn report(&self) {
         let Self {
             id,
+            service,
             zone,
             born,
             address,
@@ -107,7 +115,7 @@
         } = self;
         let cold = self.cold_ms();
         let spec = format!(
-            "{{\"service\":\"model\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
              \"slots\":64,\"state\":\"ready\",\"cold-remaining-ms\":{cold},\"phase\":\"mixed\",\
              \"model-list\":[{{\"name\":\"m\",\"version\":1,\"adapter-list\":[]}}],\
              \"sequence\":1,\"born\":{born}}}"
