review: requests get stuck behind a body that a worker has not read

Cause: a connection on which a worker has answered early goes back to the idle ones, and the wait for it does not look at the deadline.

--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -5,6 +5,7 @@
 //! With the variable `TROUBLE=0` the disruption is left out.
 
 mod case_cold;
+mod case_early;
 mod case_fleet;
 mod case_key;
 mod case_limit;
@@ -76,6 +77,7 @@
     // A panic of a stand-in means that the case could not run. Hosts are ended as it unwinds.
     let run = std::panic::AssertUnwindSafe(|| match case.as_str() {
         "cold" => case_cold::run(&scene),
+        "early" => case_early::run(&scene),
         "fleet" => case_fleet::run(&scene),
         "key" => case_key::run(&scene),
         "limit" => case_limit::run(&scene),
@@ -106,7 +108,7 @@
     ExitCode::from(code)
 }
 
-/// A configuration with a route to the service `model`, of streams that are not resumable, and one to the
+/// A configuration with a route to the service `model`, of streams that are not resumable, and two to the
 /// service `desk`, of requests that are not idempotent.
 pub fn config(version: u32, keys: &[&str]) -> String {
     let keys: Vec<_> = keys.iter().map(|key| format!("\"{key}\"")).collect();
@@ -116,6 +118,9 @@
 "anonymous":false,"sticky":true,"resumable":false,"inter-token-ms":600}},
 {{"name":"submit","host":"app.example","path-prefix":"/w/","type":"non_idempotent","timeout-ms":4000,
 "latency-target-ms":300,"priority":2,"service":"desk","max-attempts":1,"anonymous":false,"sticky":false,
+"resumable":false}},
+{{"name":"score","host":"app.example","path-prefix":"/q/","type":"non_idempotent","timeout-ms":2000,
+"latency-target-ms":300,"priority":2,"service":"desk","max-attempts":1,"anonymous":false,"sticky":false,
 "resumable":false}}],
 "services":[{{"name":"model","health-path":"/healthz","max-connections":360,"protocol":"h1","tls":false,
 "cold-start-s":3.0,"cold-per-s":9.8,"runtime":{{"slots":64,"kv-capacity":228336,"kv-token-bytes":327680,
--- a/review/stand_ins/worker.rs
+++ b/review/stand_ins/worker.rs
@@ -32,8 +32,14 @@
     pub limit: Option<f64>,
     /// Until when the worker is cold.
     pub cold_until: Option<Instant>,
+    /// Set while the worker is full: it turns a request with a long body away before it has read the body,
+    /// keeps the channel, and reads on so much later.
+    pub reads_on_after: Option<Duration>,
 }
 
+/// Size from which a body is long, bytes.
+const LONG_BODY_BYTES: usize = 1 << 20;
+
 impl Default for Manner {
     fn default() -> Self {
         Self {
@@ -42,6 +48,7 @@
             gap: Duration::from_millis(10),
             limit: None,
             cold_until: None,
+            reads_on_after: None,
         }
     }
 }
@@ -130,12 +137,34 @@
     fn serve(&self, stream: TcpStream) {
         let mut conn = Conn::new(stream);
         while let Ok(Some(head)) = conn.read_head() {
-            if conn.read_body(&head).is_err() || self.answer(&mut conn, &head).is_err() {
+            let len = head.get("content-length").and_then(|len| len.parse().ok());
+            let after = self.manner().reads_on_after;
+            let early = after.filter(|_| len.unwrap_or(0) >= LONG_BODY_BYTES);
+            if early.is_some_and(|after| self.turn_away(&mut conn, &head, after).is_err()) {
+                return;
+            }
+            if conn.read_body(&head).is_err() {
+                return;
+            }
+            if early.is_none() && self.answer(&mut conn, &head).is_err() {
                 return;
             }
         }
     }
 
+    /// Says that a request is not run, and waits until the worker reads on.
+    fn turn_away(&self, conn: &mut Conn, head: &Head, after: Duration) -> std::io::Result<()> {
+        let id = head.get("attempt-id").unwrap_or("");
+        self.record.line(&format!("turned away {id} at {}", self.id));
+        let text = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n\
+             Content-Length: 0\r\n\r\n"
+        );
+        conn.stream.write_all(text.as_bytes())?;
+        std::thread::sleep(after);
+        Ok(())
+    }
+
     fn answer(&self, conn: &mut Conn, head: &Head) -> std::io::Result<()> {
         let id = head.get("attempt-id").unwrap_or("").to_owned();
         if head.target().1 == "/healthz" {
