entry: keep each mirrored object once, as text

Callers saw their connections cut by all hosts at once (LOST): each host kept the last 512 changes of a kind of object whole, as parsed JSON, for the other hosts of its failure domain. A change of the configuration is a whole configuration, at about ten times its text, so hosts that share a configuration of 25 KB reach a memory limit of 110 MB together within 512 changes.

That the bound was on the number of changes alone also shows on a configuration of 0.9 MB, which takes 103 MB at a host that eight hosts of a domain read from after a few changes, as each held response has a parsed copy of its own.

Changes are now kept as names, and objects once, as JSON text that responses share. A host that was away for a while gets the present state of what has changed, as it would from a list.

--- a/daemon/tests/soak/host.rs
+++ b/daemon/tests/soak/host.rs
@@ -1,4 +1,8 @@
 //! An entry host as a separate process that can be signalled and restarted.
+//!
+//! Several test crates include this module, and none of them uses all of it.
+
+#![allow(dead_code)]
 
 use std::fs::File;
 use std::net::IpAddr;
@@ -107,6 +111,27 @@
         *self.child.lock().unwrap() = spawn(&self.settings, &self.log);
     }
 
+    /// Most memory that the process has had resident, bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        let id = self.child.lock().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.unwrap().trim().strip_suffix(" kB").unwrap();
+        number.parse::<usize>().unwrap() << 10
+    }
+
+    /// Version of the configuration that the process has activated last, 0 if none.
+    pub(crate) fn config_version(&self) -> u64 {
+        let log = std::fs::read_to_string(&self.log).unwrap();
+        let line = log
+            .lines()
+            .rfind(|line| line.contains("configuration activated"));
+        line.map_or(0, |line| {
+            let line: serde_json::Value = serde_json::from_str(line).unwrap();
+            line["version"].as_u64().unwrap()
+        })
+    }
+
     /// Whether the process has not exited.
     pub(crate) fn is_running(&self) -> bool {
         self.child.lock().unwrap().try_wait().unwrap().is_none()
--- a/lib/src/entry/mirror.rs
+++ b/lib/src/entry/mirror.rs
@@ -10,27 +10,38 @@
 //! hosts read it from this host or from one that has read it there, over HTTP. A host serves a kind
 //! only while it has confirmed it recently. Its responses state the age of the objects, so that
 //! other hosts do not take old state for current state.
+//!
+//! Each object is kept once, in its present state and as text, however often it changes and however
+//! many hosts read it at the same time: changes are kept as the names of the objects, and responses
+//! share the text. A host that was away for a while gets the present state of what has changed, as
+//! it would from a list.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use axum::Json;
 use axum::Router;
+use axum::body::Body;
+use axum::body::Bytes;
 use axum::extract::Path;
 use axum::extract::Query;
 use axum::extract::State;
+use axum::http::HeaderValue;
+use axum::http::Response;
 use axum::http::StatusCode;
+use axum::http::header;
 use axum::routing::get;
 use compact_str::CompactString;
+use futures::stream;
 use serde::Deserialize;
 use serde::Serialize;
-use serde_json::Value;
 use tokio::sync::watch;
 
 use super::host::EntryHost;
@@ -39,9 +50,12 @@
 use super::source::StoreRevision;
 use crate::time::Timestamp;
 
-/// Changes kept per kind: more than a burst on the platform brings between two requests of a host.
-/// A host that lacks older changes gets all objects instead.
+/// Changes kept per kind, as names: more than a burst on the platform brings between two requests of a
+/// host. A host that lacks older changes gets all objects instead.
 const CHANGES_MAX: usize = 512;
+/// Smallest text that a response shares with the mirror instead of copying it, bytes. Many small parts
+/// cost more to write than to copy.
+const SHARED_TEXT_MIN_BYTES: usize = 4 << 10;
 /// How long a change is held back so that later ones go out in the same response. Servers announce
 /// themselves every second, each at another time, and a response costs both hosts more than the
 /// changes in it.
@@ -52,11 +66,11 @@
 /// Mirrored objects of one kind.
 #[derive(Debug)]
 struct Mirror {
-    /// Content of all objects by name.
-    objects: BTreeMap<CompactString, Value>,
-    /// Latest changes with their positions, oldest first.
-    changes: VecDeque<(StoreRevision, Change)>,
-    /// Position after which all changes are in `changes`.
+    /// The `Set` change that creates each object, as JSON, by name.
+    objects: BTreeMap<CompactString, Bytes>,
+    /// Names of the objects that changed last, with the positions of the changes, oldest first.
+    changed: VecDeque<(StoreRevision, CompactString)>,
+    /// Position after which all changes are in `changed`.
     since: StoreRevision,
     /// Position up to which `objects` is complete.
     revision: StoreRevision,
@@ -72,7 +86,7 @@
     fn default() -> Self {
         Self {
             objects: BTreeMap::new(),
-            changes: VecDeque::new(),
+            changed: VecDeque::new(),
             since: StoreRevision::default(),
             revision: StoreRevision::default(),
             confirmed_at: Timestamp::ZERO,
@@ -87,6 +101,54 @@
     fn is_served(&self, now: Timestamp) -> bool {
         !self.serve_until.has_passed(now)
     }
+
+    /// Applies a change that was made at `revision`.
+    fn apply(&mut self, change: &Change, revision: StoreRevision) {
+        let name = match change {
+            Change::Set(object) => {
+                let text = to_json(&ChangeRef::Set(object)).into();
+                self.objects.insert(object.name.clone(), text);
+                &object.name
+            }
+            Change::Removed(name) => {
+                self.objects.remove(name);
+                name
+            }
+        };
+        self.changed.push_back((revision, name.clone()));
+        if self.changed.len() > CHANGES_MAX
+            && let Some((dropped_at, _)) = self.changed.pop_front()
+        {
+            self.since = dropped_at;
+        }
+    }
+
+    /// The present state of each object that changed after a position, in the order of the last changes.
+    fn changes_after(&self, after: StoreRevision) -> Vec<Bytes> {
+        let mut seen = HashSet::new();
+        let newest_first = self.changed.iter().rev();
+        let mut changes: Vec<_> = newest_first
+            .take_while(|(at, _)| *at > after)
+            .filter(|(_, name)| seen.insert(name))
+            .map(|(_, name)| match self.objects.get(name) {
+                Some(text) => text.clone(),
+                None => to_json(&ChangeRef::Removed(name)).into(),
+            })
+            .collect();
+        changes.reverse();
+        changes
+    }
+}
+
+/// A [`Change`] to be written.
+#[derive(Serialize)]
+enum ChangeRef<'a> {
+    Set(&'a Object),
+    Removed(&'a CompactString),
+}
+
+fn to_json(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("what was read as JSON should be writable as JSON")
 }
 
 /// Response of a mirror host, as JSON: the objects of a kind, or their changes.
@@ -102,6 +164,37 @@
     pub(crate) changes: Vec<Change>,
 }
 
+/// An [`ObjectsResponse`] to be written, whose changes share their text with the mirror.
+struct MirroredChanges {
+    /// The response without its changes.
+    head: ObjectsResponse,
+    changes: Vec<Bytes>,
+}
+
+impl MirroredChanges {
+    /// The response as JSON, in parts.
+    fn into_parts(self) -> Vec<Bytes> {
+        let mut copied = to_json(&self.head);
+        // The end of the empty list of changes and of the response.
+        let end = copied.split_off(copied.len() - 2);
+        let mut parts = Vec::new();
+        for (at, change) in self.changes.into_iter().enumerate() {
+            if at > 0 {
+                copied.push(b',');
+            }
+            if change.len() < SHARED_TEXT_MIN_BYTES {
+                copied.extend_from_slice(&change);
+                continue;
+            }
+            parts.push(std::mem::take(&mut copied).into());
+            parts.push(change);
+        }
+        copied.extend_from_slice(&end);
+        parts.push(copied.into());
+        parts
+    }
+}
+
 /// Mirrored objects by kind.
 #[derive(Debug, Default)]
 pub(crate) struct Mirrors {
@@ -122,9 +215,12 @@
     ) {
         let mut kinds = self.kinds();
         let mirror = kinds.entry(kind).or_default();
-        let pairs = objects.iter().map(|o| (o.name.clone(), o.spec.clone()));
+        let pairs = objects.iter().map(|object| {
+            let text = to_json(&ChangeRef::Set(object));
+            (object.name.clone(), text.into())
+        });
         mirror.objects = pairs.collect();
-        mirror.changes.clear();
+        mirror.changed.clear();
         mirror.since = revision;
         mirror.revision = revision;
         mirror.revision_sender.send_replace(revision);
@@ -140,17 +236,7 @@
         let mut kinds = self.kinds();
         let mirror = kinds.entry(kind).or_default();
         for change in changes {
-            match change {
-                Change::Set(object) => {
-                    let spec = object.spec.clone();
-                    mirror.objects.insert(object.name.clone(), spec);
-                }
-                Change::Removed(name) => drop(mirror.objects.remove(name)),
-            }
-            mirror.changes.push_back((revision, change.clone()));
-        }
-        while mirror.changes.len() > CHANGES_MAX {
-            mirror.since = mirror.changes.pop_front().map_or(revision, |(at, _)| at);
+            mirror.apply(change, revision);
         }
         mirror.revision = revision;
         if !changes.is_empty() {
@@ -186,7 +272,7 @@
         kind: &str,
         after: Option<StoreRevision>,
         now: Timestamp,
-    ) -> Option<ObjectsResponse> {
+    ) -> Option<MirroredChanges> {
         let kinds = self.kinds();
         let mirror = kinds.get(kind).filter(|mirror| mirror.is_served(now))?;
         if after.is_some_and(|after| after > mirror.revision) {
@@ -194,30 +280,20 @@
         }
         let known = after.filter(|after| (mirror.since..=mirror.revision).contains(after));
         let changes = match known {
-            Some(after) => {
-                let newer = mirror.changes.iter().filter(|(at, _)| *at > after);
-                newer.map(|(_, change)| change.clone()).collect()
-            }
-            None => mirror.objects.iter().map(to_set).collect(),
+            Some(after) => mirror.changes_after(after),
+            None => mirror.objects.values().cloned().collect(),
         };
         let age = now.since(mirror.confirmed_at);
-        Some(ObjectsResponse {
+        let head = ObjectsResponse {
             revision: mirror.revision,
             age_micros: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
             is_full: known.is_none(),
-            changes,
-        })
+            changes: Vec::new(),
+        };
+        Some(MirroredChanges { head, changes })
     }
 }
 
-/// The `Set` change that creates an object.
-fn to_set((name, spec): (&CompactString, &Value)) -> Change {
-    Change::Set(Object {
-        name: name.clone(),
-        spec: spec.clone(),
-    })
-}
-
 /// Query parameters of a request for objects.
 #[derive(Deserialize)]
 struct ObjectsQuery {
@@ -254,7 +330,7 @@
     State(host): State<Arc<EntryHost>>,
     Path(kind): Path<String>,
     Query(query): Query<ObjectsQuery>,
-) -> Result<Json<ObjectsResponse>, StatusCode> {
+) -> Result<Response<Body>, StatusCode> {
     let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     let now = host.clock.now();
     let (mut revisions, serve_until) = host.mirrors.subscribe(&kind, now).ok_or(unavailable)?;
@@ -279,7 +355,16 @@
         wait_for_change(&host, &mut revisions, hold_until).await;
     }
     let response = host.mirrors.response(&kind, after, host.clock.now());
-    response.map(Json).ok_or(unavailable)
+    response.map(to_http).ok_or(unavailable)
+}
+
+fn to_http(response: MirroredChanges) -> Response<Body> {
+    let parts = response.into_parts().into_iter();
+    let body = Body::from_stream(stream::iter(parts.map(Ok::<_, Infallible>)));
+    let mut response = Response::new(body);
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
 }
 
 /// Waits until the mirrored objects change, at most until `deadline`. Returns whether they did.
