--- a/daemon/tests/test_memory.rs
+++ b/daemon/tests/test_memory.rs
@@ -9,6 +9,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use rustix::process::Signal;
 use serde_json::Value;
 use serde_json::json;
 use tempfile::TempDir;
@@ -115,3 +116,20 @@
     println!("{peak} bytes at most");
     assert!(peak < HOST_BYTES, "{peak} bytes");
 }
+
+/// Guards against a host that parses each version that it has missed: seven of 0.9 MB, in one response of
+/// the store.
+#[tokio::test]
+async fn missed_configurations_fit_in_the_memory_of_a_small_host() {
+    let store = StandInStore::start().await;
+    let (_folder, hosts) = start_hosts(21..=21, &store).await;
+    hosts[0].signal(Signal::STOP);
+    for version in 2..=8 {
+        store.put("config", "main", grown_config(version, 4_000));
+    }
+    hosts[0].signal(Signal::CONT);
+    wait_for_version(&hosts, 8).await;
+    let peak = hosts[0].peak_memory();
+    println!("{peak} bytes at most");
+    assert!(peak < HOST_BYTES, "{peak} bytes");
+}
