entry: let no request wait for more than two silent hosts

Each request asked one silent host after the other by itself, twice 0.1 s and the polls, and did not look at its deadline there. Silent hosts became due again at the cost of requests, so with more of them than can be asked within the longest backoff the host never came to decide by itself.

A request now waits for two silent hosts at most, and until its deadline; then its host decides. A silent host is probed in the background, and is selected again once it has answered. If two hosts in a row are found silent, the next 32 in the order are probed at once, until some answer. Hosts answer probes only if they know the servers. An earlier version does not know probes: one that was found silent is selected again once it is updated.

--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -33,6 +33,11 @@
 
     rolloutPermit @10 :RolloutPermit;
     # Sent by the host that conducts a roll-out to all others.
+
+    probe @11 :Void;
+    # Asks a host that did not reply whether it can schedule again. It answers only if it can.
+
+    probeReply @12 :Void;
   }
 }
 
--- a/lib/src/entry/admission.rs
+++ b/lib/src/entry/admission.rs
@@ -76,6 +76,11 @@
         self.has_server_list && are_orders_known && is_confirmed && !self.is_stopping
     }
 
+    /// Whether this host knows the servers, and can decide for other hosts which one gets a request.
+    pub fn can_schedule(&self) -> bool {
+        self.has_server_list && !self.is_stopping
+    }
+
     /// Whether the configuration was confirmed recently enough to accept keys.
     fn is_key_lease_valid(&self, now: Timestamp) -> bool {
         self.config_age(now) + KEY_LEASE_MARGIN < self.bounds.key_lease
--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -17,6 +17,7 @@
 use super::attempt::InFlightRequest;
 use super::forward::Call;
 use super::host::EntryHost;
+use super::peers::Asking;
 use super::peers::Link;
 use super::refusal::Reason;
 use super::refusal::Refusal;
@@ -139,6 +140,7 @@
     // Hashes of the servers that the scheduler chose and this host could not use.
     let mut unusable = Vec::new();
     let mut search = ShardSearch::default();
+    let mut asking = Asking::new(call.admitted.give_up_at);
     loop {
         let now = host.clock.now();
         if call.admitted.give_up_at.has_passed(now) {
@@ -161,7 +163,10 @@
         }
         request.excluded.extend(&unusable);
         search.direct(&mut request);
-        let (decision, scheduler) = host.link.decide(host, &request).await;
+        let Some((decision, scheduler)) = host.link.decide(host, &request, &mut asking).await
+        else {
+            return Err(Refusal::new(Reason::ExpiredUnsent));
+        };
         let (reservation, server, send_after, uncached) =
             match search.on_decision(decision, request.shard.count) {
                 SearchStep::Start {
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -426,6 +426,7 @@
         tasks.spawn(updates::register(parts.register, registration));
         tasks.spawn(sweep(host.clone()));
         tasks.spawn(Link::receive(host.clone()));
+        tasks.spawn(Link::probe(host.clone()));
         tasks.spawn(Link::report(host.clone()));
         tasks.spawn(Link::send_shares(host.clone()));
         tasks.spawn(Link::tell_suspects(host.clone()));
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -124,6 +124,10 @@
     RolloutReport(RolloutReport),
     /// What the receiving host may send to servers of the version that is rolled out.
     RolloutPermit(RolloutPermit),
+    /// Asks a host that did not reply whether it can schedule again.
+    Probe,
+    /// Reply of a host that can schedule.
+    ProbeReply,
 }
 
 /// Why a datagram cannot be decoded.
@@ -218,6 +222,8 @@
         Datagram::RolloutPermit(permit) => {
             write_rollout_permit(root.init_rollout_permit(), permit);
         }
+        Datagram::Probe => root.set_probe(()),
+        Datagram::ProbeReply => root.set_probe_reply(()),
     }
     let mut bytes = Vec::new();
     serialize_packed::write_message(&mut bytes, &builder).expect("writing to a Vec cannot fail");
@@ -520,6 +526,8 @@
                 is_claimed: reply.get_is_claimed(),
             })
         }
+        datagram::Probe(()) => Ok(Datagram::Probe),
+        datagram::ProbeReply(()) => Ok(Datagram::ProbeReply),
         datagram::Leaving(id) => Ok(Datagram::Leaving { id }),
         datagram::RolloutReport(report) => {
             let report = report.and_then(read_rollout_report);
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -8,7 +8,8 @@
 //! reservation. Peers are the other entry hosts.
 //!
 //! Datagrams can be lost. A schedule request without a reply is sent once more to the same host and
-//! then to the next one. A scheduler that receives a schedule request twice repeats its decision
+//! then to the next one, until it has waited for a few hosts; then this host decides. Hosts that did not
+//! reply are probed in the background. A scheduler that receives a schedule request twice repeats its decision
 //! instead of making a second reservation. Progress reports are not repeated: the scheduler drops a
 //! reservation if it receives no reports on it.
 
@@ -32,10 +33,13 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::asking::Asking;
+use super::asking::Decider;
 use super::codec::Datagram;
 use super::codec::decode;
 use super::codec::encode;
 use super::origin::OriginQuestion;
+use super::reply::wait_for;
 use super::reply::wait_for_reply;
 use super::selection::Helper;
 use super::selection::Peer;
@@ -87,6 +91,8 @@
     /// Notified when something new is known of requests that make servers crash, which wakes
     /// [`Link::tell_suspects`].
     pub(super) has_suspect_news: Notify,
+    /// Notified when a host was found silent, which wakes [`Link::probe`].
+    has_silent: Notify,
     /// Whether the list of hosts was read.
     has_peers: watch::Sender<bool>,
 }
@@ -109,6 +115,8 @@
     decision_sweep_threshold: usize,
     /// Progress reports to be sent, by scheduler.
     reports: HashMap<SocketAddr, Vec<Progress>>,
+    /// What the last host that was found silent had been asked about.
+    silent_subject: u64,
 }
 
 /// Reply to a schedule request.
@@ -119,6 +127,15 @@
     Leaving,
 }
 
+/// How asking a host has ended.
+enum Answer {
+    Replied(Reply),
+    /// The host did not reply.
+    Silent,
+    /// The request has given up meanwhile.
+    Expired,
+}
+
 /// A decision kept in case its schedule request is received again.
 #[derive(Clone, Copy)]
 struct RecentDecision {
@@ -227,10 +244,12 @@
                 decisions: HashMap::new(),
                 decision_sweep_threshold: DECISION_SWEEP_THRESHOLD_MIN,
                 reports: HashMap::new(),
+                silent_subject: 0,
             }),
             has_reports: Notify::new(),
             has_decided: Notify::new(),
             has_suspect_news: Notify::new(),
+            has_silent: Notify::new(),
             has_peers: watch::Sender::new(false),
         }
     }
@@ -313,21 +332,21 @@
 
     /// Gets a decision on a request to a model, with the address of the host that made it, `None`
     /// for this host itself. Hosts that do not decide are skipped, and the next one is asked; if
-    /// none is left, this host decides.
+    /// none is left, or the request has waited for as many as it may, this host decides. `None` if the
+    /// request gives up meanwhile.
     pub(crate) async fn decide(
         &self,
         host: &Arc<EntryHost>,
         request: &ScheduleRequest,
-    ) -> (ScheduleDecision, Option<SocketAddr>) {
+        asking: &mut Asking,
+    ) -> Option<(ScheduleDecision, Option<SocketAddr>)> {
+        let subject = request.shard.scheduler_key(request.service);
         loop {
             let now = host.clock.now();
-            let scheduler = self
-                .inner()
-                .peers
-                .scheduler(now, request.shard.scheduler_key(request.service));
-            let Some(address) = scheduler else {
+            let decider = asking.next(now, &self.inner().peers, subject)?;
+            let Decider::Peer(address) = decider else {
                 self.has_decided.notify_one();
-                return (host.fleet().decide(now, request), None);
+                return Some((host.fleet().decide(now, request), None));
             };
             let datagram = |id| {
                 let mut fleet = host.fleet();
@@ -338,34 +357,36 @@
                     limits: fleet.limits_to_tell(now, address),
                 }
             };
-            let reply = self.send_request(address, datagram).await;
-            if let Some(Reply::Leaving) = reply {
-                if self.inner().peers.on_leaving(host.clock.now(), address) {
-                    info!(target: "peer", peer = address.to_string(); "peer is stopping");
+            let answer = self
+                .send_request(host, address, asking.give_up_at, datagram)
+                .await;
+            match answer {
+                Answer::Replied(Reply::Leaving) => {
+                    if self.inner().peers.on_leaving(host.clock.now(), address) {
+                        info!(target: "peer", peer = address.to_string(); "peer is stopping");
+                    }
                 }
-                continue;
-            }
-            if let Some(Reply::Decision(decision)) = reply {
-                if self.inner().peers.on_reply(address) {
-                    info!(target: "peer", peer = address.to_string(); "peer answers again");
+                Answer::Replied(Reply::Decision(decision)) => {
+                    self.on_reply(host.clock.now(), address);
+                    return Some((decision, Some(address)));
                 }
-                return (decision, Some(address));
-            }
-            let now_silent = host.clock.now();
-            if self.inner().peers.on_no_reply(now_silent, address) {
-                warn!(target: "peer", peer = address.to_string(),
-                    waited_ms = millis(now_silent.since(now)); "peer does not answer");
+                Answer::Silent => {
+                    asking.on_no_reply();
+                    self.on_no_reply(host.clock.now(), now, address, subject);
+                }
+                Answer::Expired => return None,
             }
         }
     }
 
-    /// Sends a schedule request to one host, and again if there is no reply. `None` if there is
-    /// still none.
+    /// Sends a schedule request to one host, and again if there is no reply.
     async fn send_request(
         &self,
+        host: &EntryHost,
         address: SocketAddr,
+        give_up_at: Timestamp,
         datagram: impl FnOnce(u64) -> Datagram,
-    ) -> Option<Reply> {
+    ) -> Answer {
         let (tx, mut rx) = oneshot::channel();
         let id = {
             let mut inner = self.inner();
@@ -379,11 +400,103 @@
         let bytes = encode(&datagram(id));
         for timeout in REPLY_TIMEOUTS {
             self.send(address, &bytes).await;
-            if let Some(reply) = wait_for_reply(&mut rx, timeout).await {
-                return Some(reply);
+            let left = give_up_at.remaining(host.clock.now());
+            if let Some(reply) = wait_for_reply(&mut rx, timeout.min(left)).await {
+                return Answer::Replied(reply);
+            }
+            if left < timeout {
+                return Answer::Expired;
+            }
+        }
+        Answer::Silent
+    }
+
+    /// Records that a host replied.
+    fn on_reply(&self, now: Timestamp, address: SocketAddr) {
+        if self.inner().peers.on_reply(now, address) {
+            info!(target: "peer", peer = address.to_string(); "peer answers again");
+        }
+    }
+
+    /// Records that a host, asked about `subject` at `asked_at`, did not reply.
+    fn on_no_reply(&self, now: Timestamp, asked_at: Timestamp, address: SocketAddr, subject: u64) {
+        {
+            let mut inner = self.inner();
+            if !inner.peers.on_no_reply(now, address) {
+                return;
+            }
+            inner.silent_subject = subject;
+        }
+        self.has_silent.notify_one();
+        warn!(target: "peer", peer = address.to_string(),
+            waited_ms = millis(now.since(asked_at)); "peer does not answer");
+    }
+
+    /// Probes silent hosts now and then, and those that are likely to be silent too, until the task is
+    /// dropped.
+    pub(crate) async fn probe(host: Arc<EntryHost>) {
+        let link = &host.link;
+        let bytes = encode(&Datagram::Probe);
+        loop {
+            let now = host.clock.now();
+            let (due, likely) = {
+                let mut inner = link.inner();
+                let subject = inner.silent_subject;
+                let likely = inner.peers.sweep(now, subject);
+                (inner.peers.take_due_probes(now), likely)
+            };
+            for address in due {
+                link.send(address, &bytes).await;
+            }
+            if !likely.is_empty() {
+                link.sweep(&host, &likely, &bytes).await;
+                continue;
+            }
+            let next = link.inner().peers.next_probe_at();
+            let probe_due = async {
+                match next {
+                    Some(at) => tokio::time::sleep_until(host.clock.instant(at).into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = link.has_silent.notified() => {}
+                () = probe_due => {}
+            }
+        }
+    }
+
+    /// Probes hosts, and skips those that do not answer.
+    async fn sweep(&self, host: &EntryHost, peers: &[SocketAddr], probe: &[u8]) {
+        let since = host.clock.now();
+        let unanswered = || {
+            let inner = self.inner();
+            let known = peers.iter().copied();
+            let silent = known.filter(|peer| !inner.peers.has_replied_since(*peer, since));
+            silent.collect::<Vec<_>>()
+        };
+        for timeout in REPLY_TIMEOUTS {
+            for address in unanswered() {
+                self.send(address, probe).await;
             }
+            // Waits for the receiving task, which records the replies.
+            let _ = wait_for(std::pin::pin!(std::future::pending::<()>()), timeout).await;
         }
-        None
+        let silent = unanswered();
+        let now = host.clock.now();
+        let found = {
+            let mut inner = self.inner();
+            let found = silent
+                .iter()
+                .filter(|peer| inner.peers.on_no_reply(now, **peer))
+                .count();
+            if silent.len() < peers.len() {
+                inner.peers.end_sweep();
+            }
+            found
+        };
+        warn!(target: "peer", probed = peers.len(), silent = found,
+            waited_ms = millis(now.since(since)); "probed peers, as several do not answer");
     }
 
     fn stop_waiting(&self, id: u64) {
@@ -490,15 +603,19 @@
                 origin,
                 is_claimed,
             } => self.on_origin_reply(from, id, origin, is_claimed),
+            Datagram::Probe => self.on_probe(host, from).await,
+            Datagram::ProbeReply => self.on_reply(host.clock.now(), from),
             Datagram::RolloutReport(report) => self.on_report(host, from, report),
             Datagram::RolloutPermit(permit) => self.on_permit(host, from, permit),
-            Datagram::Progress(list) => {
-                let now = host.clock.now();
-                let mut fleet = host.fleet();
-                for progress in &list {
-                    fleet.on_progress(now, progress);
-                }
-            }
+            Datagram::Progress(list) => on_progress(host, &list),
+        }
+    }
+
+    /// Answers a probe, unless this host cannot schedule.
+    async fn on_probe(&self, host: &EntryHost, from: SocketAddr) {
+        let can_schedule = host.fleet().can_schedule();
+        if can_schedule {
+            self.send(from, &encode(&Datagram::ProbeReply)).await;
         }
     }
 
@@ -607,3 +724,12 @@
         }
     }
 }
+
+/// Passes reports on to this host's scheduler.
+fn on_progress(host: &EntryHost, list: &[Progress]) {
+    let now = host.clock.now();
+    let mut fleet = host.fleet();
+    for progress in list {
+        fleet.on_progress(now, progress);
+    }
+}
--- a/lib/src/entry/peers/mod.rs
+++ b/lib/src/entry/peers/mod.rs
@@ -13,6 +13,7 @@
 //! schedulers of a shard at the same time break no promise, but engines get more work than planned: a
 //! host must not take others for silent because it is late itself (see `reply`).
 
+mod asking;
 mod codec;
 mod link;
 mod origin;
@@ -36,6 +37,8 @@
 )]
 mod schedule_capnp;
 
+pub use asking::Asking;
+pub use asking::Decider;
 pub use codec::Datagram;
 pub use codec::DatagramError;
 pub use codec::decode;
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -6,8 +6,8 @@
 
 pub mod datagram {
     pub use self::Which::{
-        Bid, Leaving, Origin, OriginReply, OriginRequest, Progress, RolloutPermit, RolloutReport,
-        Shares, SuspectRequests, Verdict,
+        Bid, Leaving, Origin, OriginReply, OriginRequest, Probe, ProbeReply, Progress,
+        RolloutPermit, RolloutReport, Shares, SuspectRequests, Verdict,
     };
 
     #[derive(Copy, Clone)]
@@ -246,6 +246,8 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                11 => ::core::result::Result::Ok(Probe(())),
+                12 => ::core::result::Result::Ok(ProbeReply(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -618,6 +620,14 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_probe(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(0, 11);
+        }
+        #[inline]
+        pub fn set_probe_reply(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(0, 12);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => ::core::result::Result::Ok(Bid(
@@ -681,6 +691,8 @@
                         ::core::option::Option::None,
                     ),
                 )),
+                11 => ::core::result::Result::Ok(Probe(())),
+                12 => ::core::result::Result::Ok(ProbeReply(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -698,101 +710,115 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 196] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 227] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(15, 207, 249, 96, 47, 214, 11, 227),
             ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 11, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 13, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 68),
             ::capnp::word(97, 116, 97, 103, 114, 97, 109, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 243, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(98, 105, 100, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(234, 134, 68, 48, 193, 123, 0, 251),
@@ -895,6 +921,23 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 98, 101, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 98, 101, 82, 101, 112),
+            ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -909,6 +952,8 @@
                 8 => <crate::entry::peers::schedule_capnp::origin_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <crate::entry::peers::schedule_capnp::rollout_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <crate::entry::peers::schedule_capnp::rollout_permit::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <() as ::capnp::introspect::Introspect>::introspect(),
+                12 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -928,8 +973,9 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 6, 8, 7, 2, 10, 9, 4, 5, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 6, 8, 7, 11, 12, 2, 10, 9, 4, 5, 1];
         pub(crate) const TYPE_ID: u64 = 0xe30b_d62f_60f9_cf0f;
     }
     pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9> {
@@ -944,6 +990,8 @@
         OriginReply(A7),
         RolloutReport(A8),
         RolloutPermit(A9),
+        Probe(()),
+        ProbeReply(()),
     }
     pub type WhichReader<'a> = Which<
         ::capnp::Result<crate::entry::peers::schedule_capnp::bid::Reader<'a>>,
--- a/lib/src/entry/peers/selection.rs
+++ b/lib/src/entry/peers/selection.rs
@@ -12,6 +12,11 @@
 //! the subject, and takes the highest. Hosts that know the same hosts thus select the same one
 //! without communication. The subject is a number that identifies what a host is selected for: the
 //! scheduling of a shard, or the mirroring of a kind of platform object.
+//!
+//! A host that did not reply is not selected as a scheduler again before it has answered a probe, so
+//! that no request waits to find out whether it is back. Hosts are lost one at a time, but also with
+//! their failure domain, or nearly all of them: once several have been found silent with no reply from
+//! another one between, the next ones in the order are probed before requests ask them.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -25,13 +30,19 @@
 
 use crate::time::Timestamp;
 
-/// How long a host is skipped after it did not reply for the first time. Each further missing reply
+/// How long after a host did not reply for the first time it is probed. Each further missing reply
 /// doubles the time up to `SILENT_BACKOFF_MAX`; a reply resets it.
 const SILENT_BACKOFF_FIRST: Duration = Duration::from_millis(500);
-/// Longest time for which a silent host is skipped; then it is asked again. The time must not be
-/// short, since a request that asks a host that is still silent is delayed by both `REPLY_TIMEOUTS`
-/// of the `link` module.
+/// Longest time between two probes of a silent host.
 const SILENT_BACKOFF_MAX: Duration = Duration::from_secs(4);
+/// Hosts found silent, with no reply from another one between, after which others are probed before
+/// requests ask them.
+const SILENT_RUN_MAX: u32 = 2;
+/// Most hosts that are probed at once before requests ask them. All hosts of a fleet may do so at the same
+/// time, and each answers the probes of all others.
+const SWEEP_HOSTS: usize = 32;
+/// How long ago a host may have replied to be taken for one that still does.
+const HEARD_DURATION: Duration = Duration::from_millis(500);
 
 /// How long a stopping host is skipped. It exits within its stop grace of some seconds, and its
 /// successor at the same address must read the list of hosts before it can schedule.
@@ -94,18 +105,33 @@
     /// Whether it is in this host's failure domain.
     is_same_domain: bool,
     cores: f64,
-    /// Time until which it is not selected as a scheduler.
+    /// Time until which it is not selected as a scheduler, because it said that it is stopping.
     skipped_until: Timestamp,
-    /// How long it will be skipped the next time that it does not answer.
+    /// When it last replied.
+    heard_at: Option<Timestamp>,
+    /// When it is probed next, `None` unless it is silent.
+    probe_at: Option<Timestamp>,
+    /// Time from the next missing reply to the probe that follows.
     next_backoff: Duration,
 }
 
 impl KnownPeer {
+    /// Whether it can be asked to schedule.
+    fn is_available(&self, now: Timestamp) -> bool {
+        self.probe_at.is_none() && self.skipped_until.has_passed(now)
+    }
+
+    /// Records that a reply is missing at `now`.
+    fn on_silent(&mut self, now: Timestamp) {
+        self.probe_at = Some(now + self.next_backoff);
+        self.next_backoff = (self.next_backoff * 2).min(SILENT_BACKOFF_MAX);
+    }
+
     /// Whether requests can be handed over to it.
     fn can_help(&self, now: Timestamp) -> bool {
         self.is_same_domain
             && self.callers.is_some()
-            && self.skipped_until.has_passed(now)
+            && self.is_available(now)
             && self.no_help_until.has_passed(now)
     }
 }
@@ -120,6 +146,8 @@
     is_leaving: bool,
     /// The other hosts, by address.
     known: HashMap<SocketAddr, KnownPeer>,
+    /// Hosts found silent since the last reply of any host.
+    silent_run: u32,
 }
 
 impl Peers {
@@ -130,6 +158,7 @@
             own_hash: xxh3_64(own.name.as_bytes()),
             is_leaving: false,
             known: HashMap::new(),
+            silent_run: 0,
         }
     }
 
@@ -178,8 +207,8 @@
     }
 
     /// Replaces the list of hosts. For an address that was known before, the earlier entry stays as
-    /// a whole: the time until which the host is skipped, but also its name hash, failure domain
-    /// and cores.
+    /// a whole: whether the host is silent or stopping, but also its name hash, failure domain and
+    /// cores.
     pub fn set(&mut self, peers: &[Peer]) {
         let mut known = HashMap::new();
         for peer in peers.iter().filter(|peer| peer.address != self.own.address) {
@@ -193,6 +222,8 @@
                 is_same_domain: peer.domain == self.own.domain,
                 cores: peer.cores,
                 skipped_until: Timestamp::ZERO,
+                heard_at: None,
+                probe_at: None,
                 next_backoff: SILENT_BACKOFF_FIRST,
             };
             let mut entry = self.known.remove(&peer.address).unwrap_or_else(fresh);
@@ -202,13 +233,13 @@
         self.known = known;
     }
 
-    /// The host to ask for decisions on `subject`, `None` for this host itself. Hosts that are
-    /// skipped are not selected, and neither are hosts with less than half the cores of the largest
-    /// one that is not skipped.
+    /// The host to ask for decisions on `subject`, `None` for this host itself. Hosts that are silent or
+    /// stopping are not selected, and neither are hosts with less than half the cores of the largest
+    /// other one.
     pub fn scheduler(&self, now: Timestamp, subject: u64) -> Option<SocketAddr> {
         let available = || {
             let known = self.known.values();
-            known.filter(|peer| peer.skipped_until.has_passed(now))
+            known.filter(|peer| peer.is_available(now))
         };
         // A stopping host counts as having no cores, so that any other available host is preferred.
         let own_cores = if self.is_leaving { 0.0 } else { self.own.cores };
@@ -225,7 +256,7 @@
     /// Mirror hosts of this failure domain for `subject`, in the order in which to ask them: the
     /// hosts that rank before this one, large hosts before small ones, at most two.
     /// Empty if this host is the first; it then reads from the platform itself. Hosts that are
-    /// skipped as schedulers are included: the `source` module itself skips mirror hosts for a while
+    /// silent or stopping are included: the `source` module itself skips mirror hosts for a while
     /// after a failed call.
     pub fn mirror_hosts(&self, subject: u64) -> Vec<SocketAddr> {
         let local = || self.known.values().filter(|peer| peer.is_same_domain);
@@ -298,14 +329,63 @@
         let Some(peer) = self.known.get_mut(&address) else {
             return false;
         };
-        if !peer.skipped_until.has_passed(now) {
+        if !peer.is_available(now) {
             return false;
         }
-        peer.skipped_until = now + peer.next_backoff;
-        peer.next_backoff = (peer.next_backoff * 2).min(SILENT_BACKOFF_MAX);
+        peer.on_silent(now);
+        self.silent_run += 1;
         true
     }
 
+    /// The silent hosts that are to be probed now.
+    pub fn take_due_probes(&mut self, now: Timestamp) -> Vec<SocketAddr> {
+        let is_due = |peer: &&mut KnownPeer| peer.probe_at.is_some_and(|at| at.has_passed(now));
+        let due = self.known.values_mut().filter(is_due);
+        due.map(|peer| {
+            peer.on_silent(now);
+            peer.address
+        })
+        .collect()
+    }
+
+    /// When the next silent host is to be probed, `None` if none is silent.
+    pub fn next_probe_at(&self) -> Option<Timestamp> {
+        self.known.values().filter_map(|peer| peer.probe_at).min()
+    }
+
+    /// The hosts to probe before requests ask them, the first ones for `subject`: those that have not replied
+    /// lately. Empty unless several hosts have been found silent with no reply between.
+    pub fn sweep(&self, now: Timestamp, subject: u64) -> Vec<SocketAddr> {
+        if self.silent_run < SILENT_RUN_MAX {
+            return Vec::new();
+        }
+        let was_heard = |peer: &KnownPeer| {
+            peer.heard_at
+                .is_some_and(|at| now.since(at) < HEARD_DURATION)
+        };
+        let known = self.known.values();
+        let mut hosts: Vec<_> = known
+            .filter(|peer| peer.is_available(now) && !was_heard(peer))
+            .map(|peer| (rank(peer.hash, subject), peer.address))
+            .collect();
+        hosts.sort_unstable_by(|a, b| b.cmp(a));
+        hosts.truncate(SWEEP_HOSTS);
+        hosts.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Records that some of the probed hosts have replied, so that no more hosts need to be probed before
+    /// requests ask them.
+    pub fn end_sweep(&mut self) {
+        self.silent_run = 0;
+    }
+
+    /// Whether a host has replied at or after a time.
+    pub fn has_replied_since(&self, address: SocketAddr, since: Timestamp) -> bool {
+        let peer = self.known.get(&address);
+        peer.and_then(|peer| peer.heard_at)
+            .is_some_and(|at| at >= since)
+    }
+
     /// Marks this host as stopping. It then schedules only if no other host can be asked.
     pub fn leave(&mut self) {
         self.is_leaving = true;
@@ -316,18 +396,23 @@
         let Some(peer) = self.known.get_mut(&address) else {
             return false;
         };
-        let is_new = peer.skipped_until.has_passed(now);
+        let is_new = peer.is_available(now);
         peer.skipped_until = now + LEAVING_SKIP_DURATION;
+        peer.probe_at = None;
+        self.silent_run = 0;
         is_new
     }
 
     /// Ends the skipping of a host that replied. Returns whether it had been silent before.
-    pub fn on_reply(&mut self, address: SocketAddr) -> bool {
+    pub fn on_reply(&mut self, now: Timestamp, address: SocketAddr) -> bool {
         let Some(peer) = self.known.get_mut(&address) else {
             return false;
         };
         peer.skipped_until = Timestamp::ZERO;
-        std::mem::replace(&mut peer.next_backoff, SILENT_BACKOFF_FIRST) != SILENT_BACKOFF_FIRST
+        peer.heard_at = Some(now);
+        peer.next_backoff = SILENT_BACKOFF_FIRST;
+        self.silent_run = 0;
+        peer.probe_at.take().is_some()
     }
 }
 
