entry: ask where a stream began until the deadline only

A request that continues a stream waited up to 0.1 s and the polls for silent homes of the stream, also if it had less time left.

--- a/lib/src/entry/peers/origin.rs
+++ b/lib/src/entry/peers/origin.rs
@@ -20,6 +20,7 @@
 use crate::entry::stream_origins::StreamKey;
 use crate::entry::stream_origins::StreamOrigin;
 use crate::entry::stream_origins::VersionId;
+use crate::time::Timestamp;
 
 /// Hosts that are told where a stream began and keep its claim, the homes of the stream, all in different failure domains if there are enough. A
 /// fleet loses what it knows only if it loses all of them and the host of the stream at once.
@@ -74,10 +75,11 @@
     /// Asks other hosts where a stream of a service began, until one knows it and it is clear whether the
     /// request has the claim to continue the stream, or all have answered. Hosts that do not answer are
     /// asked once more. `own_version` is what this host knows. The answers of the others are in `search`.
-    /// Returns the version, and whether the request has the claim.
+    /// Returns the version, and whether the request has the claim. Nobody is waited for after `give_up_at`.
     pub(crate) async fn find_origin(
         &self,
         host: &Arc<EntryHost>,
+        give_up_at: Timestamp,
         question: OriginQuestion,
         own_version: Option<VersionId>,
         search: &mut OriginSearch,
@@ -128,6 +130,7 @@
                 }
                 Some(())
             };
+            let timeout = timeout.min(give_up_at.remaining(host.clock.now()));
             if wait_for(std::pin::pin!(answers), timeout).await.is_some() {
                 break;
             }
--- a/lib/src/entry/take_up.rs
+++ b/lib/src/entry/take_up.rs
@@ -171,7 +171,13 @@
     };
     let (found, is_admitted) = host
         .link
-        .find_origin(host, question, own_version, &mut search)
+        .find_origin(
+            host,
+            call.admitted.give_up_at,
+            question,
+            own_version,
+            &mut search,
+        )
         .await;
     let version = found.or(search.only_version());
     info!(target: "request", id = call.head.id.as_str(), resumes = call.head.resumes.as_deref(),
