entry: end streams at their deadline also if bytes keep coming

A server that sent plain text, complete events or comments without end kept its request going for as long as the caller read: past the route's timeout and the caller's deadline, at the full speed of the links. Each part was waited for until the deadline, but a part that is there ends the wait before the deadline is looked at.

Bytes that come after the deadline are now counted, and the response is cut after 128 KiB of them: what may have been on the way when it passed, which is still delivered.

The test fails before: the response goes on after three times the request's deadline of 3 s.

--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -49,6 +49,9 @@
 const EVENTS_TYPE: &str = "text/event-stream";
 /// Most bytes of one event. An event of a model holds a few tokens.
 const EVENT_MAX_BYTES: usize = 1 << 20;
+/// Most bytes that are forwarded after the deadline: what may have arrived before, in the buffers of the
+/// socket and of the connection.
+const LATE_MAX_BYTES: usize = 128 << 10;
 
 /// Why a stream ended early.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -175,6 +178,8 @@
     /// Status under which the complete response is counted. For streams it is 200, whatever success
     /// status the server sent.
     status: StatusCode,
+    /// Bytes received after the deadline.
+    late_bytes: usize,
     /// Whether nothing more is forwarded: the stream is complete, or has failed for good.
     has_ended: bool,
     /// Servers that were tried, the one that sends the stream last.
@@ -205,6 +210,7 @@
             first_parts: HeldParts::new(host.body_memory.start(workspace.clone())),
             held_event: host.body_memory.start(workspace.clone()),
             status: StatusCode::OK,
+            late_bytes: 0,
             has_ended: false,
             tried: attempts.tried.clone(),
             // The server of this stream is not counted in `attempts` yet.
@@ -286,7 +292,8 @@
     }
 
     /// The next bytes from the server that may be forwarded, `None` once the stream has ended
-    /// properly.
+    /// properly. After the deadline only bytes that have arrived are; a server that sends without
+    /// end always has some.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
             let Some(upstream) = &mut self.upstream else {
@@ -300,7 +307,12 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
+                    let now = self.host.clock.now();
+                    if self.call.admitted.give_up_at.has_passed(now) {
+                        self.late_bytes += bytes.len();
+                    }
                     match (upstream.on_data(&bytes), &mut self.events) {
+                        _ if self.late_bytes > LATE_MAX_BYTES => RelayError::TimedOut,
                         (Err(err), _) => err,
                         (Ok(_), None) => return Ok(Some(bytes)),
                         (Ok(complete), Some(events)) => {
