gateway: bound what is read before the head of a response

Clients of a host with one faulty server that sent `100 Continue` without end got late answers or none, those of the sound server too. The HTTP client skips interim heads in one turn of its task for as long as there are any: up to 128 reads of 64 KiB, some 300,000 heads, for each connection, before other work gets its turn. Memory does not grow, as the read buffer is bounded.

At most 192 KiB are now read before the final head; then the connection is closed and the request counts as failed there (502 before the deadline, or another server). The gate of a connection counts, since it sees the reads of one request; the client itself has no such limit.

--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -316,6 +316,7 @@
     let deadline = host.clock.instant(give_up_at);
     let reason = match tokio::time::timeout_at(deadline.into(), response).await {
         Ok(Ok(response)) => {
+            connection.gate.on_response_head();
             let (parts, body) = response.into_parts();
             return Ok(ServerResponse {
                 head: (host.dialect.read_response)(&parts),
--- a/lib/src/gateway/backend/gate.rs
+++ b/lib/src/gateway/backend/gate.rs
@@ -3,20 +3,27 @@
 //! The gate sits between the HTTP client and the socket ([`GatedIo`]). A request may be retried on
 //! another server only if it was provably not sent. The gate admits the first byte only before the
 //! deadline of the scheduler's order, and once closed it admits no more bytes.
+//!
+//! The gate also bounds what is read before the final head of the response. A server may send interim heads
+//! (status 1xx) without end, which the HTTP client skips one after the other, in one turn of its task as
+//! long as there are any.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
+use super::pool::READ_BUFFER_MAX_BYTES;
 use crate::time::Clock;
 use crate::time::Timestamp;
 
@@ -29,6 +36,10 @@
 /// No further byte of the request may be written.
 const CLOSED: u8 = 3;
 
+/// Most bytes that are read until the final head of a response is known: interim heads, the final head,
+/// and what arrives with it, each at most a read buffer.
+const HEAD_READ_MAX_BYTES: usize = 3 * READ_BUFFER_MAX_BYTES;
+
 /// Whether bytes of a request were written, as known when its gate is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Written {
@@ -52,6 +63,9 @@
     bytes: AtomicU64,
     /// Nonzero once a write of the request has failed.
     failed: AtomicU8,
+    /// Bytes that may still be read before the final head of the response; `usize::MAX` while no response
+    /// is awaited.
+    head_left: AtomicUsize,
 }
 
 impl WriteGate {
@@ -62,6 +76,7 @@
             deadline: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
             failed: AtomicU8::new(0),
+            head_left: AtomicUsize::new(usize::MAX),
         }
     }
 
@@ -71,9 +86,39 @@
         self.deadline.store(deadline.as_micros(), Ordering::Relaxed);
         self.bytes.store(0, Ordering::Relaxed);
         self.failed.store(0, Ordering::Relaxed);
+        self.head_left.store(HEAD_READ_MAX_BYTES, Ordering::Relaxed);
         self.state.store(ARMED, Ordering::Release);
     }
 
+    /// Records that the final head of the response has arrived.
+    pub(crate) fn on_response_head(&self) {
+        self.head_left.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that were read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they are too many for the head of a response.
+    fn on_read(&self, bytes: usize) -> io::Result<()> {
+        let left = self.head_left.load(Ordering::Relaxed);
+        if left == usize::MAX {
+            return Ok(());
+        }
+        if bytes > left {
+            let reason = format!("no response head within {HEAD_READ_MAX_BYTES} bytes");
+            return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
+        }
+        // Only the head itself, which may arrive meanwhile, ends the count.
+        let _ = self.head_left.compare_exchange(
+            left,
+            left - bytes,
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+        );
+        Ok(())
+    }
+
     /// Blocks writes until the next [`WriteGate::arm`], after a request has ended.
     pub(crate) fn disarm(&self) {
         self.state.store(IDLE, Ordering::Release);
@@ -154,7 +199,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
+        Poll::Ready(self.gate.on_read(buf.filled().len() - before))
     }
 }
 
--- a/lib/src/gateway/backend/pool.rs
+++ b/lib/src/gateway/backend/pool.rs
@@ -27,7 +27,7 @@
 /// Idle connections are closed after this time, because servers close them at about this age.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Largest read buffer of a connection, bytes. The head of a response must fit in it.
-const READ_BUFFER_MAX_BYTES: usize = 64 << 10;
+pub(super) const READ_BUFFER_MAX_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections per server.
 const IDLE_CONNECTIONS_MAX: usize = 256;
 
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -329,6 +329,7 @@
         let response = running.connection.sender.send_request(req);
         match tokio::time::timeout(self.shared.answer_timeout(), response).await {
             Ok(Ok(response)) => {
+                running.connection.gate.on_response_head();
                 let received = response::receive(self.shared, self.call, running, response);
                 OrderResult::Sent(received.await)
             }
