gateway: wait for a connection until the deadline, and use those that are ready

Requests got no answer by their route's timeout while servers had turned long requests away before they had read them: the connection goes back among the idle ones, the next request takes it and waits without end for the server to read on. The wait for the connection to be ready looked at no deadline, nor did opening one.

Idle connections that are not ready are left where they are, unless their last response has just ended; a taken one has 20 ms to become ready, and opening one ends at the deadline. Entry hosts and the product's own gateway share the pool.

--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -32,6 +32,7 @@
 use crate::crashing::SentRequest;
 use crate::gateway::ConnectError;
 use crate::gateway::Connection;
+use crate::gateway::READY_TIMEOUT;
 use crate::gateway::Written;
 use crate::platform::format_error_chain;
 use crate::time::Timestamp;
@@ -278,7 +279,13 @@
             result => return result,
         }
     }
-    let connect = tokio::time::timeout(CONNECT_TIMEOUT, host.pool.connect(address));
+    let now = host.clock.now();
+    if give_up_at.has_passed(now) {
+        let reason = "deadline passed".to_owned();
+        return Err(AttemptError::NotSent { reason });
+    }
+    let connect_by = host.clock.instant(give_up_at.min(now + CONNECT_TIMEOUT));
+    let connect = tokio::time::timeout_at(connect_by.into(), host.pool.connect(address));
     let connection = match connect.await {
         Ok(Ok(connection)) => connection,
         Ok(Err(err)) => {
@@ -306,14 +313,21 @@
     give_up_at: Timestamp,
     request: &impl Fn(Duration) -> Request<Full<Bytes>>,
 ) -> Result<ServerResponse, AttemptError> {
-    if let Err(err) = connection.sender.ready().await {
-        let reason = err.to_string();
+    let deadline = host.clock.instant(give_up_at);
+    let ready_by = host.clock.now() + READY_TIMEOUT;
+    let ready_by = host.clock.instant(give_up_at.min(ready_by));
+    let ready = tokio::time::timeout_at(ready_by.into(), connection.sender.ready()).await;
+    let not_ready = match ready {
+        Ok(Ok(())) => None,
+        Ok(Err(err)) => Some(err.to_string()),
+        Err(_) => Some("connection not ready for a request".to_owned()),
+    };
+    if let Some(reason) = not_ready {
         return Err(AttemptError::NotSent { reason });
     }
     connection.gate.arm(give_up_at);
     let remaining = give_up_at.remaining(host.clock.now());
     let response = connection.sender.send_request(request(remaining));
-    let deadline = host.clock.instant(give_up_at);
     let reason = match tokio::time::timeout_at(deadline.into(), response).await {
         Ok(Ok(response)) => {
             connection.gate.on_response_head();
--- a/lib/src/gateway/backend/mod.rs
+++ b/lib/src/gateway/backend/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) use pool::BackendPool;
 pub(crate) use pool::ConnectError;
 pub(crate) use pool::Connection;
+pub(crate) use pool::READY_TIMEOUT;
--- a/lib/src/gateway/backend/pool.rs
+++ b/lib/src/gateway/backend/pool.rs
@@ -28,6 +28,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Largest read buffer of a connection, bytes. The head of a response must fit in it.
 pub(super) const READ_BUFFER_MAX_BYTES: usize = 64 << 10;
+/// How long after its last response a connection may still become ready for the next request. Its task has to
+/// see the end of the response; a server that has not read the last request keeps it for longer.
+pub(crate) const READY_TIMEOUT: Duration = Duration::from_millis(20);
 /// Maximum number of idle connections per server.
 const IDLE_CONNECTIONS_MAX: usize = 256;
 
@@ -82,6 +85,19 @@
 struct IdleConnection {
     connection: Connection,
     close_at: Timestamp,
+    /// Until when it is used even if it is not ready for a request yet.
+    ready_by: Timestamp,
+}
+
+impl IdleConnection {
+    fn is_open(&self, now: Timestamp) -> bool {
+        !self.close_at.has_passed(now) && !self.connection.sender.is_closed()
+    }
+
+    /// Whether a request can be sent at once, or very soon.
+    fn is_ready(&self, now: Timestamp) -> bool {
+        self.connection.sender.is_ready() || !self.ready_by.has_passed(now)
+    }
 }
 
 /// Pool of idle connections by server address, with a limit on all open connections.
@@ -114,19 +130,19 @@
         self.open_max - self.permits.available_permits()
     }
 
-    /// Takes an idle connection to a server, if there is one that is still usable.
+    /// Takes an idle connection to a server, if there is one that is still usable. Those on which the
+    /// server has not read the last request stay.
     pub(crate) fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let stack = idle.get_mut(&address)?;
-        while let Some(entry) = stack.pop() {
-            let usable = !entry.close_at.has_passed(now) && !entry.connection.sender.is_closed();
-            if usable {
-                return Some(entry.connection);
-            }
+        stack.retain(|entry| entry.is_open(now));
+        let at = stack.iter().rposition(|entry| entry.is_ready(now));
+        let taken = at.map(|at| stack.remove(at).connection);
+        if stack.is_empty() {
+            idle.remove(&address);
         }
-        idle.remove(&address);
-        None
+        taken
     }
 
     /// Opens a connection to a server, closing an idle one if the limit is reached.
@@ -192,9 +208,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|_, stack| {
-            stack.retain(|entry| {
-                !entry.close_at.has_passed(now) && !entry.connection.sender.is_closed()
-            });
+            stack.retain(|entry| entry.is_open(now));
             !stack.is_empty()
         });
     }
@@ -218,6 +232,7 @@
             stack.push(IdleConnection {
                 connection,
                 close_at,
+                ready_by: now + READY_TIMEOUT,
             });
         }
     }
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -32,6 +32,7 @@
 
 use super::backend::BackendPool;
 use super::backend::Connection;
+use super::backend::READY_TIMEOUT;
 use super::backend::Written;
 use super::error_code::ErrorCode;
 use super::error_response::ErrorResponse;
@@ -312,7 +313,8 @@
         };
         let mut running =
             RunningRequest::new(self.call, order.server, ticket, connection, instruments);
-        if running.connection.sender.ready().await.is_err() {
+        let ready = tokio::time::timeout(READY_TIMEOUT, running.connection.sender.ready());
+        if !matches!(ready.await, Ok(Ok(()))) {
             // Nothing was written, so the result is `NotSent`, for which `on_no_response` counts no
             // fault.
             return self.on_no_response(running, Fault::Unreachable);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 pub(crate) use self::backend::BackendPool;
 pub(crate) use self::backend::ConnectError;
 pub(crate) use self::backend::Connection;
+pub(crate) use self::backend::READY_TIMEOUT;
 pub(crate) use self::backend::Written;
 use self::dispatch::Shared;
 pub use self::error_code::ErrorCode;
