entry: drop expired events of a sliding count as others are added

Memory of a host grew by 16 bytes a request for good: a count only drops events when it is asked for, which that of a server is only in its cold start and the retry budget's only for retries.

The test fails before: the oldest event kept has expired.

--- a/lib/src/entry/budget.rs
+++ b/lib/src/entry/budget.rs
@@ -74,15 +74,21 @@
 
     /// Counts an event at `now`.
     pub fn add(&mut self, now: Timestamp) {
+        // Most counts are asked for rarely, if ever.
+        self.drop_expired(now);
         self.expiries.push_back(now + self.window);
     }
 
     /// Number of events within the window that ends at `now`.
     pub fn count(&mut self, now: Timestamp) -> usize {
+        self.drop_expired(now);
+        self.expiries.len()
+    }
+
+    fn drop_expired(&mut self, now: Timestamp) {
         while self.expiries.front().is_some_and(|at| at.has_passed(now)) {
             self.expiries.pop_front();
         }
-        self.expiries.len()
     }
 
     /// When the oldest event leaves the window, `None` if there are no events.
--- a/lib/tests/test_entry_budget.rs
+++ b/lib/tests/test_entry_budget.rs
@@ -109,3 +109,18 @@
         prop_assert_eq!(sum, total);
     }
 }
+
+/// Guards against a count that keeps an event for each request for good, since it is not asked for.
+#[test]
+fn expired_events_are_dropped_as_others_are_added() {
+    let mut count = SlidingCount::new(Duration::from_secs(1));
+    for millis in 0..10_000 {
+        let now = at(millis);
+        count.add(now);
+        assert!(
+            count
+                .next_expiry()
+                .is_some_and(|expiry| !expiry.has_passed(now))
+        );
+    }
+}
