entry: forget metrics and deadlines of routes that are gone

Each route that ever had a request kept its counters and two histograms, some kilobytes, and its longest deadline, also after it had left the configuration. Names that come and go over months would fill the memory of a host.

A configuration that lacks a route of the one before removes what is kept of routes that it does not have.

--- a/lib/src/entry/config.rs
+++ b/lib/src/entry/config.rs
@@ -234,6 +234,11 @@
         routes.map(|route| route.objective).min()
     }
 
+    /// Names of all routes.
+    pub(crate) fn route_names(&self) -> impl Iterator<Item = &CompactString> {
+        self.routes.values().flatten().map(|route| &route.name)
+    }
+
     /// Number of routes, over all `Host` headers.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -278,6 +278,12 @@
         now.since(self.config_confirmed_at)
     }
 
+    /// Forgets what is kept of routes other than these.
+    pub(crate) fn retain_routes(&mut self, names: &HashSet<CompactString>) {
+        self.longest_deadlines
+            .retain(|name, _| names.contains(name));
+    }
+
     /// Adds or updates a server that announced itself.
     pub fn announce_server(&mut self, now: Timestamp, entry: ServerAnnouncement) -> ServerChange {
         self.servers.announce(now, entry)
--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -21,6 +21,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use prometheus::core::Collector;
+use prometheus::proto::LabelPair;
 
 /// Upper bounds of the buckets for response times, seconds. They include the objectives of the
 /// current routes, 0.15 to 0.8 s, and their deadlines, 1.5 to 15 s.
@@ -183,6 +184,26 @@
         response_time.observe(elapsed.as_secs_f64());
     }
 
+    /// Removes the metrics of routes that are not known any more: names that come and go would fill
+    /// the memory.
+    pub(crate) fn retain_routes(&self, is_known: impl Fn(&str) -> bool) {
+        // Requests that were not admitted have no route.
+        let is_gone = |route: &str| !route.is_empty() && !is_known(route);
+        for labels in label_values(&self.responses, &["route", "outcome"]) {
+            if is_gone(&labels[0]) {
+                // Fails only if it was removed meanwhile.
+                let _ = self.responses.remove_label_values(&labels);
+            }
+        }
+        for times in [&self.first_byte, &self.response_time] {
+            for labels in label_values(times, &["route"]) {
+                if is_gone(&labels[0]) {
+                    let _ = times.remove_label_values(&labels);
+                }
+            }
+        }
+    }
+
     /// All metrics in the text format of Prometheus.
     ///
     /// # Errors
@@ -266,6 +287,22 @@
     }
 }
 
+/// Values of the named labels, of each metric of a collector.
+fn label_values(metrics: &impl Collector, names: &[&str]) -> Vec<Vec<String>> {
+    let families = metrics.collect();
+    let metrics = families.iter().flat_map(|family| family.get_metric());
+    let value = |labels: &[LabelPair], name: &str| {
+        let label = labels.iter().find(|label| label.name() == name);
+        label.map_or_else(String::new, |label| label.value().to_owned())
+    };
+    metrics
+        .map(|metric| {
+            let labels = metric.get_label();
+            names.iter().map(|name| value(labels, name)).collect()
+        })
+        .collect()
+}
+
 /// Adds a metric to a registry and returns it.
 fn register<T: Collector + Clone + 'static>(
     registry: &Registry,
--- a/lib/src/entry/updates.rs
+++ b/lib/src/entry/updates.rs
@@ -246,7 +246,17 @@
     let routes = config.route_count();
     let workspaces = config.workspaces.len();
     let objective = config.shortest_model_objective();
+    let names: HashSet<_> = config.route_names().cloned().collect();
+    let has_removed = {
+        let fleet = host.fleet();
+        let active = fleet.config();
+        active.is_some_and(|active| active.route_names().any(|name| !names.contains(name)))
+    };
     if host.fleet().apply_config(config) {
+        if has_removed {
+            host.fleet().retain_routes(&names);
+            host.stats.retain_routes(|name| names.contains(name));
+        }
         host.stats
             .config_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
