platform: read responses in small steps, so that interim heads leave time for callers

The HTTP client skips interim heads in one turn of its task, up to 128 reads of a buffer that grows to some 400 KB, for each of the kinds of objects at once. Calls to mirror hosts use the same client.

The buffer is now 16 KiB, so a turn is short and the call ends at its deadline. Responses are small but for lists and configurations, which take more reads. The client sees no single call, so the bound on the bytes before a head, as connections to servers have it, would need another pool.

--- a/lib/src/platform/http.rs
+++ b/lib/src/platform/http.rs
@@ -23,6 +23,10 @@
 /// Maximum size of a response body, in bytes. Leaves room for the largest object
 /// (`MAX_OBJECT_BYTES`) and for a long host list.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Largest read buffer of a connection, bytes. The head of a response must fit in it. A server that sends interim
+/// heads (status 1xx) without end keeps a thread busy for up to 128 such buffers before other work gets
+/// its turn.
+const READ_BUFFER_MAX_BYTES: usize = 16 << 10;
 /// Response header with the version of an object.
 pub(crate) const VERSION_HEADER: &str = "x-version";
 
@@ -103,6 +107,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(options.idle_timeout)
+            .http1_max_buf_size(READ_BUFFER_MAX_BYTES)
             .build(connector);
         Self {
             client,
