entry: log how far a request was when its server lost it

The logs did not tell an end before the head of a response from one long after it, so that the hypotheses on crashing prompts could not be told apart. The line has the run of the server, the ending as the host counts it, and the times since the request was sent and since its first bytes.

--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -253,6 +253,13 @@
             }
             quarantine.on_ended(&self.sent);
         }
+        if has_crashed || self.outcome == RequestOutcome::Failed {
+            let answering = self.response_started_at.map(|at| millis(now.since(at)));
+            info!(target: "request", digest = self.sent.digest.log_value().as_str(),
+                run = format!("{:x}", self.sent.run), ending:? = self.outcome,
+                answering_ms = answering, sent_ms = millis(now.since(self.sent.sent_at));
+                "server lost a request");
+        }
         if has_crashed {
             self.host.link.on_suspect_news();
         }
