entry: count every request that an ended engine took with it

Cause: the decision rested on one timing of one kind of ending. Only a connection that broke after the head, before or within 100 ms of the first bytes, was evidence; and an answer that began 250 ms ago cleared its parts, whether bytes still came or not, as did a caller that left.

Only complete responses, or such that go on, clear parts, which every host remembers of its own requests too.

--- a/lib/schema/schedule.capnp
+++ b/lib/schema/schedule.capnp
@@ -385,13 +385,20 @@
     failed @6 :Void;
     # The server failed the request.
 
-    brokenAtStart @8 :Void;
-    # The connection broke just as the server began to answer.
+    broken @8 :Void;
+    # The connection broke before the response was complete or had gone on for long.
+    silent @9 :Void;
+    # The deadline passed, and the server had sent nothing for long.
+    survived @10 :Void;
+    # The response has gone on for long.
   }
 
   hostLag @7 :UInt64;
   # How late the timers of the reporting host fired meanwhile. The time in begunAfter may contain such
   # delays.
+
+  isAnswered @11 :Bool;
+  # With ended: whether the server has sent a complete response of success.
 }
 
 struct Shares {
--- a/lib/src/entry/assign.rs
+++ b/lib/src/entry/assign.rs
@@ -178,7 +178,8 @@
                 SearchStep::AskNext => continue,
                 SearchStep::Refuse(refusal) => return Err(refusal),
             };
-        let mut scheduled = Link::scheduled(host, scheduler, reservation);
+        let parts = request.shared_ids().collect();
+        let mut scheduled = Link::scheduled(host, scheduler, reservation, parts);
         if !send_after.is_zero() {
             tokio::time::sleep(send_after).await;
         }
--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::response;
 use log::info;
@@ -29,6 +30,7 @@
 use super::peers::ScheduledRequest;
 use super::request_placement::Placement;
 use super::version_traffic::VersionTraffic;
+use crate::crashing::SURVIVAL_SPAN;
 use crate::crashing::SentRequest;
 use crate::gateway::ConnectError;
 use crate::gateway::Connection;
@@ -40,8 +42,9 @@
 /// Longest time to open a connection: a hundred round trips between failure domains. A server that
 /// is not connected by then is unreachable or its accept queue is full.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long after its first bytes a response counts as just begun.
-const RESPONSE_START_SPAN: Duration = Duration::from_millis(100);
+/// A server that has sent nothing for a request for this long until its deadline may have ended without
+/// closing its connections. A sound one may fall silent for about a second.
+const SILENCE_MIN: Duration = Duration::from_millis(1_500);
 /// How long before the server's idle timeout an unused connection is closed, so that no request is
 /// sent on a connection that the server is closing.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
@@ -82,7 +85,7 @@
             Self::NotSent { .. } => RequestOutcome::Unreachable,
             // This host has too many connections open, which says nothing about the server.
             Self::LimitReached { .. } => RequestOutcome::Abandoned,
-            Self::NoResponse { .. } => RequestOutcome::BrokenUnanswered,
+            Self::NoResponse { .. } => RequestOutcome::Broken,
             Self::TimedOut => RequestOutcome::TimedOut,
         }
     }
@@ -112,6 +115,9 @@
     traffic: Option<VersionTraffic>,
     /// When the first part of the response arrived.
     response_started_at: Option<Timestamp>,
+    /// When a part of the response last arrived; until then, when the request was sent. Not updated once
+    /// the server has survived the request.
+    last_part_at: Timestamp,
     /// Whether the server has survived the request.
     has_survived: bool,
 }
@@ -135,6 +141,7 @@
             scheduled,
             traffic,
             response_started_at: None,
+            last_part_at: sent.sent_at,
             has_survived: false,
         }
     }
@@ -146,9 +153,16 @@
             return;
         }
         let now = self.host.clock.now();
+        self.last_part_at = now;
         if let Some(at) = self.response_started_at {
-            if now.since(at) > RESPONSE_START_SPAN {
+            if now.since(at) > SURVIVAL_SPAN {
                 self.on_survived(now);
+                if let Some(scheduled) = &self.scheduled {
+                    let mut fleet = self.host.fleet();
+                    fleet.on_prompt_survived(now, scheduled.parts());
+                    drop(fleet);
+                    scheduled.on_survived();
+                }
             }
             return;
         }
@@ -181,13 +195,21 @@
 
     /// Outcome if the connection breaks now, after the head of the response.
     pub(crate) fn broken_outcome(&self) -> RequestOutcome {
-        let now = self.host.clock.now();
-        match self.response_started_at {
-            Some(at) if now.since(at) > RESPONSE_START_SPAN => RequestOutcome::Failed,
-            _ => RequestOutcome::BrokenAtStart,
+        match self.has_survived {
+            true => RequestOutcome::Failed,
+            false => RequestOutcome::Broken,
         }
     }
 
+    /// Whether the deadline has passed and the server had sent nothing for long.
+    fn is_silent(&self, now: Timestamp) -> bool {
+        let has_expired = matches!(
+            self.outcome,
+            RequestOutcome::TimedOut | RequestOutcome::Expired
+        );
+        has_expired && !self.has_survived && now.since(self.last_part_at) >= SILENCE_MIN
+    }
+
     /// Applies what the server states of itself in the head of a response, whichever request the
     /// response belongs to. If it is leaving, the scheduler of the request gets to know it too, so
     /// that other hosts are not sent there.
@@ -221,6 +243,19 @@
     pub(crate) fn end(mut self, outcome: RequestOutcome) {
         self.outcome = outcome;
     }
+
+    /// Ends the request with a complete response that is not a failure.
+    pub(crate) fn end_answered(mut self, status: StatusCode) {
+        if let Some(scheduled) = &mut self.scheduled
+            && status.is_success()
+        {
+            let now = self.host.clock.now();
+            scheduled.on_answered();
+            let mut fleet = self.host.fleet();
+            fleet.on_prompt_survived(now, scheduled.parts());
+        }
+        self.end(RequestOutcome::Answered);
+    }
 }
 
 impl Drop for InFlightRequest {
@@ -229,10 +264,7 @@
         if self.outcome == RequestOutcome::Answered && !self.has_survived {
             self.on_survived(now);
         }
-        let has_crashed = matches!(
-            self.outcome,
-            RequestOutcome::BrokenUnanswered | RequestOutcome::BrokenAtStart
-        );
+        let has_crashed = self.outcome == RequestOutcome::Broken;
         {
             let mut fleet = self.host.fleet();
             fleet.end(now, self.key, self.outcome);
@@ -247,8 +279,11 @@
                 let counter = &self.host.stats.rollout.requests;
                 counter.with_label_values(&labels).inc();
             }
+            if has_crashed && let Some(scheduled) = &self.scheduled {
+                fleet.on_prompt_lost(now, &self.sent, scheduled.parts());
+            }
             let quarantine = fleet.request_quarantine();
-            if has_crashed && !self.has_survived {
+            if has_crashed {
                 quarantine.on_crash(now, &self.sent);
             }
             quarantine.on_ended(&self.sent);
@@ -265,6 +300,9 @@
         }
         if let Some(scheduled) = &self.scheduled {
             scheduled.on_outcome(self.outcome);
+            if self.is_silent(now) {
+                scheduled.on_silent();
+            }
         }
     }
 }
--- a/lib/src/entry/fleet.rs
+++ b/lib/src/entry/fleet.rs
@@ -84,17 +84,17 @@
     Misdirected,
     /// The server reported a failure, broke off, or sent an invalid response.
     Failed,
-    /// The connection broke after the request was sent and before the head of the response.
-    BrokenUnanswered,
-    /// The connection broke just as the server began to answer: after the head of the response, and
-    /// before or shortly after its first bytes.
-    BrokenAtStart,
+    /// The connection broke after the request was sent, before the response was complete or had gone on
+    /// for long. The server may have ended, and the request may be why.
+    Broken,
     /// The connection to the server failed.
     Unreachable,
     /// The deadline of the request passed before the response was complete. For a stream this
     /// applies only if the deadline passes before the head of the response arrives; if it passes
-    /// later, the outcome is [`Self::Abandoned`].
+    /// later, the outcome is [`Self::Expired`].
     TimedOut,
+    /// The deadline of the request passed while a stream arrived.
+    Expired,
     /// The caller disconnected, or the request ended in another way that says nothing about the
     /// health of the server.
     Abandoned,
@@ -446,10 +446,9 @@
             server.failures.add(now, false);
             server.reachability.on_response();
         }
-        RequestOutcome::Failed
-        | RequestOutcome::BrokenUnanswered
-        | RequestOutcome::BrokenAtStart
-        | RequestOutcome::TimedOut => server.failures.add(now, true),
+        RequestOutcome::Failed | RequestOutcome::Broken | RequestOutcome::TimedOut => {
+            server.failures.add(now, true)
+        }
         // The server gets no more requests. An announcement with another start time, service or
         // address creates a new entry for the instance, without this flag.
         RequestOutcome::Misdirected => server.is_misdirected = true,
@@ -458,6 +457,6 @@
             // The server may have restarted and be in its cold start.
             server.cold_until = server.cold_until.max(now + ASSUMED_COLD_DURATION);
         }
-        RequestOutcome::Refused | RequestOutcome::Abandoned => {}
+        RequestOutcome::Refused | RequestOutcome::Expired | RequestOutcome::Abandoned => {}
     }
 }
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -597,6 +597,7 @@
             log_work_of_workspaces(&host);
             log_memory_change(&host);
             host.fleet().request_quarantine().sweep(now);
+            host.fleet().sweep_parts(now);
             refused_logged = log_refused_behind(&host, refused_logged);
             if host.lag.lag().closes_connections(now) {
                 host.lag.close_idle().notify_one();
--- a/lib/src/entry/peers/codec.rs
+++ b/lib/src/entry/peers/codec.rs
@@ -464,7 +464,13 @@
         ProgressStep::ServerLeaving { started_at_ms } => out.set_server_leaving(started_at_ms),
         ProgressStep::Unreachable => out.set_unreachable(()),
         ProgressStep::Failed => out.set_failed(()),
-        ProgressStep::BrokenAtStart => out.set_broken_at_start(()),
+        ProgressStep::Broken => out.set_broken(()),
+        ProgressStep::Silent => out.set_silent(()),
+        ProgressStep::Survived => out.set_survived(()),
+        ProgressStep::Answered => {
+            out.set_ended(());
+            out.set_is_answered(true);
+        }
         ProgressStep::Ended => out.set_ended(()),
     }
 }
@@ -632,7 +638,10 @@
         progress::ServerLeaving(started_at_ms) => ProgressStep::ServerLeaving { started_at_ms },
         progress::Unreachable(()) => ProgressStep::Unreachable,
         progress::Failed(()) => ProgressStep::Failed,
-        progress::BrokenAtStart(()) => ProgressStep::BrokenAtStart,
+        progress::Broken(()) => ProgressStep::Broken,
+        progress::Silent(()) => ProgressStep::Silent,
+        progress::Survived(()) => ProgressStep::Survived,
+        progress::Ended(()) if progress.get_is_answered() => ProgressStep::Answered,
         progress::Ended(()) => ProgressStep::Ended,
     };
     Ok(Progress {
--- a/lib/src/entry/peers/link.rs
+++ b/lib/src/entry/peers/link.rs
@@ -154,6 +154,10 @@
     sent_at: Timestamp,
     /// Lag of this host's timers at that time.
     lag_at_sending: Duration,
+    /// Identifiers of the shared parts of the prompt.
+    parts: Box<[u64]>,
+    /// Whether a complete response of success has arrived.
+    is_answered: bool,
 }
 
 impl ScheduledRequest {
@@ -185,17 +189,36 @@
     pub(crate) fn on_outcome(&self, outcome: RequestOutcome) {
         match outcome {
             RequestOutcome::Unreachable => self.report(ProgressStep::Unreachable),
-            RequestOutcome::Failed
-            | RequestOutcome::BrokenUnanswered
-            | RequestOutcome::TimedOut => self.report(ProgressStep::Failed),
-            RequestOutcome::BrokenAtStart => self.report(ProgressStep::BrokenAtStart),
+            RequestOutcome::Failed | RequestOutcome::TimedOut => self.report(ProgressStep::Failed),
+            RequestOutcome::Broken => self.report(ProgressStep::Broken),
             RequestOutcome::Answered
             | RequestOutcome::Refused
             | RequestOutcome::Misdirected
+            | RequestOutcome::Expired
             | RequestOutcome::Abandoned => {}
         }
     }
 
+    /// Reports to the scheduler that the deadline has passed and the server had sent nothing for long.
+    pub(crate) fn on_silent(&self) {
+        self.report(ProgressStep::Silent);
+    }
+
+    /// Reports to the scheduler that the response has gone on for long.
+    pub(crate) fn on_survived(&self) {
+        self.report(ProgressStep::Survived);
+    }
+
+    /// Records that a complete response of success has arrived.
+    pub(crate) fn on_answered(&mut self) {
+        self.is_answered = true;
+    }
+
+    /// Identifiers of the shared parts of the prompt.
+    pub(crate) fn parts(&self) -> &[u64] {
+        &self.parts
+    }
+
     /// Reports progress, by a datagram unless this host is the scheduler.
     fn report(&self, step: ProgressStep) {
         let Some(host) = self.host.upgrade() else {
@@ -214,7 +237,10 @@
 
 impl Drop for ScheduledRequest {
     fn drop(&mut self) {
-        self.report(ProgressStep::Ended);
+        self.report(match self.is_answered {
+            true => ProgressStep::Answered,
+            false => ProgressStep::Ended,
+        });
     }
 }
 
@@ -714,6 +740,7 @@
         host: &Arc<EntryHost>,
         scheduler: Option<SocketAddr>,
         reservation: ReservationId,
+        parts: Box<[u64]>,
     ) -> ScheduledRequest {
         ScheduledRequest {
             host: Arc::downgrade(host),
@@ -721,6 +748,8 @@
             reservation,
             sent_at: host.clock.now(),
             lag_at_sending: Duration::ZERO,
+            parts,
+            is_answered: false,
         }
     }
 }
--- a/lib/src/entry/peers/schedule_capnp.rs
+++ b/lib/src/entry/peers/schedule_capnp.rs
@@ -8467,7 +8467,9 @@
 }
 
 pub mod progress {
-    pub use self::Which::{BegunAfter, BrokenAtStart, Ended, Failed, ServerLeaving, Unreachable};
+    pub use self::Which::{
+        BegunAfter, Broken, Ended, Failed, ServerLeaving, Silent, Survived, Unreachable,
+    };
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -8584,6 +8586,10 @@
             self.reader.get_data_field::<u64>(3)
         }
         #[inline]
+        pub fn get_is_answered(self) -> bool {
+            self.reader.get_bool_field(48)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(2) {
                 0 => ::core::result::Result::Ok(BegunAfter(self.reader.get_data_field::<u64>(2))),
@@ -8593,7 +8599,9 @@
                 }
                 3 => ::core::result::Result::Ok(Unreachable(())),
                 4 => ::core::result::Result::Ok(Failed(())),
-                5 => ::core::result::Result::Ok(BrokenAtStart(())),
+                5 => ::core::result::Result::Ok(Broken(())),
+                6 => ::core::result::Result::Ok(Silent(())),
+                7 => ::core::result::Result::Ok(Survived(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -8735,10 +8743,26 @@
             self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
-        pub fn set_broken_at_start(&mut self, _value: ()) {
+        pub fn set_broken(&mut self, _value: ()) {
             self.builder.set_data_field::<u16>(2, 5);
         }
         #[inline]
+        pub fn set_silent(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(2, 6);
+        }
+        #[inline]
+        pub fn set_survived(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(2, 7);
+        }
+        #[inline]
+        pub fn get_is_answered(self) -> bool {
+            self.builder.get_bool_field(48)
+        }
+        #[inline]
+        pub fn set_is_answered(&mut self, value: bool) {
+            self.builder.set_bool_field(48, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(2) {
                 0 => ::core::result::Result::Ok(BegunAfter(self.builder.get_data_field::<u64>(2))),
@@ -8748,7 +8772,9 @@
                 }
                 3 => ::core::result::Result::Ok(Unreachable(())),
                 4 => ::core::result::Result::Ok(Failed(())),
-                5 => ::core::result::Result::Ok(BrokenAtStart(())),
+                5 => ::core::result::Result::Ok(Broken(())),
+                6 => ::core::result::Result::Ok(Silent(())),
+                7 => ::core::result::Result::Ok(Survived(())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -8766,87 +8792,108 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 156] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 202] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(171, 200, 198, 211, 208, 13, 188, 240),
             ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(117, 40, 78, 108, 155, 240, 161, 211),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 6, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 8, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 117, 108, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 80),
             ::capnp::word(114, 111, 103, 114, 101, 115, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 255, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 253, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 48, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8914,13 +8961,38 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 114, 111, 107, 101, 110, 65, 116),
-            ::capnp::word(83, 116, 97, 114, 116, 0, 0, 0),
+            ::capnp::word(98, 114, 111, 107, 101, 110, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 105, 108, 101, 110, 116, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 114, 118, 105, 118, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 65, 110, 115, 119, 101, 114),
+            ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -8935,6 +9007,9 @@
                 6 => <() as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <() as ::capnp::introspect::Introspect>::introspect(),
+                9 => <() as ::capnp::introspect::Introspect>::introspect(),
+                10 => <() as ::capnp::introspect::Introspect>::introspect(),
+                11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8953,9 +9028,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 7];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[2, 3, 4, 5, 6, 8];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 8, 3, 0, 6, 7, 1, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 7, 11];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[2, 3, 4, 5, 6, 8, 9, 10];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 8, 3, 0, 6, 7, 11, 1, 4, 9, 10, 5];
         pub(crate) const TYPE_ID: u64 = 0xf0bc_0dd0_d3c6_c8ab;
     }
     pub enum Which {
@@ -8964,7 +9039,9 @@
         ServerLeaving(u64),
         Unreachable(()),
         Failed(()),
-        BrokenAtStart(()),
+        Broken(()),
+        Silent(()),
+        Survived(()),
     }
     pub type WhichReader = Which;
     pub type WhichBuilder = Which;
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -346,7 +346,7 @@
     fn finish(&mut self) {
         if let Some(upstream) = self.upstream.take() {
             reuse_connection(&self.host, upstream.connection, &upstream.head);
-            upstream.in_flight.end(RequestOutcome::Answered);
+            upstream.in_flight.end_answered(self.status);
             on_answered(&self.host, &self.call, &self.placed, self.status);
         }
     }
@@ -357,7 +357,8 @@
         if let Some(upstream) = self.upstream.take() {
             let outcome = match error {
                 RelayError::Broken { .. } => upstream.in_flight.broken_outcome(),
-                RelayError::NoMemory | RelayError::TimedOut => RequestOutcome::Abandoned,
+                RelayError::TimedOut => RequestOutcome::Expired,
+                RelayError::NoMemory => RequestOutcome::Abandoned,
             };
             upstream.in_flight.end(outcome);
         }
--- a/lib/src/entry/request_placement.rs
+++ b/lib/src/entry/request_placement.rs
@@ -507,6 +507,23 @@
         self.scheduler.crashes_to_share(now)
     }
 
+    /// Records that a request to a model was lost with the run of its engine. The scheduler of the request
+    /// may be another host; this one tells whichever it asks next.
+    pub(crate) fn on_prompt_lost(&mut self, now: Timestamp, sent: &SentRequest, parts: &[u64]) {
+        let quarantine = self.scheduler.quarantine();
+        quarantine.on_crash(now, sent.run, sent.digest.content, parts, false);
+    }
+
+    /// Forgets what no longer counts of the parts of prompts.
+    pub(crate) fn sweep_parts(&mut self, now: Timestamp) {
+        self.scheduler.quarantine().sweep(now);
+    }
+
+    /// Records that an engine has survived a request with the given shared parts.
+    pub(crate) fn on_prompt_survived(&mut self, now: Timestamp, parts: &[u64]) {
+        self.scheduler.quarantine().on_answered(now, parts);
+    }
+
     /// Adds the crashes of which another host has told.
     pub fn on_crashes_shared(&mut self, now: Timestamp, crashes: &[PartCrash]) {
         self.scheduler.on_crashes_shared(now, crashes);
--- a/lib/src/entry/response.rs
+++ b/lib/src/entry/response.rs
@@ -222,7 +222,7 @@
             reuse_connection(host, response.connection, &response.head);
             in_flight.on_survived(host.clock.now());
             if !status.is_server_error() {
-                in_flight.end(RequestOutcome::Answered);
+                in_flight.end_answered(status);
                 on_answered(host, call, placed, status);
                 return Ok(to_caller);
             }
@@ -254,7 +254,7 @@
         caller_result: Err(Refusal::new(reason)),
         was_sent: true,
         may_have_run: true,
-        is_broken_at_start: outcome == RequestOutcome::BrokenAtStart,
+        is_broken_at_start: outcome == RequestOutcome::Broken,
     })
 }
 
--- a/lib/src/entry/schedule/engine.rs
+++ b/lib/src/entry/schedule/engine.rs
@@ -49,6 +49,8 @@
     speed: f64,
     /// When a request was last started.
     pub(crate) started_at: Timestamp,
+    /// When the engine last began a response.
+    pub(crate) responded_at: Timestamp,
     /// Requests that were started and whose end was not reported yet.
     pub(crate) slots: SlotPlan,
     /// Memory reserved for these requests, tokens. They occupy at most this.
@@ -78,6 +80,7 @@
             busy_until: Timestamp::ZERO,
             speed: SPEED_INITIAL,
             started_at: Timestamp::ZERO,
+            responded_at: Timestamp::ZERO,
             slots: SlotPlan::default(),
             reserved_tokens: 0,
             pacer: RatePacer::default(),
--- a/lib/src/entry/schedule/request.rs
+++ b/lib/src/entry/schedule/request.rs
@@ -252,8 +252,15 @@
     Unreachable,
     /// The server failed the request, or sent no valid response. `Ended` follows.
     Failed,
-    /// The connection broke just as the server began to answer. `Ended` follows.
-    BrokenAtStart,
-    /// The request is no longer at the server: it has completed, failed, or was never sent.
+    /// The connection broke before the response was complete or had gone on for long. `Ended` follows.
+    Broken,
+    /// The deadline passed, and the server had sent nothing for the request for long. `Ended` follows.
+    Silent,
+    /// The response has gone on for long.
+    Survived,
+    /// The server has sent a complete response of success. The request is no longer there.
+    Answered,
+    /// The request is no longer at the server: it has completed in another way, failed, or was never
+    /// sent.
     Ended,
 }
--- a/lib/src/entry/schedule/scheduler.rs
+++ b/lib/src/entry/schedule/scheduler.rs
@@ -169,6 +169,11 @@
     fn has_run(&self, now: Timestamp) -> bool {
         self.response_started_at.is_some() || self.has_failed || self.prefilled_at.has_passed(now)
     }
+
+    /// Records that the run of the engine took the request with it as it ended.
+    fn count_crash(&self, now: Timestamp, quarantine: &mut PartQuarantine) {
+        quarantine.on_crash(now, self.run, self.content, &self.parts, self.is_trial);
+    }
 }
 
 /// What a scheduler has decided and heard about the engines of one service over some time, for log
@@ -566,6 +571,7 @@
                         engine.on_response_started(now, uncached, after, planned);
                     }
                     engine.health.on_response(now, reservation.domain);
+                    engine.responded_at = now;
                 }
             }
             // The server itself is not part of this scheduler's state.
@@ -575,37 +581,28 @@
                     engine.health.on_unreachable(now, reservation.domain);
                 }
             }
-            ProgressStep::Failed | ProgressStep::BrokenAtStart => {
+            ProgressStep::Failed | ProgressStep::Broken => {
                 reservation.has_failed = true;
                 if let Some(engine) = engine {
                     engine.health.on_failed(now);
                 }
-                if progress.step == ProgressStep::BrokenAtStart {
-                    let Reservation { run, content, .. } = *reservation;
-                    let is_trial = reservation.is_trial;
-                    self.quarantine
-                        .on_crash(now, run, content, &reservation.parts, is_trial);
+                if progress.step == ProgressStep::Broken {
+                    reservation.count_crash(now, &mut self.quarantine);
                 }
             }
-            ProgressStep::Ended => {
-                if let Some(at) = reservation.response_started_at
-                    && !reservation.has_failed
-                {
-                    state
-                        .hold_time
-                        .add(reservation.output_tokens, now.since(at));
-                }
-                if !reservation.has_run(now) {
-                    let shares = &mut state.shares;
-                    shares.on_not_run(now, reservation.workspace, reservation.charged_tokens);
-                }
-                if let Some(engine) = engine {
-                    engine.end(progress.reservation, reservation.memory_tokens);
-                    if reservation.response_started_at.is_none() {
-                        engine.cancel_prefill(now, reservation.prefill);
-                    }
+            ProgressStep::Silent => {
+                reservation.has_failed = true;
+                // An engine that answers others is alive.
+                let is_silent =
+                    |engine: &EngineState| now.since(engine.responded_at) >= ENGINE_SILENCE_MIN;
+                if engine.is_some_and(|engine| is_silent(engine)) {
+                    reservation.count_crash(now, &mut self.quarantine);
                 }
-                if reservation.response_started_at.is_some() && !reservation.has_failed {
+            }
+            ProgressStep::Survived => self.quarantine.on_answered(now, &reservation.parts),
+            ProgressStep::Answered | ProgressStep::Ended => {
+                state.end(now, reservation, progress.reservation);
+                if progress.step == ProgressStep::Answered {
                     self.quarantine.on_answered(now, &reservation.parts);
                 }
                 if reservation.is_trial {
@@ -625,13 +622,6 @@
         }
         self.swept_at = now;
         self.quarantine.sweep(now);
-        for reservation in self.reservations.values() {
-            let began_before = reservation.response_started_at;
-            let goes_on = began_before.is_some_and(|at| now.since(at) >= ANSWER_PROVEN_AFTER);
-            if goes_on && !reservation.has_failed {
-                self.quarantine.on_answered(now, &reservation.parts);
-            }
-        }
         for state in self.services.values_mut() {
             state.shares.sweep(now);
         }
@@ -679,9 +669,9 @@
 /// Longest lag of a host's timers at which the times that it reports say how busy an engine is. Hosts
 /// with processor time left have a few milliseconds.
 const MEASURING_LAG_MAX: Duration = Duration::from_millis(20);
-/// A response that goes on for this long after its start shows that its prompt does no harm. Reports
-/// of a failure arrive within it.
-const ANSWER_PROVEN_AFTER: Duration = Duration::from_millis(250);
+/// An engine that has begun no response for this long may have ended without closing its connections. A
+/// sound one may fall silent for about a second.
+const ENGINE_SILENCE_MIN: Duration = Duration::from_millis(1_500);
 /// Interval between removals of expired reservations.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
@@ -714,6 +704,29 @@
         }
     }
 
+    /// Frees what is reserved for a request that is no longer at its engine.
+    fn end(&mut self, now: Timestamp, reservation: &Reservation, id: ReservationId) {
+        if let Some(at) = reservation.response_started_at
+            && !reservation.has_failed
+        {
+            self.hold_time.add(reservation.output_tokens, now.since(at));
+        }
+        if !reservation.has_run(now) {
+            let Reservation {
+                workspace,
+                charged_tokens,
+                ..
+            } = *reservation;
+            self.shares.on_not_run(now, workspace, charged_tokens);
+        }
+        if let Some(engine) = self.engines.get_mut(&reservation.server) {
+            engine.end(id, reservation.memory_tokens);
+            if reservation.response_started_at.is_none() {
+                engine.cancel_prefill(now, reservation.prefill);
+            }
+        }
+    }
+
     /// Refuses a request that none of the candidates can start within its limit.
     fn refuse(
         &mut self,
--- a/lib/src/entry/version_traffic.rs
+++ b/lib/src/entry/version_traffic.rs
@@ -97,16 +97,19 @@
         let (outcome, name) = match outcome {
             RequestOutcome::Answered => (None, "answered"),
             // What has started to respond is counted as that.
-            RequestOutcome::Abandoned if traffic.has_responded => (None, "abandoned"),
-            RequestOutcome::Abandoned => (Some(AttemptOutcome::Neutral), "abandoned"),
+            RequestOutcome::Expired | RequestOutcome::Abandoned if traffic.has_responded => {
+                (None, "abandoned")
+            }
+            RequestOutcome::Expired | RequestOutcome::Abandoned => {
+                (Some(AttemptOutcome::Neutral), "abandoned")
+            }
             RequestOutcome::Refused | RequestOutcome::Misdirected => {
                 (Some(AttemptOutcome::Neutral), "refused")
             }
             RequestOutcome::Unreachable => (Some(AttemptOutcome::Unreachable), "unreachable"),
-            RequestOutcome::Failed
-            | RequestOutcome::BrokenUnanswered
-            | RequestOutcome::BrokenAtStart
-            | RequestOutcome::TimedOut => (Some(AttemptOutcome::Failed), "failed"),
+            RequestOutcome::Failed | RequestOutcome::Broken | RequestOutcome::TimedOut => {
+                (Some(AttemptOutcome::Failed), "failed")
+            }
         };
         if let Some(outcome) = outcome {
             self.count_outcome(traffic, outcome);
