daemon: test crowds of clients that don't behave

The process must live, stay within both, with the bytes that wait in its sockets, and answer an ordinary request of another workspace.

--- a/daemon/tests/soak/host.rs
+++ b/daemon/tests/soak/host.rs
@@ -24,6 +24,8 @@
 use tokio::net::TcpStream;
 
 use crate::stand_ins::CALLERS_PORT;
+use crate::stand_ins::MACHINE_LIMITS;
+use crate::stand_ins::MachineLimits;
 use crate::stand_ins::READINESS_PORT;
 use crate::stand_ins::get_text;
 use crate::stand_ins::settings_text;
@@ -45,11 +47,21 @@
 impl Host {
     /// Starts the process of host `number`. Its settings and its log are written to `folder`.
     pub(crate) fn start(number: u8, folder: &Path, store: SocketAddr) -> Self {
+        Self::start_limited(number, folder, store, MACHINE_LIMITS)
+    }
+
+    /// Like [`Self::start`], with the limits of the process.
+    pub(crate) fn start_limited(
+        number: u8,
+        folder: &Path,
+        store: SocketAddr,
+        machine: MachineLimits,
+    ) -> Self {
         let [low, high, ..] = std::process::id().to_le_bytes();
         let ip = Ipv4Addr::new(127, 192 | (high & 31), low, number).into();
         let name = format!("h{number}");
         let settings = folder.join(format!("{name}.json"));
-        std::fs::write(&settings, settings_text(&name, ip, store)).unwrap();
+        std::fs::write(&settings, settings_text(&name, ip, store, machine)).unwrap();
         let log = folder.join(format!("{name}.log"));
         Self {
             child: Mutex::new(spawn(&settings, &log)),
@@ -111,6 +123,14 @@
         *self.child.lock().unwrap() = spawn(&self.settings, &self.log);
     }
 
+    pub(crate) fn readiness(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, READINESS_PORT)
+    }
+
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.lock().unwrap().id()
+    }
+
     /// Most memory that the process has had resident, bytes.
     pub(crate) fn peak_memory(&self) -> usize {
         let id = self.child.lock().unwrap().id();
