entry: limit the bodies that a host holds whatever its contracts

Crowds of clients whose bodies lack their last byte filled a host until it would have ended: 244 to 276 MB on a machine of 55 MB. Cause: the budget for bodies, and the bounds of socket and HTTP/2 buffers, were on only if the settings named the contract `pressure`, though every host has a memory limit.

--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -95,7 +95,7 @@
     head_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
     write_timeout: Duration::from_secs(15),
-    buffer_bytes: None,
+    buffer_bytes: SOCKET_BUFFER_BYTES,
     drain_timeout: Duration::ZERO,
 };
 /// Divisor of the connection limit that gives the share for callers: half for callers, half for
@@ -106,11 +106,10 @@
 const CONNECTION_BYTES: usize = 28 << 10;
 /// Memory that the process uses without any connection, bytes.
 const BASE_BYTES: usize = 20 << 20;
-/// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies, if they are limited. On
-/// a host of 88 MB it gives 17 MB: four bodies of the largest size that configurations allow, or one of
+/// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies. On a host of 88 MB it gives 17 MB: four bodies of the largest size that configurations allow, or one of
 /// the usual 9 KB for each of 1,900 requests, which is more than its connections of callers.
 const BODY_SHARE_DIVISOR: usize = 4;
-/// Size of the socket buffers towards callers and from servers if bodies are limited, bytes. The kernel
+/// Size of the socket buffers towards callers and from servers, bytes. The kernel
 /// lets buffers of its own choice grow to megabytes, which a slow caller fills. It also asks for more
 /// only once a third of a buffer is free, so a caller that reads slowly but steadily would seem to
 /// read nothing for longer than the write timeout.
@@ -152,28 +151,20 @@
     pub descriptors: usize,
     /// Most memory in use, bytes.
     pub memory_bytes: usize,
-    /// Whether part of the memory is set aside for request and response bodies, and no more of them
-    /// is held at once.
-    pub limits_bodies: bool,
 }
 
 impl ProcessLimits {
     /// Most connections that fit in the memory and the descriptors.
     fn connections(&self) -> usize {
         let memory = self.memory_bytes.saturating_sub(BASE_BYTES);
-        let memory = memory - self.body_bytes().unwrap_or(0);
+        let memory = memory - self.body_bytes();
         (memory / CONNECTION_BYTES).min(self.descriptors.saturating_sub(BASE_DESCRIPTORS))
     }
 
-    /// Most bytes of bodies held at once, `None` if they are not limited.
-    pub fn body_bytes(&self) -> Option<usize> {
+    /// Most bytes of bodies held at once.
+    pub fn body_bytes(&self) -> usize {
         let memory = self.memory_bytes.saturating_sub(BASE_BYTES);
-        self.limits_bodies.then_some(memory / BODY_SHARE_DIVISOR)
-    }
-
-    /// Size of the socket buffers that hold bytes of responses, `None` if the kernel chooses it.
-    fn socket_buffer_bytes(&self) -> Option<usize> {
-        self.limits_bodies.then_some(SOCKET_BUFFER_BYTES)
+        memory / BODY_SHARE_DIVISOR
     }
 
     fn caller_connections(&self) -> usize {
@@ -335,7 +326,6 @@
         });
         ConnectionLimits {
             connections: process_limits.caller_connections(),
-            buffer_bytes: process_limits.socket_buffer_bytes(),
             drain_timeout: fleet.bounds().stop_grace,
             ..base
         }
@@ -369,7 +359,7 @@
             pool: BackendPool::new(
                 parts.clock,
                 parts.process_limits.server_connections(),
-                parts.process_limits.socket_buffer_bytes(),
+                SOCKET_BUFFER_BYTES,
             ),
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
             body_memory: BodyMemory::new(MemoryBudget::new(parts.process_limits.body_bytes())),
--- a/lib/src/entry/memory_budget.rs
+++ b/lib/src/entry/memory_budget.rs
@@ -61,10 +61,10 @@
 }
 
 impl MemoryBudget {
-    /// A budget of `limit` bytes, `None` for no limit.
-    pub fn new(limit: Option<usize>) -> Self {
+    /// A budget of `limit` bytes.
+    pub fn new(limit: usize) -> Self {
         Self {
-            limit: limit.unwrap_or(usize::MAX),
+            limit,
             held: 0,
             by_workspace: HashMap::new(),
             last_refused: None,
--- a/lib/src/gateway/backend/pool.rs
+++ b/lib/src/gateway/backend/pool.rs
@@ -104,8 +104,8 @@
 pub(crate) struct BackendPool {
     clock: Clock,
     open_max: usize,
-    /// Size of the receive buffer of each socket, bytes; `None` if the kernel chooses it.
-    receive_buffer_bytes: Option<usize>,
+    /// Size of the receive buffer of each socket, bytes.
+    receive_buffer_bytes: usize,
     /// One permit per connection that may still be opened.
     permits: Arc<Semaphore>,
     /// Idle connections by server, in the order in which they became idle.
@@ -114,7 +114,7 @@
 
 impl BackendPool {
     /// Creates a pool of at most `open_max` open connections, including those in use.
-    pub(crate) fn new(clock: Clock, open_max: usize, receive_buffer_bytes: Option<usize>) -> Self {
+    pub(crate) fn new(clock: Clock, open_max: usize, receive_buffer_bytes: usize) -> Self {
         let open_max = open_max.min(Semaphore::MAX_PERMITS);
         Self {
             clock,
@@ -155,10 +155,8 @@
             .await
             .context(RefusedSnafu { address })?;
         stream.set_nodelay(true).context(RefusedSnafu { address })?;
-        if let Some(bytes) = self.receive_buffer_bytes {
-            // Without it the connection only buffers more.
-            let _ = SockRef::from(&stream).set_recv_buffer_size(bytes);
-        }
+        // Without it the connection only buffers more.
+        let _ = SockRef::from(&stream).set_recv_buffer_size(self.receive_buffer_bytes);
         let gate = Arc::new(WriteGate::new(self.clock));
         let io = TokioIo::new(GatedIo::new(stream, gate.clone()));
         let mut builder = http1::Builder::new();
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -65,6 +65,7 @@
 pub(crate) use self::headers::end_to_end;
 use self::routes::RouterState;
 use self::routes::router;
+use self::server::BUFFER_BYTES;
 pub(crate) use self::server::ConnectionLimits;
 pub(crate) use self::server::Server;
 use self::waiting::WaitingLimit;
@@ -112,7 +113,7 @@
             clock: parts.clock,
             metrics: parts.metrics.clone(),
             // No limit on the open connections to backend servers.
-            pool: BackendPool::new(parts.clock, usize::MAX, None),
+            pool: BackendPool::new(parts.clock, usize::MAX, BUFFER_BYTES),
             estimates: Arc::default(),
             waiting: WaitingLimit::new(parts.limits.waiting_per_workspace),
             quarantine: Arc::default(),
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -44,6 +44,9 @@
 /// Idle timeout between two requests. It exceeds the usual idle timeout of load balancers and
 /// clients, so that they close first.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Size of socket buffers and of the buffers of an HTTP/2 connection at the product's own interface,
+/// bytes.
+pub(crate) const BUFFER_BYTES: usize = 64 << 10;
 /// Interval of HTTP/2 pings, which detect callers that are gone.
 const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(20);
 /// Idle connections are closed when fewer than the limit divided by this may still be accepted, so
@@ -69,9 +72,8 @@
     pub(crate) idle_timeout: Duration,
     /// Time within which the socket must accept at least one byte of a response.
     pub(crate) write_timeout: Duration,
-    /// Size of the socket's send buffer, and of the buffers of an HTTP/2 stream, bytes. `None` leaves
-    /// them to the kernel and the HTTP library.
-    pub(crate) buffer_bytes: Option<usize>,
+    /// Size of the socket's send buffer, and of the buffers of an HTTP/2 connection, bytes.
+    pub(crate) buffer_bytes: usize,
     /// Time that requests in flight have to finish at a planned stop.
     pub(crate) drain_timeout: Duration,
 }
@@ -85,7 +87,7 @@
             idle_timeout: KEEP_ALIVE_TIMEOUT,
             // The setting limits pauses in a response on both sides of the gateway.
             write_timeout: Duration::from_millis(limits.idle_timeout_ms),
-            buffer_bytes: None,
+            buffer_bytes: BUFFER_BYTES,
             drain_timeout: Duration::from_millis(limits.drain_timeout_ms),
         }
     }
@@ -281,10 +283,8 @@
 impl CallerConnection {
     fn configure(&self, stream: &TcpStream) {
         let _ = stream.set_nodelay(true);
-        if let Some(bytes) = self.limits.buffer_bytes {
-            // Without it the connection only buffers more.
-            let _ = SockRef::from(stream).set_send_buffer_size(bytes);
-        }
+        // Without it the connection only buffers more.
+        let _ = SockRef::from(stream).set_send_buffer_size(self.limits.buffer_bytes);
     }
 
     /// Serves the connection, on which `received` has arrived before.
@@ -363,13 +363,11 @@
             .timer(TokioTimer::new())
             .max_header_list_size(header_bytes)
             .keep_alive_interval(HTTP2_PING_INTERVAL);
-        if let Some(bytes) = self.limits.buffer_bytes {
-            let window = u32::try_from(bytes).unwrap_or(u32::MAX);
-            builder
-                .max_send_buf_size(bytes)
-                .initial_stream_window_size(window)
-                .initial_connection_window_size(window);
-        }
+        let window = u32::try_from(self.limits.buffer_bytes).unwrap_or(u32::MAX);
+        builder
+            .max_send_buf_size(self.limits.buffer_bytes)
+            .initial_stream_window_size(window)
+            .initial_connection_window_size(window);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(io), service));
         let mut draining = false;
         loop {
--- a/lib/tests/test_entry_memory.rs
+++ b/lib/tests/test_entry_memory.rs
@@ -18,9 +18,8 @@
     let limits = ProcessLimits {
         descriptors: 3_000,
         memory_bytes: 88 << 20,
-        limits_bodies: true,
     };
-    limits.body_bytes().unwrap()
+    limits.body_bytes()
 }
 
 /// Requests of one workspace that arrive at a constant rate.
@@ -76,7 +75,7 @@
 
 /// Plays 20 s and checks the sum at each millisecond and the release at the end.
 fn play(loads: &mut [Load]) {
-    let memory = BodyMemory::new(MemoryBudget::new(Some(limit())));
+    let memory = BodyMemory::new(MemoryBudget::new(limit()));
     for now in 0..20_000 {
         for load in &mut *loads {
             load.run(now, &memory);
@@ -116,7 +115,7 @@
 #[test]
 fn workspaces_that_want_more_settle_at_even_parts() {
     let name = |n| Some(format_compact!("w{n}"));
-    let mut budget = MemoryBudget::new(Some(limit()));
+    let mut budget = MemoryBudget::new(limit());
     let body = 55 << 10;
     for round in 0..2_000 {
         for n in 0..4 {
@@ -138,7 +137,7 @@
 /// Guards against bytes that stay counted when a response is dropped before its caller has taken it.
 #[test]
 fn parts_are_released_as_they_are_taken_or_dropped() {
-    let memory = BodyMemory::new(MemoryBudget::new(Some(1_000)));
+    let memory = BodyMemory::new(MemoryBudget::new(1_000));
     let mut parts = HeldParts::new(memory.start(None));
     for _ in 0..5 {
         parts.push(Bytes::from_static(&[0; 100])).unwrap();
@@ -154,7 +153,7 @@
 
 #[test]
 fn change_of_state_is_reported_once() {
-    let mut budget = MemoryBudget::new(Some(1_000));
+    let mut budget = MemoryBudget::new(1_000);
     assert_eq!(budget.take_change(), None);
     budget.hold(&None, 400).unwrap();
     for _ in 0..3 {
