gateway: count the requests of HTTP/2 connections against the limit of connections

60 HTTP/2 connections with 150 requests each, with heads of 14 KB, filled a host: 561 MB on a machine of 55 MB, 314 MB with bounded buffers. Cause: the limit counts connections, and each carried up to 200 requests with a head, a body and a send buffer of its own.

An HTTP/2 connection now carries at most 32 requests, 16 KB of each wait to be sent, and it takes as many permits as requests; without them it is refused by GOAWAY with last stream 0, which says that none has run. The platform's callers use HTTP/1.1 and are not concerned.

--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -47,6 +47,17 @@
 /// Size of socket buffers and of the buffers of an HTTP/2 connection at the product's own interface,
 /// bytes.
 pub(crate) const BUFFER_BYTES: usize = 64 << 10;
+/// Most concurrent requests on one HTTP/2 connection. Each counts like a connection, with its head and
+/// its buffers.
+const HTTP2_STREAMS: u32 = 32;
+/// Most bytes that wait to be sent on one HTTP/2 stream.
+const HTTP2_STREAM_SEND_BYTES: usize = 16 << 10;
+/// Response to an HTTP/2 connection beyond the limit: empty settings, then a shutdown frame that says
+/// that none of its requests has run (RFC 9113, sections 6.5 and 6.8, error `ENHANCE_YOUR_CALM`).
+const HTTP2_REFUSAL: &[u8] = &[
+    0, 0, 0, 4, 0, 0, 0, 0, 0, // settings
+    0, 0, 8, 7, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0x0b, // last stream 0
+];
 /// Interval of HTTP/2 pings, which detect callers that are gone.
 const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(20);
 /// Idle connections are closed when fewer than the limit divided by this may still be accepted, so
@@ -227,6 +238,8 @@
             router: self.router.clone(),
             limits: (self.limits)(),
             requests: open.requests.clone(),
+            permits: self.permits.clone(),
+            refused: self.refused.clone(),
             stop: self.stop.clone(),
         };
         let gauge = self.gauge.clone();
@@ -277,6 +290,9 @@
     router: Router,
     limits: ConnectionLimits,
     requests: Arc<RequestCounter>,
+    /// Permits for the requests of an HTTP/2 connection.
+    permits: Arc<Semaphore>,
+    refused: IntCounter,
     stop: watch::Receiver<bool>,
 }
 
@@ -298,12 +314,20 @@
                     counter: (protocol == Protocol::Http1).then(|| counter.clone()),
                     write: self.limits.write_timeout,
                 };
-                let io = start.join(stream, timeouts);
+                let mut io = start.join(stream, timeouts);
                 match protocol {
                     Protocol::Http1 => self.serve_http1(io, counter).await,
                     Protocol::Http2 => {
                         // Requests on HTTP/2 are not counted, so the connection never counts as idle.
                         let _busy = InFlight::start(counter);
+                        let permits = self.permits.clone();
+                        let Ok(_streams) = permits.try_acquire_many_owned(HTTP2_STREAMS) else {
+                            self.refused.inc();
+                            let _ = io.write_all(HTTP2_REFUSAL).await;
+                            let _ = io.shutdown().await;
+                            io.discard_received();
+                            return;
+                        };
                         self.serve_http2(io).await;
                     }
                 }
@@ -362,10 +386,11 @@
         builder
             .timer(TokioTimer::new())
             .max_header_list_size(header_bytes)
+            .max_concurrent_streams(HTTP2_STREAMS)
             .keep_alive_interval(HTTP2_PING_INTERVAL);
         let window = u32::try_from(self.limits.buffer_bytes).unwrap_or(u32::MAX);
         builder
-            .max_send_buf_size(self.limits.buffer_bytes)
+            .max_send_buf_size(HTTP2_STREAM_SEND_BYTES)
             .initial_stream_window_size(window)
             .initial_connection_window_size(window);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(io), service));
