entry: limit the connections at the ports that are not for callers

800 silent connections at the port of readiness checks took 539 descriptors of 500, the ones that callers and servers need. Cause: these ports, and those for metrics of both interfaces, accepted without limit and waited for a head for ever.

They now have a limit and a timeout; at the limit the connection that has been idle for longest gives way, so that a check which sends its request at once is answered.

Evidence: silent_connections_at_the_port_of_readiness_checks failed before and passes now, 35 descriptors.

--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -27,7 +27,6 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
-use axum::serve::ListenerExt;
 use compact_str::CompactString;
 use futures::future::BoxFuture;
 use log::info;
@@ -79,9 +78,11 @@
 use crate::gateway::BackendPool;
 use crate::gateway::ConnectionLimits;
 use crate::gateway::HandoverLinks;
+use crate::gateway::PortLimits;
 use crate::gateway::Refusing;
 use crate::gateway::Server;
 use crate::gateway::accept_on_thread;
+use crate::gateway::serve_port;
 use crate::time::Clock;
 use crate::time::Timestamp;
 
@@ -114,9 +115,19 @@
 /// only once a third of a buffer is free, so a caller that reads slowly but steadily would seem to
 /// read nothing for longer than the write timeout.
 const SOCKET_BUFFER_BYTES: usize = 64 << 10;
-/// Descriptors reserved for uses other than callers and backend servers: listeners, calls to the
-/// platform and to other hosts, and the async runtime.
+/// Descriptors reserved for uses other than connections: listeners, calls to the platform and to other
+/// hosts, and the async runtime.
 const BASE_DESCRIPTORS: usize = 64;
+/// Limits on the connections for readiness checks, and the same for metrics.
+const CHECK_LIMITS: PortLimits = PortLimits {
+    connections: 16,
+    head_timeout: Duration::from_secs(30),
+};
+/// Divisor of the descriptors that gives the share for connections of other hosts. Each host of a failure
+/// domain has a few.
+const HOST_SHARE_DIVISOR: usize = 8;
+/// Connections of other hosts at least.
+const HOST_CONNECTIONS_MIN: usize = 32;
 /// How long a stopping host still accepts connections. The load balancer needs two failed readiness
 /// checks, a second apart, and some time to act on them.
 const STOP_ACCEPT_DURATION: Duration = Duration::from_millis(2_500);
@@ -158,7 +169,13 @@
     fn connections(&self) -> usize {
         let memory = self.memory_bytes.saturating_sub(BASE_BYTES);
         let memory = memory - self.body_bytes();
-        (memory / CONNECTION_BYTES).min(self.descriptors.saturating_sub(BASE_DESCRIPTORS))
+        let others = BASE_DESCRIPTORS + 2 * CHECK_LIMITS.connections + self.host_connections();
+        (memory / CONNECTION_BYTES).min(self.descriptors.saturating_sub(others))
+    }
+
+    /// Most connections of other hosts.
+    fn host_connections(&self) -> usize {
+        (self.descriptors / HOST_SHARE_DIVISOR).max(HOST_CONNECTIONS_MIN)
     }
 
     /// Most bytes of bodies held at once.
@@ -387,20 +404,9 @@
             stop: stopped,
         };
         let mut tasks = JoinSet::new();
-        let readiness = listen("readiness checks", parts.listen.readiness).await?;
-        let checks = Router::new()
-            .route(host.dialect.readiness_path, get(show_readiness))
-            .with_state(host.clone());
-        tasks.spawn(serve_router(readiness, checks));
-        let peers = listen("hosts of the failure domain", parts.listen.peers).await?;
-        tasks.spawn(serve_router(peers, hosts_router(&host, handed_over)));
-        if let Some(address) = parts.listen.metrics {
-            let metrics = listen("metrics", address).await?;
-            let router = Router::new()
-                .route("/metrics", get(show_metrics))
-                .with_state(host.clone());
-            tasks.spawn(serve_router(metrics, router));
-        }
+        let hosts = hosts_router(&host, handed_over);
+        let limits = parts.process_limits;
+        serve_ports(&mut tasks, &host, &parts.listen, limits, hosts).await?;
         let mut sources = parts.sources;
         let rollouts = sources.rollouts.take();
         if let Some(store) = rollouts {
@@ -528,16 +534,33 @@
     accept_on_thread(listener, stopped, refusing).context(ListenSnafu { purpose, address })
 }
 
-/// Serves HTTP requests until the task is dropped. A failure is logged, and that listener stays
-/// closed.
-async fn serve_router(listener: TcpListener, router: Router) {
-    let listener = listener.tap_io(|stream| {
-        // Without it small frames of handed-over requests wait for others.
-        let _ = stream.set_nodelay(true);
-    });
-    if let Err(err) = axum::serve(listener, router).await {
-        warn!(target: "host", reason = err.to_string(); "HTTP listener failed");
+/// Starts to serve the ports that are not for callers.
+async fn serve_ports(
+    tasks: &mut JoinSet<()>,
+    host: &Arc<EntryHost>,
+    listen_on: &ListenAddresses,
+    limits: ProcessLimits,
+    hosts: Router,
+) -> Result<(), EntryError> {
+    let readiness = listen("readiness checks", listen_on.readiness).await?;
+    let checks = Router::new()
+        .route(host.dialect.readiness_path, get(show_readiness))
+        .with_state(host.clone());
+    tasks.spawn(serve_port(readiness, checks, CHECK_LIMITS));
+    let peers = listen("hosts of the failure domain", listen_on.peers).await?;
+    let host_limits = PortLimits {
+        connections: limits.host_connections(),
+        ..CHECK_LIMITS
+    };
+    tasks.spawn(serve_port(peers, hosts, host_limits));
+    if let Some(address) = listen_on.metrics {
+        let metrics = listen("metrics", address).await?;
+        let router = Router::new()
+            .route("/metrics", get(show_metrics))
+            .with_state(host.clone());
+        tasks.spawn(serve_port(metrics, router, CHECK_LIMITS));
     }
+    Ok(())
 }
 
 /// What this host serves to other hosts: objects of the platform, and requests that they hand over.
--- a/lib/src/metrics/serve.rs
+++ b/lib/src/metrics/serve.rs
@@ -1,6 +1,7 @@
 //! HTTP listener for metrics and health checks.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::Router;
 use axum::extract::State;
@@ -13,10 +14,18 @@
 
 use super::registry::Metrics;
 use crate::control::ControlHandle;
+use crate::gateway::PortLimits;
+use crate::gateway::serve_port;
 
 /// Media type of the Prometheus text format.
 const TEXT_FORMAT: &str = "text/plain; version=0.0.4; charset=utf-8";
 
+/// Limits on the connections.
+const LIMITS: PortLimits = PortLimits {
+    connections: 32,
+    head_timeout: Duration::from_secs(30),
+};
+
 /// State shared by all handlers.
 #[derive(Clone)]
 struct HandlerState {
@@ -34,8 +43,7 @@
         .route("/livez", get(get_liveness))
         .route("/readyz", get(get_readiness))
         .with_state(HandlerState { metrics, control });
-    // Errors of single connections do not end `axum::serve`.
-    let _ = axum::serve(listener, router).await;
+    serve_port(listener, router, LIMITS).await;
 }
 
 async fn get_metrics(State(state): State<HandlerState>) -> Response {
