entry: answer bodies that are announced too large with 413 at once

A caller that announced a body over the limit was told 503 host-memory, with 1 s to come back, if the part that fits did not fit in the memory either, and 413 only after the host had read as much as is allowed. Cause: the announced length was compared with the free memory only if it was allowed.

Evidence: caller_gets_the_refusal_of_a_body_that_it_still_sends failed before (503) and passes now.

--- a/lib/src/entry/forward.rs
+++ b/lib/src/entry/forward.rs
@@ -308,17 +308,16 @@
 
 /// Reads a request body up to the configured size limit. Only bytes that have arrived are held, so
 /// that a caller that announces a large body and sends it slowly takes no memory from others. A body
-/// that is announced to be larger than there is room for is not read.
+/// that is announced to be larger than the limit, or than there is room for, is not read.
 async fn read_body(host: &EntryHost, body: Body, mut held: HeldBytes) -> Result<ReadBody, Reason> {
     let limit = host.fleet().config().map_or(0, |c| c.limits.body_bytes);
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
     let announced = body.size_hint().exact();
     let announced = announced.map(|len| usize::try_from(len).unwrap_or(usize::MAX));
-    let is_allowed = |len: &usize| *len <= limit;
-    if announced
-        .filter(is_allowed)
-        .is_some_and(|len| held.check(len).is_err())
-    {
+    if announced.is_some_and(|len| len > limit) {
+        return Err(Reason::BodyTooLarge);
+    }
+    if announced.is_some_and(|len| held.check(len).is_err()) {
         return Err(Reason::HostMemory);
     }
     let mut body = Limited::new(body, limit);
