--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -82,6 +82,7 @@
 use crate::gateway::Refusing;
 use crate::gateway::Server;
 use crate::gateway::accept_on_thread;
+use crate::gateway::limit_receive_buffers;
 use crate::gateway::serve_port;
 use crate::time::Clock;
 use crate::time::Timestamp;
@@ -110,7 +111,7 @@
 /// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies. On a host of 88 MB it gives 17 MB: four bodies of the largest size that configurations allow, or one of
 /// the usual 9 KB for each of 1,900 requests, which is more than its connections of callers.
 const BODY_SHARE_DIVISOR: usize = 4;
-/// Size of the socket buffers towards callers and from servers, bytes. The kernel
+/// Size of the socket buffers of callers, and of those from servers, bytes. The kernel
 /// lets buffers of its own choice grow to megabytes, which a slow caller fills. It also asks for more
 /// only once a third of a buffer is free, so a caller that reads slowly but steadily would seem to
 /// read nothing for longer than the write timeout.
@@ -520,6 +521,7 @@
 ) -> Result<(Accepted, WeakSender<AcceptedConnection>), EntryError> {
     let purpose = "callers";
     let listener = listen(purpose, address).await?;
+    limit_receive_buffers(&listener, SOCKET_BUFFER_BYTES);
     let (behind_host, deciding_host) = (host.clone(), host.clone());
     let is_behind = move || {
         let late = behind_host.lag.current(behind_host.clock.now());
--- a/lib/src/gateway/accept.rs
+++ b/lib/src/gateway/accept.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener as StdListener;
 use std::net::TcpStream;
+use std::os::fd::AsFd;
 use std::time::Duration;
 
 use axum::http::HeaderValue;
@@ -23,6 +24,7 @@
 use rustix::net::RecvFlags;
 use rustix::net::SendFlags;
 use rustix::net::SocketFlags;
+use socket2::SockRef;
 use tokio::io::DuplexStream;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -60,6 +62,13 @@
 /// How often the accepting thread waits [`REFUSING_PAUSE`] for the first bytes of a connection.
 const LOOKS_MAX: u32 = 3;
 
+/// Bounds the receive buffers of the connections that a listener accepts. The kernel lets them grow to
+/// megabytes each, which callers fill that send faster than their requests are read.
+pub(crate) fn limit_receive_buffers(listener: &impl AsFd, bytes: usize) {
+    // Without it connections only buffer more.
+    let _ = SockRef::from(listener).set_recv_buffer_size(bytes);
+}
+
 /// Connections that were accepted. The channel is closed after the stop signal, when the listener is
 /// closed.
 pub(crate) type Accepted = mpsc::Receiver<AcceptedConnection>;
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 pub(crate) use self::accept::Refusing;
 use self::accept::accept_in_task;
 pub(crate) use self::accept::accept_on_thread;
+pub(crate) use self::accept::limit_receive_buffers;
 use self::auth::Authenticator;
 pub(crate) use self::backend::BackendPool;
 pub(crate) use self::backend::ConnectError;
@@ -121,6 +122,7 @@
     /// Returns the operating system's error if it cannot provide random bytes for the prefix of
     /// request identifiers.
     pub fn new(parts: GatewayParts) -> Result<Self, getrandom::Error> {
+        limit_receive_buffers(&parts.listener, BUFFER_BYTES);
         let shared = Arc::new(Shared {
             control: parts.control,
             limits: parts.limits.clone(),
