entry: smaller socket buffers on callers' connections

With 64 KB 1,200 clients that send chunks of one byte, on all connections of a host with 110 MB, took 191 MB: 69 resident and 122 in sockets. Such chunks are read more slowly than they arrive, the kernel holds up to twice the size of a receive buffer, and the plan of a host's memory has 28 KiB for a connection.

A body of 4 MB is still read in about 256 round trips.

The plays of harmful parts now draw one harmful request in 10, 20 and 100.

--- a/daemon/tests/crowd/mod.rs
+++ b/daemon/tests/crowd/mod.rs
@@ -15,6 +15,10 @@
 use hyper::client::conn::http2;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
+use rustix::process::getrlimit;
+use rustix::process::setrlimit;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -66,6 +70,16 @@
     pub(crate) complete_every: usize,
 }
 
+/// Lets this process open as many connections as it may.
+pub(crate) fn raise_descriptor_limit() {
+    let limit = getrlimit(Resource::Nofile);
+    let raised = Rlimit {
+        current: limit.maximum,
+        ..limit
+    };
+    setrlimit(Resource::Nofile, raised).unwrap();
+}
+
 /// Sends all that the crowd has to send, and stays for a while. Clients don't read their responses.
 pub(crate) async fn send_crowd(host: SocketAddr, crowd: Crowd) {
     let mut clients = JoinSet::new();
--- a/daemon/tests/test_crowds.rs
+++ b/daemon/tests/test_crowds.rs
@@ -24,6 +24,7 @@
 use crate::crowd::Crowd;
 use crate::crowd::Form;
 use crate::crowd::Usage;
+use crate::crowd::raise_descriptor_limit;
 use crate::crowd::send_crowd;
 use crate::host::Host;
 use crate::stand_ins::Behavior;
@@ -44,6 +45,11 @@
     memory_mb: 55,
     descriptors: 500,
 };
+/// A machine on which more connections fit.
+const LARGER_MACHINE: MachineLimits = MachineLimits {
+    memory_mb: 110,
+    descriptors: 4_100,
+};
 /// Limit of bodies in the configuration, bytes.
 const BODY_BYTES: usize = 2 << 20;
 /// The largest bodies that configurations of the users allow.
@@ -63,6 +69,7 @@
 /// A host, a model and a plain service.
 struct Site {
     host: Host,
+    machine: MachineLimits,
     usage: Usage,
     store: StandInStore,
     _servers: [StandInServer; 2],
@@ -84,7 +91,12 @@
 
 impl Site {
     async fn start(number: u8, body_bytes: usize) -> Self {
+        Self::start_on(number, body_bytes, MACHINE).await
+    }
+
+    async fn start_on(number: u8, body_bytes: usize, machine: MachineLimits) -> Self {
         let turn = ONE_AT_A_TIME.lock().await;
+        raise_descriptor_limit();
         let store = StandInStore::start().await;
         let mut servers = Vec::new();
         for service in ["model", "ledger"] {
@@ -94,10 +106,11 @@
         }
         store.put("config", "main", crowded_config(1, body_bytes));
         let folder = tempfile::tempdir().unwrap();
-        let host = Host::start_limited(number, folder.path(), store.address, MACHINE);
+        let host = Host::start_limited(number, folder.path(), store.address, machine);
         let site = Self {
             usage: Usage::start(host.process_id(), host.callers()),
             host,
+            machine,
             store,
             _servers: servers.try_into().ok().unwrap(),
             _folder: folder,
@@ -145,10 +158,10 @@
             "{resident} bytes resident, {queued} in sockets, {descriptors} descriptors at most"
         );
         assert!(
-            resident + queued <= MACHINE.memory_mb << 20,
+            resident + queued <= self.machine.memory_mb << 20,
             "{resident} bytes resident, {queued} in sockets"
         );
-        assert!(descriptors <= MACHINE.descriptors, "{descriptors}");
+        assert!(descriptors <= self.machine.descriptors, "{descriptors}");
         self.wait_for_ordinary().await;
     }
 
@@ -206,6 +219,20 @@
     endure(4, crowd).await;
 }
 
+/// As many clients as a larger machine has connections for. Chunks of one byte are read more slowly than
+/// they arrive.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bodies_in_chunks_of_one_byte_on_all_connections() {
+    let crowd = Crowd {
+        form: Form::Chunked(1),
+        clients: 1_200,
+        body_bytes: 64 << 10,
+        ..CROWD
+    };
+    let site = Site::start_on(17, BODY_BYTES, LARGER_MACHINE).await;
+    site.endure(crowd).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn bodies_that_are_announced_far_over_the_limit() {
     let crowd = Crowd {
--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -97,7 +97,7 @@
     head_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
     write_timeout: Duration::from_secs(15),
-    buffer_bytes: SOCKET_BUFFER_BYTES,
+    buffer_bytes: CALLER_SEND_BYTES,
     drain_timeout: Duration::ZERO,
 };
 /// Divisor of the connection limit that gives the share for callers: half for callers, half for
@@ -111,11 +111,16 @@
 /// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies. On a host of 88 MB it gives 17 MB: four bodies of the largest size that configurations allow, or one of
 /// the usual 9 KB for each of 1,900 requests, which is more than its connections of callers.
 const BODY_SHARE_DIVISOR: usize = 4;
-/// Size of the socket buffers of callers, and of those from servers, bytes. The kernel
-/// lets buffers of its own choice grow to megabytes, which a slow caller fills. It also asks for more
-/// only once a third of a buffer is free, so a caller that reads slowly but steadily would seem to
-/// read nothing for longer than the write timeout.
-const SOCKET_BUFFER_BYTES: usize = 64 << 10;
+/// Size of the receive buffers of connections to servers, bytes. The kernel lets buffers of its own choice
+/// grow to megabytes.
+const SERVER_BUFFER_BYTES: usize = 64 << 10;
+/// Size of the receive buffers of callers' connections, bytes. The kernel holds up to twice as much, on
+/// every connection that sends faster than it is read.
+const CALLER_RECEIVE_BYTES: usize = 16 << 10;
+/// Size of the send buffers of callers' connections, bytes. The kernel asks for more only once a third of a
+/// buffer is free, so with a large one a caller that reads slowly but steadily would seem to read nothing
+/// for longer than the write timeout.
+const CALLER_SEND_BYTES: usize = 32 << 10;
 /// Descriptors reserved for uses other than connections: listeners, calls to the platform and to other
 /// hosts, and the async runtime.
 const BASE_DESCRIPTORS: usize = 64;
@@ -377,7 +382,7 @@
             pool: BackendPool::new(
                 parts.clock,
                 parts.process_limits.server_connections(),
-                SOCKET_BUFFER_BYTES,
+                SERVER_BUFFER_BYTES,
             ),
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
             body_memory: BodyMemory::new(MemoryBudget::new(parts.process_limits.body_bytes())),
@@ -521,7 +526,7 @@
 ) -> Result<(Accepted, WeakSender<AcceptedConnection>), EntryError> {
     let purpose = "callers";
     let listener = listen(purpose, address).await?;
-    limit_receive_buffers(&listener, SOCKET_BUFFER_BYTES);
+    limit_receive_buffers(&listener, CALLER_RECEIVE_BYTES);
     let (behind_host, deciding_host) = (host.clone(), host.clone());
     let is_behind = move || {
         let late = behind_host.lag.current(behind_host.clock.now());
--- a/lib/tests/test_entry_quarantine.rs
+++ b/lib/tests/test_entry_quarantine.rs
@@ -126,6 +126,8 @@
     /// the hosts see its connections close.
     end: DrawEnd,
     has_harmful: bool,
+    /// One in this many requests is harmful.
+    harmful_every: u64,
     /// Whether engines also end for other reasons: three of them at once, every four seconds.
     has_other_ends: bool,
     seed: u64,
@@ -139,6 +141,7 @@
     restarts: |_| None,
     end: |_| (0, 0),
     has_harmful: true,
+    harmful_every: 20,
     has_other_ends: false,
     seed: 1,
 };
@@ -171,7 +174,7 @@
                 &mut end,
                 &mut outcome,
             );
-            let is_harmful = self.has_harmful && n % 20 == 7 && now >= 2_000;
+            let is_harmful = self.has_harmful && n % self.harmful_every == 7 && now >= 2_000;
             let parts = match is_harmful {
                 true => (self.harmful_parts)(n),
                 false => vec![FIRST_PART, 100 + n % 40],
@@ -369,6 +372,7 @@
     for (end, has_other_ends) in ends.into_iter().flat_map(|end| [(end, false), (end, true)]) {
         for seed in 0..5 {
             let play = Play {
+                harmful_every: [10, 20, 100][seed as usize % 3],
                 end,
                 has_other_ends,
                 seed,
