--- a/lib/src/entry/schedule/quarantine.rs
+++ b/lib/src/entry/schedule/quarantine.rs
@@ -8,12 +8,13 @@
 //! How an end shows differs: connections close before the head of a response, after it or after some
 //! events, at once or after a time of silence. So each request that a run of an engine took with it is a
 //! candidate, with its parts. One that sound requests share is soon answered elsewhere, which clears it.
-//! Of the others, the fewest that explain all crashes are blamed: first the one that explains the most,
-//! parts that were never answered before those that were, and a single request before its parts.
+//! Of the others, the fewest that explain all crashes are blamed, one after the other: those that were
+//! never answered before those that were, of these the one that explains the most crashes, and a single
+//! request before its parts.
 //!
 //! From the second crash on, requests with a blamed part are sent one at a time, as trials. If a trial
 //! ends its engine too, the part is held back, each time for longer. A single request that comes again
-//! and again is held back by itself (see `request_quarantine`), and its parts stay free. Hosts tell each
+//! and again is held back by itself (see `crashing`), and its parts stay free. Hosts tell each
 //! other of crashes in their schedule requests and decisions, so that neither another scheduler nor a
 //! restarted host has to learn the same by further crashes.
 
