--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -108,8 +108,9 @@
 const CONNECTION_BYTES: usize = 28 << 10;
 /// Memory that the process uses without any connection, bytes.
 const BASE_BYTES: usize = 20 << 20;
-/// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies. On a host of 88 MB it gives 17 MB: four bodies of the largest size that configurations allow, or one of
-/// the usual 9 KB for each of 1,900 requests, which is more than its connections of callers.
+/// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies. On a host of 88 MB it
+/// gives 17 MB: four bodies of the largest size that configurations allow, or one of the usual 9 KB for
+/// each of 1,900 requests, which is more than its connections of callers.
 const BODY_SHARE_DIVISOR: usize = 4;
 /// Size of the receive buffers of connections to servers, bytes. The kernel lets buffers of its own choice
 /// grow to megabytes.
