entry: lend bodies the memory that connections do not use

Bodies may now hold half of the memory beyond the base while few connections are open, and a quarter in any case. A new connection is refused if the bodies that are held leave no room for it, so both together stay within the plan; the other half covers what the plan does not have, as the kernel's buffers.

--- a/lib/src/entry/host.rs
+++ b/lib/src/entry/host.rs
@@ -108,10 +108,14 @@
 const CONNECTION_BYTES: usize = 28 << 10;
 /// Memory that the process uses without any connection, bytes.
 const BASE_BYTES: usize = 20 << 20;
-/// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies. On a host of 88 MB it
-/// gives 17 MB: four bodies of the largest size that configurations allow, or one of the usual 9 KB for
-/// each of 1,900 requests, which is more than its connections of callers.
+/// Divisor of the memory beyond [`BASE_BYTES`] that gives the share for bodies, which they have also if all
+/// connections are open. On a host of 88 MB it gives 17 MB: four bodies of the largest size that
+/// configurations allow, or one of the usual 9 KB for each of 1,900 requests, which is more than its
+/// connections of callers.
 const BODY_SHARE_DIVISOR: usize = 4;
+/// Divisor for the share that bodies may have while few connections are open. The rest is for what the
+/// process holds beyond the plan.
+const BODY_SHARE_MAX_DIVISOR: usize = 2;
 /// Size of the receive buffers of connections to servers, bytes. The kernel lets buffers of its own choice
 /// grow to megabytes.
 const SERVER_BUFFER_BYTES: usize = 64 << 10;
@@ -185,12 +189,22 @@
         (self.descriptors / HOST_SHARE_DIVISOR).max(HOST_CONNECTIONS_MIN)
     }
 
-    /// Most bytes of bodies held at once.
+    /// Bytes of bodies that may be held at once also if all connections are open.
     pub fn body_bytes(&self) -> usize {
         let memory = self.memory_bytes.saturating_sub(BASE_BYTES);
         memory / BODY_SHARE_DIVISOR
     }
 
+    /// Bytes of bodies that may be held at once beside a number of callers' connections, each with one to a
+    /// server.
+    pub fn body_bytes_beside(&self, connections: usize) -> usize {
+        let memory = self.memory_bytes.saturating_sub(BASE_BYTES);
+        let connections = connections.saturating_mul(2 * CONNECTION_BYTES);
+        let left = memory.saturating_sub(connections);
+        left.min(memory / BODY_SHARE_MAX_DIVISOR)
+            .max(self.body_bytes())
+    }
+
     fn caller_connections(&self) -> usize {
         self.connections() / CALLER_SHARE_DIVISOR
     }
@@ -335,6 +349,15 @@
         }
     }
 
+    /// Whether the bodies that are held leave room for a number of callers' connections. Sets how many more
+    /// may be held beside them.
+    fn has_room(&self, process_limits: ProcessLimits, connections: usize) -> bool {
+        let limit = process_limits.body_bytes_beside(connections);
+        let mut budget = self.body_memory.budget();
+        budget.set_limit(limit);
+        budget.held() <= limit
+    }
+
     /// Limits for callers' connections: from the active configuration or the defaults, and for
     /// their number from the limits of the process.
     fn connection_limits(&self, process_limits: ProcessLimits) -> ConnectionLimits {
@@ -386,7 +409,9 @@
                 SERVER_BUFFER_BYTES,
             ),
             stats: EntryStats::new(parts.log_dropped).context(StatsSnafu)?,
-            body_memory: BodyMemory::new(MemoryBudget::new(parts.process_limits.body_bytes())),
+            body_memory: BodyMemory::new(MemoryBudget::new(
+                parts.process_limits.body_bytes_beside(0),
+            )),
             link: Link::new(socket, &parts.own, rand::random()),
             handover_links: Arc::default(),
             mirrors: Mirrors::default(),
@@ -399,12 +424,14 @@
         });
         host.fleet().weigh_plain_servers(parts.weighs_plain_servers);
         let (stop, stopped) = watch::channel(false);
-        let limits_host = host.clone();
+        let (limits_host, room_host) = (host.clone(), host.clone());
+        let has_room = move |open| room_host.has_room(parts.process_limits, open);
         let accepting = accept_callers(&host, parts.listen.callers, stopped.clone());
         let (accepted, handed_over) = accepting.await?;
         let callers = Server {
             router: Router::new().fallback(serve).with_state(host.clone()),
             limits: Box::new(move || limits_host.connection_limits(parts.process_limits)),
+            has_room: Box::new(has_room),
             close_idle: host.lag.close_idle(),
             connections: host.stats.callers.connections.clone(),
             connections_refused: host.stats.callers.refused.clone(),
--- a/lib/src/gateway/memory_budget.rs
+++ b/lib/src/gateway/memory_budget.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Changes the limit. What is held stays, also if it is more.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     /// Bytes held for all workspaces.
     pub fn held(&self) -> usize {
         self.held
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -148,6 +148,8 @@
             server: Server {
                 router: router(Arc::new(state)),
                 limits: Box::new(move || limits),
+                // Bodies have a limit of their own.
+                has_room: Box::new(|_| true),
                 close_idle: Arc::default(),
                 connections: parts.metrics.connections.clone(),
                 connections_refused: parts.metrics.connections_refused.clone(),
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -110,6 +110,9 @@
     /// Returns the limits that apply to the next connection. The number of connections is read only
     /// when serving starts, and the drain timeout at the stop.
     pub(crate) limits: Box<dyn Fn() -> ConnectionLimits + Send + Sync>,
+    /// Whether there is memory for a number of open connections. Called for each new one, and when some
+    /// have ended.
+    pub(crate) has_room: Box<dyn Fn(usize) -> bool + Send + Sync>,
     /// Notified when all idle connections are to be closed.
     pub(crate) close_idle: Arc<Notify>,
     /// Metric: open connections.
@@ -128,6 +131,8 @@
         let mut connections = Connections {
             router: self.router,
             permits: Arc::new(Semaphore::new(limit)),
+            limit,
+            has_room: self.has_room,
             spare: limit / SPARE_DIVISOR,
             waiting: Arc::default(),
             limits: self.limits,
@@ -145,7 +150,10 @@
                     continue;
                 }
                 // Removes tasks of closed connections from the set.
-                Some(_) = connections.tasks.join_next() => continue,
+                Some(_) = connections.tasks.join_next() => {
+                    connections.has_room_for(0);
+                    continue;
+                }
             };
             // The channel is closed after the stop signal.
             let Some(accepted) = accepted else {
@@ -164,6 +172,9 @@
     gauge: IntGauge,
     refused: IntCounter,
     stop: watch::Receiver<bool>,
+    /// Most open connections.
+    limit: usize,
+    has_room: Box<dyn Fn(usize) -> bool + Send + Sync>,
     /// One permit per connection that may still be accepted.
     permits: Arc<Semaphore>,
     /// Number of permits below which idle connections are closed.
@@ -180,6 +191,10 @@
     /// Serves a connection. At the connection limit idle ones make room; if all are busy, it is
     /// refused.
     fn admit(&mut self, accepted: AcceptedConnection) {
+        if !self.has_room_for(1) {
+            self.refuse_connection(accepted.io);
+            return;
+        }
         let closing = match self.permits.available_permits() <= self.spare {
             true => self.open.close_idle(self.spare + 1),
             false => 0,
@@ -209,6 +224,12 @@
         }
     }
 
+    /// Whether there is memory for the open connections and more.
+    fn has_room_for(&self, more: usize) -> bool {
+        let open = self.limit.saturating_sub(self.permits.available_permits());
+        (self.has_room)(open + more)
+    }
+
     /// Waits for the open connections. Those still open after the drain timeout are aborted.
     async fn drain(mut self) {
         let timeout = (self.limits)().drain_timeout;
--- a/lib/tests/test_entry_memory.rs
+++ b/lib/tests/test_entry_memory.rs
@@ -170,3 +170,28 @@
     assert_eq!(budget.take_change(), Some(MemoryChange::Relieved));
     assert_eq!(budget.take_change(), None);
 }
+
+/// Guards against memory that is kept for connections while there are few, and against bodies and connections
+/// that together exceed the memory.
+#[test]
+fn bodies_take_the_memory_that_connections_leave() {
+    for memory_mb in [55, 88, 110, 512] {
+        let limits = ProcessLimits {
+            descriptors: 10_000,
+            memory_bytes: memory_mb << 20,
+        };
+        let rest = limits.memory_bytes - (20 << 20);
+        assert_eq!(limits.body_bytes_beside(0), rest / 2);
+        let mut last = usize::MAX;
+        for connections in 0..10_000 {
+            let bodies = limits.body_bytes_beside(connections);
+            assert!((limits.body_bytes()..=last).contains(&bodies));
+            let all = bodies + connections * (56 << 10);
+            assert!(
+                all <= rest || bodies == limits.body_bytes(),
+                "{connections}"
+            );
+            last = bodies;
+        }
+    }
+}
