--- a/review/stand_ins_2/many_parts.rs
+++ b/review/stand_ins_2/many_parts.rs
@@ -29,6 +29,8 @@
 const PAUSE: Duration = Duration::from_millis(7);
 /// When the worker crashes, after the first prompt.
 const CRASH_AFTER: Duration = Duration::from_millis(4_000);
+/// How long they are down, as long as in the site file.
+const DOWN: Duration = Duration::from_millis(4_500);
 /// Time-out of the plain routes in the config, which is also their clients' deadline.
 const TIMEOUT: Duration = Duration::from_millis(4_000);
 /// By how much later an answer has to be there.
@@ -122,6 +124,17 @@
         .collect();
     let _ = writeln!(record, "memory of the hosts: {memory:?} MB of {MEMORY_MB}");
     let mut unready = 0;
+    let of_zone = deployment
+        .model
+        .iter()
+        .filter(|worker| worker.zone == ZONES[0]);
+    let down: Vec<_> = of_zone.filter(|_| has_trouble).cloned().collect();
+    let store = deployment.store.clone();
+    let returning = std::thread::spawn(move || {
+        std::thread::sleep((CRASH_AFTER + DOWN).saturating_sub(began.elapsed()));
+        down.iter().for_each(|worker| worker.restart("v1", &store));
+        began.elapsed()
+    });
     while began.elapsed() < until {
         let next = Instant::now() + Duration::from_secs(1);
         for host in &deployment.hosts {
@@ -133,6 +146,10 @@
         }
         std::thread::sleep(next.saturating_duration_since(Instant::now()));
     }
+    let back_at = returning.join().unwrap_or_default().as_secs_f64();
+    if has_trouble {
+        let _ = writeln!(record, "{back_at:.2} s: they were back");
+    }
     senders.into_iter().for_each(|sender| drop(sender.join()));
     std::thread::sleep(PATIENCE.min(Duration::from_secs(12)));
     let mut probes = std::mem::take(&mut *probes.lock().unwrap());
--- a/review/stand_ins_2/store.rs
+++ b/review/stand_ins_2/store.rs
@@ -64,6 +64,21 @@
         changed.notify_all();
     }
 
+    /// Removes an object, if there is one.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().unwrap();
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(object) = state.objects.remove(&key) else {
+            return;
+        };
+        state.revision += 1;
+        let event = format!("{{\"deleted\":true,\"object\":{object}}}");
+        let revision = state.revision;
+        state.log.push((revision, kind.to_owned(), event));
+        changed.notify_all();
+    }
+
     pub fn count(&self, kind: &str) -> usize {
         let state = self.state.0.lock().unwrap();
         state.objects.keys().filter(|(k, _)| k == kind).count()
--- a/review/stand_ins_2/worker.rs
+++ b/review/stand_ins_2/worker.rs
@@ -143,9 +143,16 @@
         let (worker, store) = (self.clone(), store.clone());
         std::thread::spawn(move || {
             std::thread::sleep(offset);
+            let mut missed = 0;
             for sequence in 2.. {
                 std::thread::sleep(Duration::from_millis(1_200));
                 worker.write_entry(&store, sequence);
+                let is_down = worker.is_down.load(Ordering::SeqCst);
+                missed = if is_down { missed + 1 } else { 0 };
+                // The store removes the entry after three intervals of silence.
+                if missed == 3 {
+                    store.remove("servers", &worker.id);
+                }
             }
         });
     }
