store: encode the name that a page of a list starts after

What callers saw: an entry of another writer stood in a list that has several pages, under a name with a character such as &, +, #, % or a blank. Hosts that started while it stood answered 503 to almost every request, until it was removed.

Cause: a host asks for the next page with the name of the last entry of this one, and put that name into the query as it was. After &, + or # the store reads another name, gives the same page again, and the host asks for it again without end. %7E is read as ~, and the host took a list without the entries in between for the whole. With a blank, a quote or a control character no request can be built, which counts as a store that does not answer. With &watch=1 the list became a watch. In each case the host lacked servers, or objects of another kind.

Change: the name is percent-encoded but for the unreserved characters of RFC 3986, so each store reads the name that it gave. The function also replaces the one that the object API had of its own; it is now from the library percent-encoding, which other dependencies use already.

--- a/lib/src/platform/http.rs
+++ b/lib/src/platform/http.rs
@@ -17,6 +17,9 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
+use percent_encoding::AsciiSet;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use snafu::Snafu;
 use tokio::time::Instant;
 
@@ -27,6 +30,12 @@
 /// heads (status 1xx) without end keeps a thread busy for up to 128 such buffers before other work gets
 /// its turn.
 const READ_BUFFER_MAX_BYTES: usize = 16 << 10;
+/// All characters but the unreserved ones of RFC 3986.
+const RESERVED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
 /// Response header with the version of an object.
 pub(crate) const VERSION_HEADER: &str = "x-version";
 
@@ -175,6 +184,12 @@
     }
 }
 
+/// Encodes the name of an object for the path or the query of a URI. Names may have any characters, since
+/// others choose them.
+pub fn encode_name(name: &str) -> String {
+    utf8_percent_encode(name, RESERVED).to_string()
+}
+
 async fn read_body(body: Incoming) -> Result<Bytes, CallError> {
     let limited = Limited::new(body, MAX_RESPONSE_BYTES);
     let collected = limited
--- a/lib/src/platform/mod.rs
+++ b/lib/src/platform/mod.rs
@@ -15,6 +15,7 @@
 pub use http::CallOptions;
 pub use http::HttpClient;
 pub use http::Reply;
+pub use http::encode_name;
 pub(crate) use http::format_error_chain;
 pub use object::CONFIGURATION_KIND;
 pub use object::CONFIGURATION_NAME;
--- a/lib/src/platform/object.rs
+++ b/lib/src/platform/object.rs
@@ -21,6 +21,7 @@
 use super::http::CallOptions;
 use super::http::HttpClient;
 use super::http::Reply;
+use super::http::encode_name;
 
 /// Kind of the configuration object.
 pub const CONFIGURATION_KIND: &str = "configuration";
@@ -217,18 +218,9 @@
     }
 }
 
-/// Returns the URL path of an object. Bytes of the name outside the unreserved characters of RFC
-/// 3986 are percent-encoded, because names of operation records are derived from callers' input.
+/// Returns the URL path of an object.
 fn path(kind: &str, name: &str) -> String {
-    let mut path = format!("/objects/{kind}/");
-    for b in name.bytes() {
-        if b.is_ascii_alphanumeric() || b"-._~".contains(&b) {
-            path.push(char::from(b));
-        } else {
-            path.push_str(&format!("%{b:02X}"));
-        }
-    }
-    path
+    format!("/objects/{kind}/{}", encode_name(name))
 }
 
 fn into_object(reply: Reply) -> Result<Object, ObjectError> {
