source: pause between calls whose answers are of no use

What callers saw: nothing yet, but a host called the store without pauses while reading failed at once, each time. Calls are paid for and limited for the whole fleet, and beyond the limit the store refuses every host.

Cause: an answer that cannot be parsed, and status 410 (history gone), are no outage of the store, so the gate for outages lets the next call through at once. Nothing else bounded the calls. The list that follows a 410 may succeed each time, so a count of failures in succession would not have seen it either.

Change: each follower paces its own calls. The first answer of no use is followed up at once, since a list makes up for history that is gone; then pauses grow to 600 ms, like those in an outage, until a watch is answered. Other kinds are not delayed.

--- a/lib/src/entry/mod.rs
+++ b/lib/src/entry/mod.rs
@@ -173,6 +173,7 @@
 pub use servers::ServerKey;
 pub use servers::Servers;
 pub use source::Acceptance;
+pub use source::CallPacing;
 pub use source::Change;
 pub use source::Changes;
 pub use source::Decode;
--- a/lib/src/entry/source/follower.rs
+++ b/lib/src/entry/source/follower.rs
@@ -18,6 +18,7 @@
 use log::warn;
 
 use super::Acceptance;
+use super::CallPacing;
 use super::Change;
 use super::FollowPosition;
 use super::Item;
@@ -101,6 +102,8 @@
     /// Hosts to ask in order; empty if this host reads from the platform itself.
     mirror_hosts: Vec<MirrorHost>,
     position: FollowPosition,
+    /// Delays calls to the platform while its answers are of no use.
+    pacing: CallPacing,
     /// Since when no mirror host has served the objects, `None` while one does.
     unserved_since: Option<Timestamp>,
 }
@@ -121,6 +124,7 @@
         source,
         mirror_hosts: Vec::new(),
         position: FollowPosition::default(),
+        pacing: CallPacing::default(),
         unserved_since: None,
     };
     loop {
@@ -174,7 +178,8 @@
                 return Err(SourceError::NotServed);
             }
         }
-        if self.host.store_gate().admit(now).is_err() {
+        tokio::time::sleep(self.pacing.wait(now)).await;
+        if self.host.store_gate().admit(self.host.clock.now()).is_err() {
             return Err(SourceError::NotServed);
         }
         let result = self.fetch_from_platform().await;
@@ -249,8 +254,8 @@
         }
     }
 
-    /// Counts a call to the platform and updates the gate for further calls.
-    fn on_platform_result(&self, result: &Result<Fetched, SourceError>) {
+    /// Counts a call to the platform and decides when further calls may be made.
+    fn on_platform_result(&mut self, result: &Result<Fetched, SourceError>) {
         let call = match self.position.watch_after() {
             None => "list",
             Some(_) => "watch",
@@ -265,10 +270,16 @@
             .platform_calls
             .with_label_values(&[self.source.kind, call, outcome])
             .inc();
+        let now = self.host.clock.now();
+        match result {
+            Ok(fetched) if !fetched.content.is_full() => self.pacing.on_watched(),
+            Err(_) if is_answered => self.pacing.on_useless(now),
+            _ => {}
+        }
         let mut gate = self.host.store_gate();
         match is_answered {
             true => gate.on_success(),
-            false => gate.on_failure(self.host.clock.now(), !self.mirror_hosts.is_empty()),
+            false => gate.on_failure(now, !self.mirror_hosts.is_empty()),
         }
     }
 
--- a/lib/src/entry/source/mod.rs
+++ b/lib/src/entry/source/mod.rs
@@ -16,6 +16,7 @@
 mod follower;
 mod gate;
 mod objects;
+mod pacing;
 mod revision;
 
 use std::time::Duration;
@@ -30,6 +31,7 @@
 pub(crate) use follower::follow;
 pub use gate::StoreGate;
 pub use objects::KeptObjects;
+pub use pacing::CallPacing;
 pub use revision::Acceptance;
 pub use revision::FollowPosition;
 pub use revision::StoreRevision;
--- a/lib/tests/test_entry_store_gate.rs
+++ b/lib/tests/test_entry_store_gate.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cardamomshift_lib::entry::CallPacing;
 use cardamomshift_lib::entry::StoreGate;
 use cardamomshift_lib::time::Timestamp;
 
@@ -67,3 +68,43 @@
     assert!(gate.admit(at(1_100)).is_err());
     assert!(gate.admit(at(3_000)).is_ok());
 }
+
+/// Plays a platform that answers each call after 5 ms, and to no use. Returns the times of the calls.
+fn calls_without_use(span: Duration) -> Vec<u64> {
+    let mut pacing = CallPacing::default();
+    let mut calls = Vec::new();
+    let mut now = 0;
+    while u128::from(now) < span.as_millis() {
+        calls.push(now);
+        now += 5;
+        pacing.on_useless(at(now));
+        now += u64::try_from(pacing.wait(at(now)).as_millis()).unwrap();
+    }
+    calls
+}
+
+#[test]
+fn answers_without_use_are_followed_by_growing_pauses() {
+    let calls = calls_without_use(Duration::from_secs(10));
+    assert_eq!(
+        calls[1], 5,
+        "the call after the first answer without use is delayed"
+    );
+    // Then one every 300 to 600 ms, after shorter pauses at first.
+    assert!((15..40).contains(&calls.len()), "{} calls", calls.len());
+    let longest = calls.windows(2).map(|pair| pair[1] - pair[0]).max();
+    assert!(longest.unwrap() <= 605, "{longest:?} ms");
+}
+
+#[test]
+fn answered_watch_ends_the_pauses() {
+    let mut pacing = CallPacing::default();
+    for _ in 0..5 {
+        pacing.on_useless(at(0));
+    }
+    assert!(!pacing.wait(at(0)).is_zero());
+    pacing.on_watched();
+    assert!(pacing.wait(at(0)).is_zero());
+    pacing.on_useless(at(0));
+    assert!(pacing.wait(at(0)).is_zero());
+}
