relay: do not go on with a stream after an identifier that no header can hold

What callers saw: a resumable stream that broke off went on from its start, or after an earlier event, so its caller got events twice in one response that looked complete.

Cause: the server that goes on is told the identifier of the last event in a header. An identifier with a control character is not valid there, and the header was only left out, so the server began anew. One that is not UTF-8 was passed over, and the one before it was named.

Change: after such an identifier a stream cannot go on within its response. Callers see the break, as with streams that are not resumable.

--- a/lib/src/entry/events.rs
+++ b/lib/src/entry/events.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use compact_str::CompactString;
+use hyper::header::HeaderValue;
 
 /// Start of the line that holds an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
@@ -80,7 +81,7 @@
 pub(crate) struct EventBuffer {
     /// Bytes of the event whose end has not arrived.
     pending: BytesMut,
-    /// Identifier of the last complete event that had one.
+    /// Identifier of the last complete event that had one, `None` if no stream can go on after it.
     last_id: Option<CompactString>,
 }
 
@@ -96,8 +97,8 @@
         self.pending.extend_from_slice(complete);
         let events = self.pending.split().freeze();
         self.pending.extend_from_slice(pending);
-        if let Some(id) = last_id(&events) {
-            self.last_id = Some(id);
+        if let Some(value) = last_id_value(&events) {
+            self.last_id = read_id(value);
         }
         Some(events)
     }
@@ -112,18 +113,21 @@
         self.pending.clear();
     }
 
-    /// Identifier of the last complete event that had one.
+    /// Identifier of the last complete event that had one, `None` if no stream can go on after it.
     pub(crate) fn last_id(&self) -> Option<&CompactString> {
         self.last_id.as_ref()
     }
 }
 
-/// The last identifier in a series of complete events, `None` if there is none or it is not UTF-8.
-fn last_id(events: &[u8]) -> Option<CompactString> {
-    let line = events
-        .split(|b| *b == b'\n')
-        .rev()
-        .find(|line| line.starts_with(ID_FIELD))?;
-    let id = std::str::from_utf8(&line[ID_FIELD.len()..]).ok()?;
-    Some(id.trim().into())
+/// The value of the last identifier in a series of complete events, `None` if there is none.
+fn last_id_value(events: &[u8]) -> Option<&[u8]> {
+    let mut lines = events.split(|b| *b == b'\n').rev();
+    lines.find_map(|line| line.strip_prefix(ID_FIELD))
+}
+
+/// Reads an identifier, `None` if a header cannot name it to a server.
+fn read_id(value: &[u8]) -> Option<CompactString> {
+    let id = std::str::from_utf8(value).ok()?.trim();
+    let can_be_named = !id.is_empty() && HeaderValue::from_str(id).is_ok();
+    can_be_named.then(|| id.into())
 }
