relay: find identifiers of events whose lines end with a carriage return

Cause: the end of an event was found by any line end, but its identifier only by line feeds, so it held the rest of the event and was not valid in a header.

Evidence: test_odd_answers, a server that breaks off after two events, beside a sound one. Line feeds, with carriage returns or without, held before and stay in the test.

--- a/lib/src/entry/events.rs
+++ b/lib/src/entry/events.rs
@@ -121,7 +121,7 @@
 
 /// The value of the last identifier in a series of complete events, `None` if there is none.
 fn last_id_value(events: &[u8]) -> Option<&[u8]> {
-    let mut lines = events.split(|b| *b == b'\n').rev();
+    let mut lines = events.split(|b| matches!(b, b'\r' | b'\n')).rev();
     lines.find_map(|line| line.strip_prefix(ID_FIELD))
 }
 
