gateway: take only final statuses for answers

What callers saw: a server in trouble answered with status 101, 600 or 999, and the caller got that as the answer to its request, with the server's seal. After a 101 the caller's connection speaks no HTTP any more.

Cause: the HTTP client rejects statuses below 100 and skips interim ones, but takes 101 for the agreement to another protocol, which no host asks for, and any three digits from 200 on for a status.

Evidence: test_odd_answers, all four kinds of routes; a trial with each status before the change: 101, with and without Upgrade, 600 and 999 were passed on at a plain service and a model. The product's own interface passed 101 on too (test_gateway_faults). Now all are 502, as statuses 000, 001, 099, 100 and 199 are.

Change: only statuses from 200 to 599 are final ones (RFC 9110, section 15). A response with another one counts as none: the server may have run the request. Both interfaces check it in one place.

--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -36,6 +36,7 @@
 use crate::gateway::Connection;
 use crate::gateway::READY_TIMEOUT;
 use crate::gateway::Written;
+use crate::gateway::check_response_head;
 use crate::platform::format_error_chain;
 use crate::time::Timestamp;
 
@@ -377,12 +378,17 @@
         Ok(Ok(response)) => {
             connection.gate.on_response_head();
             let (parts, body) = response.into_parts();
-            return Ok(ServerResponse {
-                head: (host.dialect.read_response)(&parts),
-                parts,
-                body,
-                connection,
-            });
+            match check_response_head(&parts) {
+                Ok(()) => {
+                    return Ok(ServerResponse {
+                        head: (host.dialect.read_response)(&parts),
+                        parts,
+                        body,
+                        connection,
+                    });
+                }
+                Err(err) => Some(err.to_string()),
+            }
         }
         Ok(Err(err)) => Some(format_error_chain(&err)),
         Err(_) => None,
--- a/lib/src/gateway/response.rs
+++ b/lib/src/gateway/response.rs
@@ -27,6 +27,7 @@
 use super::response_body::RelayError;
 use super::response_body::ResponseBody;
 use super::response_body::next_frame;
+use super::response_head::check_response_head;
 use super::running::RunningRequest;
 use super::scan::Usage;
 use super::scan::is_json;
@@ -47,6 +48,8 @@
     /// The response has neither a length nor chunked framing, so the end of its body could not be
     /// distinguished from a broken connection.
     Unframed,
+    /// The head is not that of a response to a request.
+    Malformed,
     /// The server refused the request and states that it did not run it.
     Refused,
     /// The server returned 503 without stating whether it ran the request, which may therefore have
@@ -77,7 +80,7 @@
             fail(running, EndOutcome::Failed, Some(Fault::Crossed));
             Err(Failure::unknown(call, ErrorCode::CrossedAnswer))
         }
-        HeadCheck::Unframed => {
+        HeadCheck::Unframed | HeadCheck::Malformed => {
             fail(running, EndOutcome::Failed, Some(Fault::Malformed));
             Err(Failure::unknown(call, ErrorCode::ServerFailed))
         }
@@ -101,6 +104,9 @@
     if echo.is_none_or(|id| id.as_bytes() != call.id.as_bytes()) {
         return HeadCheck::IdMismatch;
     }
+    if check_response_head(parts).is_err() {
+        return HeadCheck::Malformed;
+    }
     // The body of a 503 response is never forwarded, so its framing does not matter.
     if parts.status == StatusCode::SERVICE_UNAVAILABLE {
         let not_run = parts.headers.get(headers::NOT_RUN);
