gateway: take no body in a transfer coding other than chunked

What callers saw: a server in trouble named such a coding, and its caller got a body that was not the server's, complete and with the server's seal: compressed bytes without the header that says so, or the chunks with their sizes.

Cause: the HTTP client undoes the chunks if they are the last coding, and otherwise reads to the end of the connection. The header that names the codings is removed, as it concerns one connection only.

Change: hosts ask for no coding, so a head that names another than chunked, or more than one, counts as no response.

--- a/lib/src/gateway/response_head.rs
+++ b/lib/src/gateway/response_head.rs
@@ -1,6 +1,8 @@
 //! Checks the head of a backend server's response for what the HTTP client lets pass.
 
+use axum::http::HeaderValue;
 use axum::http::StatusCode;
+use axum::http::header;
 use axum::http::response::Parts;
 use snafu::Snafu;
 use snafu::ensure;
@@ -15,6 +17,12 @@
         /// Status of the response.
         status: StatusCode,
     },
+    /// The body is in a transfer coding that no request allows. The client would take it for the content.
+    #[snafu(display("response has a transfer coding other than chunked: {value:?}"))]
+    Coding {
+        /// Value of the first or second header that names codings.
+        value: HeaderValue,
+    },
 }
 
 /// Checks the head of a response.
@@ -24,5 +32,12 @@
         (200..600).contains(&status.as_u16()),
         StatusSnafu { status }
     );
-    Ok(())
+    let mut codings = parts.headers.get_all(header::TRANSFER_ENCODING).iter();
+    let coding = codings.next();
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    let refused = coding.filter(|value| !is_chunked(value)).or(codings.next());
+    match refused {
+        Some(value) => CodingSnafu { value }.fail(),
+        None => Ok(()),
+    }
 }
