gateway: see that a server ends its connection before it has the request

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and closed the connection while the upload was still being written. The caller got that part as the complete response, with the server's seal.

Cause: such a response ends with its connection, so a server that closes it early looks like one that is done. A reset is an error and was one before. But a server that ends its half first, as many libraries do before they close, is read to the end before the reset arrives.

Change: as the connection ends, the host asks the kernel how many bytes the server has not acknowledged. A server that has read the request has acknowledged all of it with its last bytes, so any that are left show that it cannot have. This costs no wait and nothing on other responses: with a length or chunks they show their end themselves. A response without a length that is sent early and meant to be whole counts as broken too, since nothing tells the two apart.

--- a/lib/src/entry/attempt.rs
+++ b/lib/src/entry/attempt.rs
@@ -17,6 +17,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header;
 use hyper::http::response;
 use log::info;
 use snafu::Snafu;
@@ -103,6 +104,15 @@
     pub(crate) connection: Connection,
 }
 
+impl ServerResponse {
+    /// Whether the body ends with the connection, because the head states neither a length nor chunks.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        let headers = &self.parts.headers;
+        !framing.iter().any(|name| headers.contains_key(name))
+    }
+}
+
 /// A request in flight: it counts towards the load of its server until this is dropped.
 pub(crate) struct InFlightRequest {
     host: Arc<EntryHost>,
--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -53,6 +53,10 @@
 /// socket and of the connection.
 const LATE_MAX_BYTES: usize = 128 << 10;
 
+/// What is logged of a response that ended with its connection before the server had the whole request. The
+/// response may be a part only.
+pub(crate) const CLOSED_EARLY: &str = "connection closed before the request had arrived";
+
 /// Why a stream ended early.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub(crate) enum RelayError {
@@ -96,16 +100,13 @@
 
 impl Upstream {
     fn new(in_flight: InFlightRequest, response: ServerResponse) -> Self {
-        let headers = &response.parts.headers;
-        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-        let is_framed = framing.iter().any(|name| headers.contains_key(name));
         Self {
             in_flight,
+            ends_with_connection: response.ends_with_connection(),
             body: response.body,
             head: response.head,
             connection: response.connection,
-            tracker: is_event_stream(headers).then(EventTracker::default),
-            ends_with_connection: !is_framed,
+            tracker: is_event_stream(&response.parts.headers).then(EventTracker::default),
             has_data: false,
         }
     }
@@ -134,7 +135,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body ended within an event, or with its connection before any event.
+    /// Fails if the body ended within an event, or with its connection before any event or before the end of
+    /// the request.
     fn on_end(&self) -> Result<(), RelayError> {
         let reason = if self
             .tracker
@@ -144,6 +146,8 @@
             "ended within an event"
         } else if self.ends_with_connection && !self.has_data {
             "connection closed before the first event"
+        } else if self.ends_with_connection && self.connection.gate.ended_early() {
+            CLOSED_EARLY
         } else {
             return Ok(());
         };
--- a/lib/src/entry/response.rs
+++ b/lib/src/entry/response.rs
@@ -32,6 +32,7 @@
 use axum::http::Response;
 use axum::http::StatusCode;
 use axum::http::response;
+use http_body::Body as _;
 use http_body::Frame;
 use http_body::SizeHint;
 use http_body_util::BodyExt;
@@ -53,6 +54,7 @@
 use super::host::EntryHost;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::relay::CLOSED_EARLY;
 use super::relay::RelayError;
 use super::relay::StreamRelay;
 use super::request_placement::Placement;
@@ -199,6 +201,7 @@
     let status = response.parts.status;
     let held = host.body_memory.start(call.admitted.workspace.clone());
     let mut read = HeldParts::new(held);
+    let ends_with_connection = response.ends_with_connection() && !response.body.is_end_stream();
     let reading = read_parts(&mut response.body, &mut read);
     let (outcome, reason, error) = match tokio::time::timeout_at(deadline.into(), reading).await {
         // The server has run the request, so its response is not refused for lack of memory.
@@ -216,6 +219,12 @@
             Reason::ServerFailed,
             format!("status {status}, and no memory for the response"),
         ),
+        Ok(Ok(Reading::Complete))
+            if ends_with_connection && response.connection.gate.ended_early() =>
+        {
+            let outcome = in_flight.broken_outcome();
+            (outcome, Reason::ServerFailed, CLOSED_EARLY.to_owned())
+        }
         Ok(Ok(Reading::Complete)) => {
             let body = Body::new(CompleteBody(read));
             let to_caller = Response::from_parts(strip_hop_by_hop(response.parts), body);
--- a/lib/src/gateway/backend/gate.rs
+++ b/lib/src/gateway/backend/gate.rs
@@ -4,13 +4,19 @@
 //! another server only if it was provably not sent. The gate admits the first byte only before the
 //! deadline of the scheduler's order, and once closed it admits no more bytes.
 //!
-//! The gate also bounds what is read before the final head of the response. A server may send interim heads
+//! The gate also tells whether the server ended the connection before it can have read the request, so that a
+//! response without a length is not taken for complete.
+//!
+//! It bounds, too, what is read before the final head of the response. A server may send interim heads
 //! (status 1xx) without end, which the HTTP client skips one after the other, in one turn of its task as
 //! long as there are any.
 
+use std::ffi::c_int;
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -19,6 +25,9 @@
 use std::task::Poll;
 use std::task::ready;
 
+use rustix::ioctl::Getter;
+use rustix::ioctl::Opcode;
+use rustix::ioctl::ioctl;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -36,6 +45,9 @@
 /// No further byte of the request may be written.
 const CLOSED: u8 = 3;
 
+/// Linux's call for the bytes in the send queue of a socket, the same number on x86-64 and arm64.
+const SIOCOUTQ: Opcode = 0x5411;
+
 /// Most bytes that are read until the final head of a response is known: interim heads, the final head,
 /// and what arrives with it, each at most a read buffer.
 const HEAD_READ_MAX_BYTES: usize = 3 * READ_BUFFER_MAX_BYTES;
@@ -63,6 +75,10 @@
     bytes: AtomicU64,
     /// Nonzero once a write of the request has failed.
     failed: AtomicU8,
+    /// Whether the request has been written to its end.
+    is_written: AtomicBool,
+    /// Whether the server ended the connection before it can have read the request.
+    ended_early: AtomicBool,
     /// Bytes that may still be read before the final head of the response; `usize::MAX` while no response
     /// is awaited.
     head_left: AtomicUsize,
@@ -76,6 +92,8 @@
             deadline: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
             failed: AtomicU8::new(0),
+            is_written: AtomicBool::new(false),
+            ended_early: AtomicBool::new(false),
             head_left: AtomicUsize::new(usize::MAX),
         }
     }
@@ -86,6 +104,8 @@
         self.deadline.store(deadline.as_micros(), Ordering::Relaxed);
         self.bytes.store(0, Ordering::Relaxed);
         self.failed.store(0, Ordering::Relaxed);
+        self.is_written.store(false, Ordering::Relaxed);
+        self.ended_early.store(false, Ordering::Relaxed);
         self.head_left.store(HEAD_READ_MAX_BYTES, Ordering::Relaxed);
         self.state.store(ARMED, Ordering::Release);
     }
@@ -119,6 +139,30 @@
         Ok(())
     }
 
+    /// Whether the server has ended the connection although it cannot have read the request, since a part of
+    /// it had not arrived there. The server has failed, or takes no more of the request.
+    pub(crate) fn ended_early(&self) -> bool {
+        self.ended_early.load(Ordering::Acquire)
+    }
+
+    /// Records that the server has ended the connection. `unacknowledged` gives the number of bytes that have
+    /// not arrived there.
+    fn on_end(&self, unacknowledged: impl FnOnce() -> usize) {
+        if self.state.load(Ordering::Acquire) != WRITING {
+            return;
+        }
+        // A server that has read a request has acknowledged all of it with its last bytes.
+        let ended_early = !self.is_written.load(Ordering::Acquire) || unacknowledged() > 0;
+        self.ended_early.store(ended_early, Ordering::Release);
+    }
+
+    /// Records a flush. The HTTP client flushes once nothing of a request is left to write.
+    fn on_flushed(&self) {
+        if self.state.load(Ordering::Acquire) == WRITING {
+            self.is_written.store(true, Ordering::Release);
+        }
+    }
+
     /// Blocks writes until the next [`WriteGate::arm`], after a request has ended.
     pub(crate) fn disarm(&self) {
         self.state.store(IDLE, Ordering::Release);
@@ -193,7 +237,7 @@
     }
 }
 
-impl<T: AsyncRead + Unpin> AsyncRead for GatedIo<T> {
+impl<T: AsyncRead + AsFd + Unpin> AsyncRead for GatedIo<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -201,10 +245,23 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
-        Poll::Ready(self.gate.on_read(buf.filled().len() - before))
+        let bytes = buf.filled().len() - before;
+        if bytes == 0 && buf.remaining() > 0 {
+            self.gate.on_end(|| unacknowledged_bytes(&self.io));
+        }
+        Poll::Ready(self.gate.on_read(bytes))
     }
 }
 
+/// Bytes that were written to a socket and have not arrived at the other end.
+#[expect(unsafe_code, reason = "no library has a function for this call")]
+fn unacknowledged_bytes(socket: impl AsFd) -> usize {
+    // SAFETY: the call writes an `int`, and nothing else.
+    let bytes = unsafe { ioctl(socket, Getter::<SIOCOUTQ, c_int>::new()) };
+    // A connection that was reset has no such bytes any more, and its error is seen otherwise.
+    bytes.map_or(0, |bytes| usize::try_from(bytes).unwrap_or(0))
+}
+
 impl<T: AsyncWrite + Unpin> AsyncWrite for GatedIo<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
@@ -233,7 +290,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+        ready!(Pin::new(&mut self.io).poll_flush(cx))?;
+        self.gate.on_flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
