source: pause between watches that are answered at once

What callers saw: nothing; a host called the store without pauses while the store did not hold its watches.

Cause: a watch without a change is sent again at once, since the store holds it. One that answers at once, or each time with a revision before the one asked for, was called in a loop.

Change: the call after a watch is sent 100 ms after it at the earliest. A watch that was held for longer has no pause after it, and a configuration may take two seconds to reach all hosts.

--- a/lib/src/entry/source/follower.rs
+++ b/lib/src/entry/source/follower.rs
@@ -179,11 +179,12 @@
             }
         }
         tokio::time::sleep(self.pacing.wait(now)).await;
-        if self.host.store_gate().admit(self.host.clock.now()).is_err() {
+        let sent = self.host.clock.now();
+        if self.host.store_gate().admit(sent).is_err() {
             return Err(SourceError::NotServed);
         }
         let result = self.fetch_from_platform().await;
-        self.on_platform_result(&result);
+        self.on_platform_result(sent, &result);
         result
     }
 
@@ -254,8 +255,8 @@
         }
     }
 
-    /// Counts a call to the platform and decides when further calls may be made.
-    fn on_platform_result(&mut self, result: &Result<Fetched, SourceError>) {
+    /// Counts a call to the platform, which was sent at `sent`, and decides when further calls may be made.
+    fn on_platform_result(&mut self, sent: Timestamp, result: &Result<Fetched, SourceError>) {
         let call = match self.position.watch_after() {
             None => "list",
             Some(_) => "watch",
@@ -272,7 +273,7 @@
             .inc();
         let now = self.host.clock.now();
         match result {
-            Ok(fetched) if !fetched.content.is_full() => self.pacing.on_watched(),
+            Ok(fetched) if !fetched.content.is_full() => self.pacing.on_watched(sent),
             Err(_) if is_answered => self.pacing.on_useless(now),
             _ => {}
         }
--- a/lib/src/entry/source/pacing.rs
+++ b/lib/src/entry/source/pacing.rs
@@ -1,7 +1,7 @@
 //! Paces the calls of a host to the platform for one kind of objects while the answers are of no use.
 //!
 //! The load: the platform answers at once, but the answer cannot be read, or the history that a watch needs is
-//! gone, each time. This is no outage of the platform (see `gate`): it may be so for one kind only, and the
+//! gone, each time; or watches are not held, although there is no change. This is no outage of the platform (see `gate`): it may be so for one kind only, and the
 //! other kinds must not wait. Each call is paid for, and without pauses a host makes thousands in a second.
 
 use std::time::Duration;
@@ -13,6 +13,8 @@
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
 /// Longest pause. A configuration may take two seconds to reach all hosts.
 const PAUSE_MAX: Duration = Duration::from_millis(600);
+/// Least time from one watch to the next call.
+const WATCH_INTERVAL_MIN: Duration = Duration::from_millis(100);
 
 /// When the next call for a kind may be made.
 #[derive(Debug)]
@@ -42,9 +44,13 @@
         }
     }
 
-    /// Records that a watch was answered. A list does not count: watches may fail after each one.
-    pub fn on_watched(&mut self) {
-        *self = Self::default();
+    /// Records that a watch that was sent at `sent` was answered. A list does not count: watches may fail after
+    /// each one.
+    pub fn on_watched(&mut self, sent: Timestamp) {
+        *self = Self {
+            call_at: sent + WATCH_INTERVAL_MIN,
+            ..Self::default()
+        };
     }
 
     /// Time until the next call may be made.
