relay: do not pass on the length of a stream that may go on elsewhere

What callers saw: a server announced a length for a resumable stream and broke off; another server went on with it, and the caller got a stream that was cut off within an event and looked complete.

Cause: the length of the first response was passed on. The HTTP server ends the caller's response at that length, whatever the other server sends.

Evidence: test_odd_answers, a server that announces one byte more than its two events, beside a sound one: before, the body was those events and one byte, without an error. Now it is the whole stream, or breaks off after the two events, with lengths of 1, 21 and some 4,000 bytes more.

Change: responses of resumable streams go to callers in chunks, as servers send them.

--- a/lib/src/entry/relay.rs
+++ b/lib/src/entry/relay.rs
@@ -247,6 +247,11 @@
         }
     }
 
+    /// Whether another server may go on with the stream if it breaks off.
+    pub(crate) fn may_go_on_elsewhere(&self) -> bool {
+        self.events.is_some()
+    }
+
     /// Waits for the first bytes and keeps them. If the stream breaks off before they arrive, the
     /// request can still be answered by another server or with an error.
     pub(crate) async fn receive_first_chunk(&mut self) -> Result<(), RelayError> {
--- a/lib/src/entry/response.rs
+++ b/lib/src/entry/response.rs
@@ -31,6 +31,7 @@
 use axum::body::Bytes;
 use axum::http::Response;
 use axum::http::StatusCode;
+use axum::http::header;
 use axum::http::response;
 use http_body::Body as _;
 use http_body::Frame;
@@ -332,8 +333,12 @@
     response: ServerResponse,
     attempts: &Attempts,
 ) -> Result<Response<Body>, Failure> {
-    let parts = strip_hop_by_hop(response.parts.clone());
+    let mut parts = strip_hop_by_hop(response.parts.clone());
     let mut relay = StreamRelay::new(host, call, placed, in_flight, response, attempts);
+    if relay.may_go_on_elsewhere() {
+        // The rest at another server may have another length.
+        parts.headers.remove(header::CONTENT_LENGTH);
+    }
     match relay.receive_first_chunk().await {
         Ok(()) => {
             tell_stream_origin(host, call, placed).await;
