platform: leave out entries of the host list that cannot be read

What callers saw: with the product's own platform, a host that starts while the host list has one odd entry knows no other host and no server, and serves nothing; one that runs does not hear of changes.

Cause: the list was parsed as a whole, so that one entry of another type, or with an unknown state, made all of it malformed.

Evidence: test_platform, ten odd entries, each between two sound ones: the first was an error, "the host list is malformed". Now the two sound entries are read beside each of the ten. A list without a revision is malformed as before.

Change: each entry is read by itself, as those of the platform's store are, and one that cannot be read is left out with a line in the log.

--- a/lib/src/platform/host_list.rs
+++ b/lib/src/platform/host_list.rs
@@ -10,10 +10,14 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::StatusCode;
+use log::warn;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use snafu::Snafu;
 
 use super::http::CallOptions;
 use super::http::HttpClient;
+use crate::host::HostEntry;
 use crate::host::HostList;
 
 /// Reason why the host list could not be read.
@@ -86,12 +90,37 @@
     }
 }
 
+/// A list whose entries have not been parsed.
+#[derive(Deserialize)]
+struct RawList {
+    revision: u64,
+    hosts: Vec<Box<RawValue>>,
+}
+
+/// Parses a list. Each entry is read by itself: one that cannot be read names no host, and must not hide the
+/// others. Bytes that are not UTF-8 are replaced, so that they concern only the entries that have them.
 fn parse(body: &[u8]) -> Result<HostList, HostListError> {
-    serde_json::from_slice(body).map_err(|err| HostListError::Malformed {
+    let text = String::from_utf8_lossy(body);
+    let list: RawList = serde_json::from_str(&text).map_err(|err| HostListError::Malformed {
         reason: err.to_string().into(),
+    })?;
+    Ok(HostList {
+        revision: list.revision,
+        hosts: list
+            .hosts
+            .iter()
+            .filter_map(|raw| read_entry(raw))
+            .collect(),
     })
 }
 
+fn read_entry(raw: &RawValue) -> Option<HostEntry> {
+    let entry = serde_json::from_str(raw.get());
+    entry
+        .inspect_err(|err| warn!("entry of the host list is left out: {err}"))
+        .ok()
+}
+
 fn unavailable(reason: impl Into<CompactString>) -> HostListError {
     HostListError::Unavailable {
         reason: reason.into(),
--- a/lib/tests/test_platform.rs
+++ b/lib/tests/test_platform.rs
@@ -288,6 +288,38 @@
     );
 }
 
+/// Guards against one odd entry that keeps a host from knowing all others.
+#[tokio::test]
+async fn host_list_without_the_entries_that_cannot_be_read() {
+    let entry = |name: &str, fields: &str| {
+        let start = format!(r#""name":"{name}","domain":"bern-a","role":"backend","state":"live""#);
+        format!(r#"{{{start},"address":"10.0.0.1:80"{fields}}}"#)
+    };
+    let nested = format!("{}0{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [
+        "1".to_owned(),
+        "null".to_owned(),
+        "{}".to_owned(),
+        r#"{"name":7}"#.to_owned(),
+        entry("a", "").replace("10.0.0.1:80", "10.0.0.1"),
+        entry("b", "").replace("live", "resting"),
+        entry("c", r#","services":1"#),
+        entry("d", r#","services":[{"name":"m","kind":"other"}]"#),
+        entry("e", r#","checks_fencing":"\ud800""#),
+        format!(r#"{{"name":{nested}}}"#),
+    ];
+    for odd in odd {
+        let (first, last) = (entry("w1", ""), entry("w2", ""));
+        let list = format!(r#"{{"revision":3,"hosts":[{first},{odd},{last}]}}"#);
+        let server = ScriptedServer::start(&[&response("200 OK", "", &list)]).await;
+        let start = &odd[..odd.len().min(80)];
+        let read = server.hosts().read().await;
+        let read = read.unwrap_or_else(|err| panic!("{start}: {err}")).unwrap();
+        let names: Vec<_> = read.hosts.iter().map(|host| host.name.as_str()).collect();
+        assert_eq!((read.revision, names), (3, vec!["w1", "w2"]), "{start}");
+    }
+}
+
 #[test]
 fn backoff_doubles_up_to_its_bound_with_jitter() {
     let mut backoff = Backoff::new(Duration::from_millis(10), Duration::from_millis(40));
