source: no pause after watches that bring changes

Change: the pause is only for watches without news: no change, or no later position than the one asked for. In calm the store holds such watches, so nothing waits.

--- a/lib/src/entry/source/follower.rs
+++ b/lib/src/entry/source/follower.rs
@@ -273,7 +273,12 @@
             .inc();
         let now = self.host.clock.now();
         match result {
-            Ok(fetched) if !fetched.content.is_full() => self.pacing.on_watched(sent),
+            Ok(fetched) if !fetched.content.is_full() => {
+                let after = self.position.watch_after();
+                let advances = after.is_none_or(|after| fetched.revision > after);
+                let has_news = advances && fetched.content.has_changes();
+                self.pacing.on_watched(sent, has_news);
+            }
             Err(_) if is_answered => self.pacing.on_useless(now),
             _ => {}
         }
--- a/lib/src/entry/source/pacing.rs
+++ b/lib/src/entry/source/pacing.rs
@@ -13,7 +13,7 @@
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
 /// Longest pause. A configuration may take two seconds to reach all hosts.
 const PAUSE_MAX: Duration = Duration::from_millis(600);
-/// Least time from one watch to the next call.
+/// Least time from a watch without news to the next call.
 const WATCH_INTERVAL_MIN: Duration = Duration::from_millis(100);
 
 /// When the next call for a kind may be made.
@@ -44,13 +44,13 @@
         }
     }
 
-    /// Records that a watch that was sent at `sent` was answered. A list does not count: watches may fail after
-    /// each one.
-    pub fn on_watched(&mut self, sent: Timestamp) {
-        *self = Self {
-            call_at: sent + WATCH_INTERVAL_MIN,
-            ..Self::default()
-        };
+    /// Records that a watch that was sent at `sent` was answered. `has_news` states whether it brought changes
+    /// and a later position. A list does not count: watches may fail after each one.
+    pub fn on_watched(&mut self, sent: Timestamp, has_news: bool) {
+        *self = Self::default();
+        if !has_news {
+            self.call_at = sent + WATCH_INTERVAL_MIN;
+        }
     }
 
     /// Time until the next call may be made.
--- a/lib/tests/test_entry_store_gate.rs
+++ b/lib/tests/test_entry_store_gate.rs
@@ -103,7 +103,7 @@
         pacing.on_useless(at(0));
     }
     assert!(!pacing.wait(at(0)).is_zero());
-    pacing.on_watched(at(0));
+    pacing.on_watched(at(0), false);
     assert!(pacing.wait(at(100)).is_zero());
     pacing.on_useless(at(100));
     assert!(pacing.wait(at(100)).is_zero());
@@ -112,8 +112,15 @@
 #[test]
 fn watch_that_was_not_held_is_followed_by_a_pause() {
     let mut pacing = CallPacing::default();
-    pacing.on_watched(at(1_000));
+    pacing.on_watched(at(1_000), false);
     assert_eq!(pacing.wait(at(1_005)), Duration::from_millis(95));
     // A watch that was held for longer has no pause after it.
     assert!(pacing.wait(at(1_100)).is_zero());
 }
+
+#[test]
+fn changes_are_read_without_a_pause() {
+    let mut pacing = CallPacing::default();
+    pacing.on_watched(at(1_000), true);
+    assert!(pacing.wait(at(1_000)).is_zero());
+}
