--- a/lib/src/entry/source/pacing.rs
+++ b/lib/src/entry/source/pacing.rs
@@ -1,8 +1,9 @@
 //! Paces the calls of a host to the platform for one kind of objects while the answers are of no use.
 //!
 //! The load: the platform answers at once, but the answer cannot be read, or the history that a watch needs is
-//! gone, each time; or watches are not held, although there is no change. This is no outage of the platform (see `gate`): it may be so for one kind only, and the
-//! other kinds must not wait. Each call is paid for, and without pauses a host makes thousands in a second.
+//! gone, each time; or watches are not held, although there is no change. This is no outage of the platform (see
+//! `gate`): it may be so for one kind only, and the other kinds must not wait. Each call is paid for, and without
+//! pauses a host makes thousands in a second.
 
 use std::time::Duration;
 
--- a/lib/src/gateway/response_head.rs
+++ b/lib/src/gateway/response_head.rs
@@ -13,7 +13,7 @@
 pub(crate) enum HeadError {
     /// The status is not that of a final response (RFC 9110, section 15). The client takes status 101
     /// (Switching Protocols) for one, since it might have asked for another protocol.
-    #[snafu(display("response has status {}, which no request asks for", status.as_u16()))]
+    #[snafu(display("response has status {}, which is not final", status.as_u16()))]
     Status {
         /// Status of the response.
         status: StatusCode,
@@ -25,7 +25,8 @@
         /// Value of the header.
         value: HeaderValue,
     },
-    /// The body is in a transfer coding that no request allows. The client would take it for the content.
+    /// The body has a transfer coding other than chunked, which hosts do not ask for. The client does not decode
+    /// it.
     #[snafu(display("response has a transfer coding other than chunked: {value:?}"))]
     Coding {
         /// Value of the first or second header that names codings.
