source: do not yield before calls that have no pause

Cause: since the calls are paced, a host slept before each call, also for no time. The runtime rounds that up to a tick of its timer, and other tasks of a starting host got ahead of its calls to the store.

Change: a host sleeps only if there is a pause.

--- a/lib/src/entry/source/follower.rs
+++ b/lib/src/entry/source/follower.rs
@@ -178,7 +178,10 @@
                 return Err(SourceError::NotServed);
             }
         }
-        tokio::time::sleep(self.pacing.wait(now)).await;
+        let wait = self.pacing.wait(now);
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
         let sent = self.host.clock.now();
         if self.host.store_gate().admit(sent).is_err() {
             return Err(SourceError::NotServed);
