--- a/lib/src/entry/stats.rs
+++ b/lib/src/entry/stats.rs
@@ -80,6 +80,8 @@
     pub(crate) rollout: RolloutStats,
     /// Version of the active configuration.
     pub(crate) config_version: IntGauge,
+    /// Registered hosts known to this host, itself included.
+    pub(crate) hosts: IntGauge,
     /// Backend servers known to this host.
     pub(crate) servers: IntGauge,
     /// Log lines dropped since the start, set from `log_dropped_count` when the metrics are read.
@@ -170,6 +172,7 @@
             )?,
             rollout: RolloutStats::new(&registry)?,
             config_version: gauge("config_version", "Version of the configuration")?,
+            hosts: gauge("hosts", "Registered hosts known")?,
             servers: gauge("servers", "Backend servers known")?,
             log_dropped: gauge("log_lines_dropped", "Log lines dropped")?,
             log_dropped_count,
--- a/lib/src/entry/updates.rs
+++ b/lib/src/entry/updates.rs
@@ -125,8 +125,10 @@
         move |update| {
             let is_complete = matches!(update, Update::Listed(_) | Update::Removed(_));
             if apply_update(&state, "host", &mut peers, update) {
-                info!(target: "fleet", hosts = peers.iter().count();
-                    "registered hosts changed");
+                let count = peers.iter().count();
+                info!(target: "fleet", hosts = count; "registered hosts changed");
+                let count = i64::try_from(count).unwrap_or(i64::MAX);
+                state.stats.hosts.set(count);
                 // The fleet divides its limits among the hosts by name. The link, which exchanges
                 // datagrams with other hosts, selects schedulers and mirror hosts among them.
                 state
