--- a/lib/src/gateway/response_head.rs
+++ b/lib/src/gateway/response_head.rs
@@ -29,7 +29,7 @@
     /// it.
     #[snafu(display("response has a transfer coding other than chunked: {value:?}"))]
     Coding {
-        /// Value of the first or second header that names codings.
+        /// Value of the first header that is refused.
         value: HeaderValue,
     },
 }
