gateway: the call for the send queue in a file of its own

The write gate asked the kernel itself. No change of behaviour; test_odd_answers and test_unframed_responses pass.

--- a/lib/src/gateway/backend/gate.rs
+++ b/lib/src/gateway/backend/gate.rs
@@ -11,7 +11,6 @@
 //! (status 1xx) without end, which the HTTP client skips one after the other, in one turn of its task as
 //! long as there are any.
 
-use std::ffi::c_int;
 use std::io;
 use std::os::fd::AsFd;
 use std::pin::Pin;
@@ -25,14 +24,12 @@
 use std::task::Poll;
 use std::task::ready;
 
-use rustix::ioctl::Getter;
-use rustix::ioctl::Opcode;
-use rustix::ioctl::ioctl;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
 use super::pool::READ_BUFFER_MAX_BYTES;
+use super::send_queue::unacknowledged_bytes;
 use crate::time::Clock;
 use crate::time::Timestamp;
 
@@ -45,9 +42,6 @@
 /// No further byte of the request may be written.
 const CLOSED: u8 = 3;
 
-/// Linux's call for the bytes in the send queue of a socket, the same number on x86-64 and arm64.
-const SIOCOUTQ: Opcode = 0x5411;
-
 /// Most bytes that are read until the final head of a response is known: interim heads, the final head,
 /// and what arrives with it, each at most a read buffer.
 const HEAD_READ_MAX_BYTES: usize = 3 * READ_BUFFER_MAX_BYTES;
@@ -253,15 +247,6 @@
     }
 }
 
-/// Bytes that were written to a socket and have not arrived at the other end.
-#[expect(unsafe_code, reason = "no library has a function for this call")]
-fn unacknowledged_bytes(socket: impl AsFd) -> usize {
-    // SAFETY: the call writes an `int`, and nothing else.
-    let bytes = unsafe { ioctl(socket, Getter::<SIOCOUTQ, c_int>::new()) };
-    // A connection that was reset has no such bytes any more, and its error is seen otherwise.
-    bytes.map_or(0, |bytes| usize::try_from(bytes).unwrap_or(0))
-}
-
 impl<T: AsyncWrite + Unpin> AsyncWrite for GatedIo<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
--- a/lib/src/gateway/backend/mod.rs
+++ b/lib/src/gateway/backend/mod.rs
@@ -2,6 +2,7 @@
 
 mod gate;
 mod pool;
+mod send_queue;
 
 pub(crate) use gate::WriteGate;
 pub(crate) use gate::Written;
