--- a/review/stand_ins_3/case_crowd.rs
+++ b/review/stand_ins_3/case_crowd.rs
@@ -32,6 +32,8 @@
 const SLOW_CALLERS: u64 = 1_400;
 const SLOW_BODY: usize = 1_000;
 const SLOW_PAUSE: Duration = Duration::from_secs(1);
+/// A slow caller that was answered or refused comes back after this time, whatever it is told.
+const IMPATIENT_PAUSE: Duration = Duration::from_millis(100);
 /// Time from the first slow caller until the rule is checked.
 const BEFORE_CHECK: Duration = Duration::from_secs(10);
 const CHECK_TIME: Duration = Duration::from_secs(45);
@@ -108,8 +110,7 @@
                         Err(err) => err.to_string(),
                     };
                     record.line(format!("slow caller {id:016x}: {seen}"));
-                    let wait = told_wait(answer.as_ref().ok(), DEADLINE_MS);
-                    std::thread::sleep(wait.max(SLOW_PAUSE));
+                    std::thread::sleep(IMPATIENT_PAUSE);
                 }
             })
         })
--- a/review/stand_ins_3/case_readers.rs
+++ b/review/stand_ins_3/case_readers.rs
@@ -29,7 +29,7 @@
 const SHORTEST_ANSWER: usize = 78_000;
 const ANSWER_STEP: usize = 3_000;
 /// Callers of the burst. Each sends one request and keeps its channel.
-const BURST: u64 = 1_200;
+const BURST: u64 = 1_400;
 /// How long after the readers' requests the burst begins.
 const BURST_AFTER: Duration = Duration::from_millis(500);
 /// Most requests whose channels may be closed without an answer.
--- a/review/stand_ins_3/host.rs
+++ b/review/stand_ins_3/host.rs
@@ -31,13 +31,19 @@
     readiness: SocketAddr,
 }
 
-fn free_port(ip: &str) -> io::Result<u16> {
-    loop {
-        let port = TcpListener::bind((ip, 0))?.local_addr()?.port();
-        if UdpSocket::bind((ip, port)).is_ok() {
-            return Ok(port);
+/// Four different ports that are free for TCP and UDP.
+fn free_ports(ip: &str) -> io::Result<[u16; 4]> {
+    // Kept until all are found, so that they differ.
+    let mut kept = Vec::new();
+    while kept.len() < 4 {
+        let listener = TcpListener::bind((ip, 0))?;
+        let port = listener.local_addr()?.port();
+        if let Ok(socket) = UdpSocket::bind((ip, port)) {
+            kept.push((port, listener, socket));
         }
     }
+    let ports: Vec<_> = kept.iter().map(|(port, ..)| *port).collect();
+    ports.try_into().map_err(|_| io::Error::other("no ports"))
 }
 
 impl Host {
@@ -52,8 +58,7 @@
             number + 1
         );
         let name = format!("edge-bern-a-{number}");
-        let (front, ready, control) = (free_port(&ip)?, free_port(&ip)?, free_port(&ip)?);
-        let internal = free_port(&ip)?;
+        let [front, ready, control, internal] = free_ports(&ip)?;
         let settings = format!(
             "{{\"node-name\":\"{name}\",\"role\":\"entry\",\"machine-class\":\"edge\",\"serves\":[\"edge\"],\
              \"ip\":\"{ip}\",\"zone\":\"bern-a\",\"region\":\"ch-mittelland\",\
--- a/review/stand_ins_3/http.rs
+++ b/review/stand_ins_3/http.rs
@@ -189,6 +189,13 @@
         Ok(body)
     }
 
+    /// Reads a line with its end, empty at the end of the connection.
+    pub fn read_line(&mut self) -> io::Result<String> {
+        let mut line = String::new();
+        self.reader.read_line(&mut line)?;
+        Ok(line)
+    }
+
     /// Reads what has arrived, at most `most` bytes.
     pub fn read_some(&mut self, most: usize) -> io::Result<Vec<u8>> {
         let mut buf = vec![0; most];
--- a/review/stand_ins_3/main.rs
+++ b/review/stand_ins_3/main.rs
@@ -6,6 +6,7 @@
 mod case_readers;
 mod case_repeat;
 mod case_streams;
+mod case_takeups;
 mod host;
 mod http;
 mod json;
@@ -52,6 +53,7 @@
         "crowd" => case_crowd::run(&setting),
         "readers" => case_readers::run(&setting),
         "repeat" => case_repeat::run(&setting),
+        "takeups" => case_takeups::run(&setting),
         "streams" => case_streams::run(&setting),
         _ => Err(io::Error::other(format!("no case {name}"))),
     };
--- a/review/stand_ins_3/worker.rs
+++ b/review/stand_ins_3/worker.rs
@@ -34,6 +34,18 @@
         service: &str,
         slots: u32,
         handle: Handle,
+    ) -> io::Result<Self> {
+        Self::start_version(store, id, service, "v1", slots, handle)
+    }
+
+    /// Like [`Self::start`], with a version of the software.
+    pub fn start_version(
+        store: &Store,
+        id: &str,
+        service: &str,
+        version: &'static str,
+        slots: u32,
+        handle: Handle,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
@@ -54,7 +66,7 @@
             let sequence = sequence.fetch_add(1, Ordering::Relaxed);
             let entry = format!(
                 "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"bern-a\",\
-                 \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold-remaining-ms\":0,\
+                 \"version\":\"{version}\",\"slots\":{slots},\"state\":\"ready\",\"cold-remaining-ms\":0,\
                  \"sequence\":{sequence},\"born\":{born}}}"
             );
             store.put("servers", &id_text, &entry);
