--- a/review/stand_ins_3/case_crowd.rs
+++ b/review/stand_ins_3/case_crowd.rs
@@ -1,8 +1,10 @@
 //! Callers of one tenant that send their bodies slowly, beside ordinary requests of another tenant.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -97,10 +99,12 @@
     let to = host.callers;
     let is_over = Arc::new(AtomicBool::new(false));
     let next_id = Arc::new(AtomicU64::new(0x10_0000));
+    let seen_by_slow: Arc<Mutex<BTreeMap<String, (u64, u64)>>> = Arc::default();
     let slow_callers = if setting.trouble { SLOW_CALLERS } else { 0 };
     let slow_callers: Vec<_> = (0..slow_callers)
         .map(|_| {
-            let (record, is_over, next_id) = (record.clone(), is_over.clone(), next_id.clone());
+            let (is_over, next_id) = (is_over.clone(), next_id.clone());
+            let seen_by_slow = seen_by_slow.clone();
             std::thread::spawn(move || {
                 while !is_over.load(Ordering::Relaxed) {
                     let id = next_id.fetch_add(1, Ordering::Relaxed);
@@ -109,7 +113,12 @@
                         Ok(head) => format!("status {}", head.status()),
                         Err(err) => err.to_string(),
                     };
-                    record.line(format!("slow caller {id:016x}: {seen}"));
+                    seen_by_slow
+                        .lock()
+                        .unwrap()
+                        .entry(seen)
+                        .or_insert((0, id))
+                        .0 += 1;
                     std::thread::sleep(IMPATIENT_PAUSE);
                 }
             })
@@ -133,6 +142,11 @@
         let status = head.as_ref().map_or(0, Head::status);
         record.line(format!("ordinary caller {sent:016x}: status {status}"));
         answered += usize::from(status == 200);
+        for (seen, (count, id)) in std::mem::take(&mut *seen_by_slow.lock().unwrap()) {
+            record.line(format!(
+                "slow callers: {count} times {seen}, first {id:016x}"
+            ));
+        }
         let wait = told_wait(head.as_ref(), ORDINARY_DEADLINE_MS);
         std::thread::sleep(wait.max(ORDINARY_PAUSE));
     }
