review: case 14, a withdrawn key at a host that restarts during a drill

Cause: what hosts remember of a configuration that the store has lost is not passed on to hosts that start. What was done: a script that withdraws a key, brings the store back from an older copy, and kills one of two hosts.

--- a/review/stand_ins_3/main.rs
+++ b/review/stand_ins_3/main.rs
@@ -2,7 +2,7 @@
 //!
 //! The process ends with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 
-mod case_crowd;
+mod case_key;
 mod case_readers;
 mod case_repeat;
 mod case_streams;
@@ -50,7 +50,7 @@
         .record
         .line(format!("case {name}, disruption: {}", setting.trouble));
     let verdict = match name {
-        "crowd" => case_crowd::run(&setting),
+        "key" => case_key::run(&setting),
         "readers" => case_readers::run(&setting),
         "repeat" => case_repeat::run(&setting),
         "takeups" => case_takeups::run(&setting),
--- a/review/stand_ins_3/store.rs
+++ b/review/stand_ins_3/store.rs
@@ -16,9 +16,12 @@
 use crate::http::response;
 use crate::json;
 
-#[derive(Default)]
-struct State {
+#[derive(Clone, Default)]
+pub struct State {
     revision: u64,
+    /// How often the store has come back from a copy.
+    era: u64,
+    is_down: bool,
     /// Objects as text, by kind and name.
     objects: BTreeMap<(String, String), String>,
     /// Changes: revision, kind, and event as text.
@@ -50,6 +53,27 @@
         Ok(store)
     }
 
+    /// A copy of the present state.
+    pub fn copy(&self) -> State {
+        self.state.0.lock().unwrap().clone()
+    }
+
+    /// Goes back to a copy. Watches from a revision that it does not have get 410.
+    pub fn go_back_to(&self, copy: State) {
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().unwrap();
+        let era = state.era + 1;
+        *state = State { era, ..copy };
+        changed.notify_all();
+    }
+
+    /// While it is down, the store answers all calls with 503.
+    pub fn set_down(&self, is_down: bool) {
+        let (lock, changed) = &*self.state;
+        lock.lock().unwrap().is_down = is_down;
+        changed.notify_all();
+    }
+
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         self.change(kind, name, spec);
@@ -78,7 +102,11 @@
         while let Some(head) = connection.read_head()? {
             let body = connection.read_body(&head, false)?;
             let (status, body) = self.answer(&head, &String::from_utf8_lossy(&body));
-            let headers = [("content-type", "application/json"), ("store-era", "1")];
+            let era = self.state.0.lock().unwrap().era.to_string();
+            let headers = [
+                ("content-type", "application/json"),
+                ("store-era", era.as_str()),
+            ];
             connection.write(&response(status, &headers, body.as_bytes()))?;
         }
         Ok(())
@@ -93,14 +121,14 @@
             let (_, value) = pairs.find(|(key, _)| *key == name)?;
             value.parse::<u64>().ok()
         };
+        if self.state.0.lock().unwrap().is_down {
+            return ("503 Service Unavailable", "{}".to_owned());
+        }
         if head.method() == "GET" {
-            return (
-                "200 OK",
-                match number("watch") {
-                    Some(after) => self.watch(kind, after, number("wait-ms").unwrap_or(0)),
-                    None => self.list(kind),
-                },
-            );
+            return match number("watch") {
+                Some(after) => self.watch(kind, after, number("wait-ms").unwrap_or(0)),
+                None => ("200 OK", self.list(kind)),
+            };
         }
         let metadata = json::value(body, "metadata").unwrap_or("{}");
         let name = json::text(metadata, "name").unwrap_or_default();
@@ -122,18 +150,25 @@
         format!("{{\"entries\":[{entries}],\"truncated\":false,\"at\":{at}}}")
     }
 
-    fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> String {
+    fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> (&'static str, String) {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let (lock, changed) = &*self.state;
         let mut state = lock.lock().unwrap();
         loop {
+            if state.is_down {
+                return ("503 Service Unavailable", "{}".to_owned());
+            }
+            if after > state.revision {
+                return ("410 Gone", "{}".to_owned());
+            }
             let news = state.events.iter();
             let news = news.filter(|(at, of, _)| *at > after && of == kind);
             let events: Vec<_> = news.map(|(.., event)| event.as_str()).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let (events, at) = (events.join(","), state.revision);
-                return format!("{{\"events\":[{events}],\"at\":{at}}}");
+                let text = format!("{{\"events\":[{events}],\"at\":{at}}}");
+                return ("200 OK", text);
             }
             state = changed.wait_timeout(state, left).unwrap().0;
         }
