--- a/review/stand_ins_3/case_crowd.rs
+++ b/review/stand_ins_3/case_crowd.rs
@@ -31,7 +31,7 @@
 /// Deadline of ordinary requests.
 const ORDINARY_DEADLINE_MS: u32 = 4_000;
 /// Callers that send slowly: one byte a second.
-const SLOW_CALLERS: u64 = 1_400;
+const SLOW_CALLERS: u64 = 1_800;
 const SLOW_BODY: usize = 1_000;
 const SLOW_PAUSE: Duration = Duration::from_secs(1);
 /// A slow caller that was answered or refused comes back after this time, whatever it is told.
